--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES := $(shell cat scripts/packages.txt)
+
+.PHONY: demo test bench spec build deps format format-check lint clean
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && apt-get install -y --no-install-recommends $(PACKAGES))
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	@scripts/demo $(BUILD)
+
+test: build
+	@scripts/run-tests $(BUILD)
+
+bench: build
+	@scripts/bench $(BUILD)
+
+spec: deps
+	@spec/run
+
+format:
+	@git ls-files '*.cpp' '*.h' | xargs -r clang-format -i
+
+format-check:
+	@git ls-files '*.cpp' '*.h' | xargs -r clang-format --dry-run --Werror
+
+lint: build
+	@scripts/lint $(BUILD)
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/bench/empty.cpp
@@ -0,0 +1,2 @@
+namespace lagoonferry::bench {
+}
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/util/digest.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace lagoonferry {
+
+/// Returns the 32 byte BLAKE2b digest of `data` as 64 lowercase hex digits. Thread-safe.
+std::string digest_hex(std::string_view data);
+
+/// Returns `bytes` random bytes as lowercase hex digits, from the operating system's generator. Thread-safe.
+std::string random_hex(std::size_t bytes);
+
+/// Compares two secrets in time that depends only on their lengths. Thread-safe.
+bool equal_constant_time(std::string_view a, std::string_view b);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/util/failure.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "util/result_code.h"
+
+#include <string>
+
+namespace lagoonferry {
+
+/// Why the last operation returned an empty optional.
+struct failure {
+    result_code code = result_code::ok;
+    std::string text;
+};
+
+} // namespace lagoonferry
