--- /dev/null
+++ b/src/peer/bounded_pool.cpp
@@ -0,0 +1,57 @@
+#include "peer/bounded_pool.h"
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+bounded_pool::bounded_pool(std::size_t max_threads, std::size_t max_queued)
+    : m_max_threads(max_threads), m_max_queued(max_queued)
+{
+}
+
+void bounded_pool::enqueue(std::function<void()> task)
+{
+    std::unique_lock lock(m_mutex);
+    const bool idle_thread = m_idle > m_tasks.size();
+    if (!idle_thread && m_threads.size() >= m_max_threads && m_tasks.size() >= m_max_queued) {
+        lock.unlock();
+        task();
+        return;
+    }
+    m_tasks.push_back(std::move(task));
+    if (!idle_thread && m_threads.size() < m_max_threads) {
+        m_threads.emplace_back([this] { work(); });
+    }
+    m_ready.notify_one();
+}
+
+void bounded_pool::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        ++m_idle;
+        m_ready.wait(lock, [this] { return m_stopping || !m_tasks.empty(); });
+        --m_idle;
+        if (m_tasks.empty()) {
+            return;
+        }
+        const auto task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+        lock.lock();
+    }
+}
+
+void bounded_pool::shutdown()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_ready.notify_all();
+    std::ranges::for_each(m_threads, &std::thread::join);
+    m_threads.clear();
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/peer/http_listener.cpp
@@ -0,0 +1,66 @@
+#include "peer/http_listener.h"
+
+#include "peer/bounded_pool.h"
+
+#include <httplib.h>
+
+#include <sys/socket.h>
+
+namespace lagoonferry {
+
+namespace {
+
+// cpp-httplib listens with a backlog of 5; a burst of connections beyond it was lost.
+constexpr int listen_backlog = 1024;
+constexpr std::size_t requests_per_connection = 1'000'000;
+constexpr time_t keep_alive_s = 30;
+
+} // namespace
+
+http_listener::http_listener(const http_limits& limits) : m_server(std::make_unique<httplib::Server>())
+{
+    m_server->new_task_queue = [limits] { return new bounded_pool(limits.threads, limits.max_queued); };
+    m_server->set_payload_max_length(limits.max_body_bytes);
+    m_server->set_read_timeout(limits.read_timeout_s, 0);
+    m_server->set_keep_alive_max_count(requests_per_connection);
+    m_server->set_keep_alive_timeout(keep_alive_s);
+    m_server->set_tcp_nodelay(true);
+    m_server->set_socket_options([this](socket_t fd) {
+        m_listen_fd = fd;
+        const int on = 1;
+        ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    });
+}
+
+http_listener::~http_listener()
+{
+    stop();
+}
+
+std::optional<network_address> http_listener::start(const network_address& address)
+{
+    network_address bound = address;
+    if (address.port == 0) {
+        const int port = m_server->bind_to_any_port(address.host);
+        if (port <= 0) {
+            return std::nullopt;
+        }
+        bound.port = static_cast<std::uint16_t>(port);
+    }
+    else if (!m_server->bind_to_port(address.host, address.port)) {
+        return std::nullopt;
+    }
+    ::listen(m_listen_fd, listen_backlog);
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    return bound;
+}
+
+void http_listener::stop()
+{
+    if (m_thread.joinable()) {
+        m_server->stop();
+        m_thread.join();
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/peer/http_listener.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "peer/network_address.h"
+
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace httplib {
+class Server;
+}
+
+namespace lagoonferry {
+
+/// Limits of an HTTP listener.
+struct http_limits {
+    std::size_t threads = 64;     ///< connections served at the same time
+    std::size_t max_queued = 256; ///< accepted connections that wait for a thread
+    std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
+    int read_timeout_s = 10; ///< a slower sender is disconnected
+};
+
+/// An HTTP server of cpp-httplib with a bounded thread pool, a listen backlog that survives a burst of connections,
+/// and its own accept thread. Connections beyond the limits are closed at once.
+class http_listener {
+public:
+    explicit http_listener(const http_limits& limits);
+    http_listener(const http_listener&) = delete;
+    http_listener& operator=(const http_listener&) = delete;
+
+    /// Stops the server.
+    ~http_listener();
+
+    /// The server, to add routes. Precondition: `start` has not been called.
+    httplib::Server& server() { return *m_server; }
+
+    /// Binds (port 0 chooses a free port) and serves. Returns the bound address, or nothing if it is in use.
+    std::optional<network_address> start(const network_address& address);
+
+    /// Stops accepting, lets running requests finish and joins the thread. May be called twice.
+    void stop();
+
+private:
+    std::unique_ptr<httplib::Server> m_server;
+    int m_listen_fd = -1;
+    std::thread m_thread;
+};
+
+} // namespace lagoonferry
