Add the interfaces of the dispatch module

Cause: the entry process needs the message types and the class signatures before the policy is finished.

--- /dev/null
+++ b/src/dispatch/dispatch_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "dispatch/request_class.h"
+#include "util/time.h"
+
+#include <cstdint>
+
+namespace lagoonferry {
+
+/// Figures of the dispatch policy. A switched-off mechanism is left out of every decision.
+struct dispatch_settings {
+    bool adaptive_limit = true;
+    bool detect_slow = true;
+    bool move_from_slow = true;
+    bool preempt_bulk = true;
+    bool refuse_late = true;
+    bool unlimited = false; ///< grants without a limit: the target queues
+
+    /// Share of a target's limit that a class and the classes below it may fill.
+    per_class<double> class_share{1.0, 0.9, 0.8, 0.5};
+    /// Waiting calls of a class, per target of the group.
+    per_class<double> queue_per_target{64, 16, 8, 8};
+
+    double ageing_tokens_per_s = 400; ///< service credited to a waiting call
+    double account_weight = 0.05;     ///< weight of the account's recent tokens against the program's
+    timestamp account_half_life = std::chrono::seconds(30);
+
+    timestamp token_goal = std::chrono::milliseconds(72); ///< between tokens; the limits adapt to it
+    double slow_ratio = 2.0;                              ///< of the usual latency, against the median of the peers
+    timestamp probe_interval = std::chrono::seconds(2);   ///< one call to a slow target
+
+    timestamp holder_timeout = std::chrono::seconds(10);
+    timestamp recovery = std::chrono::seconds(2);    ///< half limits after a start without memory
+    timestamp retry_after = std::chrono::seconds(1); ///< lower bound of the time in a refusal
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/slot_dispatcher.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "dispatch/account_shares.h"
+#include "dispatch/dispatch_counters.h"
+#include "dispatch/dispatch_settings.h"
+#include "dispatch/prefix_table.h"
+#include "dispatch/queue_order.h"
+#include "dispatch/random_source.h"
+#include "dispatch/slot_messages.h"
+#include "dispatch/slot_table.h"
+#include "dispatch/target_choice.h"
+#include "dispatch/target_info.h"
+#include "dispatch/target_track.h"
+#include "dispatch/waiting_queue.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+/// A message and the holder it goes to.
+struct outgoing_slot_message {
+    std::string to;
+    slot_message message;
+};
+
+/// Grants slots on one group of targets. Pure decision code: it does no I/O and reads no clock. Not thread-safe.
+///
+/// Call `tick` every 50 ms to 100 ms: it expires slots, adapts limits and serves calls that were held back.
+class slot_dispatcher {
+public:
+    /// Starts with empty memory: for `settings.recovery` only half of each limit is granted. `epoch` is the incarnation
+    /// of this dispatcher and differs on every start of the same instance. `seed` drives jitter and random choices.
+    slot_dispatcher(const dispatch_settings& settings, std::unique_ptr<target_choice> choice,
+                    std::unique_ptr<queue_order> order, std::uint64_t epoch, std::uint64_t seed, timestamp now);
+
+    /// Adds a target or changes its state. Slots on a target that is gone are dropped.
+    void set_target(const target_info& target, timestamp now);
+
+    /// Notes a late load report. Unknown targets are ignored.
+    void report_load(const load_report& report);
+
+    /// Notes a late cache event. Unknown targets are ignored.
+    void report_cache(const cache_event& event);
+
+    /// Handles a message of a holder. Messages that only dispatchers send are ignored.
+    std::vector<outgoing_slot_message> handle(const slot_message& message, timestamp now);
+
+    /// Handles the passing of time.
+    std::vector<outgoing_slot_message> tick(timestamp now);
+
+    dispatch_counters counters() const;
+
+    /// Estimates by target, for metrics and tests. Valid until the next call that changes the dispatcher.
+    const std::vector<target_track>& targets() const { return m_targets; }
+
+private:
+    using output = std::vector<outgoing_slot_message>;
+
+    void on(const slot_acquire& m, timestamp now, output& out);
+    void on(const slot_cancel& m, timestamp now, output& out);
+    void on(const slot_release& m, timestamp now, output& out);
+    void on(const slot_progress& m, timestamp now, output& out);
+    void on(const slot_holding& m, timestamp now, output& out);
+    template <class Other>
+    void on(const Other& /*m*/, timestamp /*now*/, output& /*out*/)
+    {
+    }
+
+    bool repeat_grant(const slot_acquire& m, output& out);
+    std::optional<slot_refuse> refusal(const slot_acquire& m, timestamp now);
+    std::chrono::milliseconds retry_after(double wait_us);
+    double expected_wait_us(request_class c) const;
+    double fastest_run_us(const slot_acquire& m) const;
+
+    void serve(timestamp now, output& out);
+    std::optional<std::size_t> place(const waiting_call& call, timestamp now);
+    bool fill_views(const waiting_call& call, timestamp now);
+    void grant(const waiting_call& call, std::size_t target, timestamp now, output& out);
+    void free_slot(std::uint64_t slot);
+
+    void refuse_expired(timestamp now, output& out);
+    void expire_slots(timestamp now);
+    void preempt_for_urgent(timestamp now, output& out);
+    void move_from_slow(timestamp now, output& out);
+    void request_preempt(slot_record& slot, preempt_reason reason, timestamp now, output& out);
+
+    std::uint32_t limit_of(const target_track& target, request_class c, timestamp now) const;
+    std::optional<std::size_t> find_target(std::string_view id) const;
+    bool recovering(timestamp now) const { return now < m_started + m_settings.recovery; }
+
+    dispatch_settings m_settings;
+    std::unique_ptr<target_choice> m_choice;
+    std::unique_ptr<queue_order> m_order;
+    std::uint64_t m_epoch;
+    random_source m_random;
+    timestamp m_started;
+    std::vector<target_track> m_targets;
+    slot_table m_slots;
+    waiting_queue m_queue;
+    prefix_table m_prefixes;
+    account_shares m_shares;
+    std::vector<target_view> m_views;
+    dispatch_counters m_counters;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/slot_table.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "dispatch/request_class.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonferry {
+
+/// A granted slot.
+struct slot_record {
+    std::uint64_t slot = 0;
+    std::uint64_t request = 0;
+    std::string holder;
+    std::string account;
+    std::size_t target = 0;
+    request_class priority = request_class::normal;
+    std::uint64_t prefix = 0;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t expected_output = 0;
+    std::uint32_t batch = 0; ///< calls on the target when the slot was granted, this one included
+    std::uint32_t tokens = 0;
+    timestamp granted{0};
+    timestamp observed{0};  ///< time of the last progress report, 0 before the first
+    timestamp preempted{0}; ///< time of the last request to give the slot up, 0 for none
+};
+
+/// Slots in the order of their ids, and when their holders were last heard. Not thread-safe.
+class slot_table {
+public:
+    slot_record& add(slot_record record);
+
+    /// Returns nullptr for an unknown slot. Pointers stay valid until the slot is removed.
+    slot_record* find(std::uint64_t slot);
+    slot_record* find_request(std::string_view holder, std::uint64_t request);
+
+    /// Removes the slot. Unknown slots are ignored.
+    void remove(std::uint64_t slot);
+
+    /// Notes a sign of life.
+    void heard(std::string_view holder, timestamp now);
+
+    /// Returns the slots whose holder has been silent since before `since`.
+    std::vector<std::uint64_t> silent_since(timestamp since) const;
+
+    /// Calls `f` for each slot in ascending order of ids.
+    void for_each(const std::function<void(slot_record&)>& f);
+
+    std::size_t size() const { return m_slots.size(); }
+
+private:
+    struct text_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view s) const { return std::hash<std::string_view>{}(s); }
+    };
+    struct holder_record {
+        timestamp heard{0};
+        std::unordered_map<std::uint64_t, std::uint64_t> slot_by_request;
+    };
+
+    std::unordered_map<std::uint64_t, slot_record> m_slots;
+    std::unordered_map<std::string, holder_record, text_hash, std::equal_to<>> m_holders;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/waiting_queue.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "dispatch/queue_order.h"
+#include "dispatch/request_class.h"
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Calls that wait for a slot. Not thread-safe.
+class waiting_queue {
+public:
+    /// Adds a call; a call with the same holder and request must not be waiting.
+    void push(waiting_call call);
+
+    bool contains(std::string_view holder, std::uint64_t request) const;
+
+    /// Removes a waiting call; returns false when there is none.
+    bool remove(std::string_view holder, std::uint64_t request);
+
+    /// Removes and returns the call at `index` of `calls()`.
+    waiting_call take(std::size_t index);
+
+    /// Ranks all calls once and returns their indices, lowest rank first; equal ranks in order of arrival. Valid until
+    /// the queue changes.
+    const std::vector<std::size_t>& sorted(const queue_order& order, const account_shares& shares, timestamp now);
+
+    const std::vector<waiting_call>& calls() const { return m_calls; }
+    std::uint32_t count(request_class c) const { return m_count[index_of(c)]; }
+    double tokens(request_class c) const { return m_tokens[index_of(c)]; }
+
+private:
+    std::vector<waiting_call> m_calls;
+    std::vector<queue_rank> m_ranks;
+    std::vector<std::size_t> m_sorted;
+    per_class<std::uint32_t> m_count{};
+    per_class<double> m_tokens{};
+};
+
+} // namespace lagoonferry
