--- /dev/null
+++ b/src/document/document_table.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "document/document_record.h"
+#include "document/document_version.h"
+#include "document/service_document.h"
+#include "util/failure.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// A document in force. Immutable, so that it can be shared with other threads.
+struct document_in_force {
+    document_record record;
+    service_document document;
+};
+
+/// A fetch of a document body. An empty `peer` means the key-value service.
+struct document_fetch {
+    std::string peer;
+    std::string service;
+    std::uint64_t version = 0; ///< the lowest version that is of use
+
+    bool operator==(const document_fetch&) const = default;
+};
+
+/// The documents in force in one process. Decides which versions to fetch from whom, never goes back to an earlier
+/// version, and knows whether the process may serve. One owner; not thread-safe.
+class document_table {
+public:
+    /// Notes that `peer` has these versions, as heard in a heartbeat.
+    void learn(std::string_view peer, std::span<const document_version> versions, timestamp now);
+
+    /// Takes the complete list of a peer's or of the key-value service's versions (an empty `peer`). The process
+    /// becomes ready when it has all of them.
+    void answer(std::string_view peer, std::span<const document_version> versions, timestamp now);
+
+    /// Puts a record in force if its version is higher than the present one and not lower than one that was heard of.
+    /// Returns whether it did; last_failure() tells why not.
+    bool install(document_record record, timestamp now);
+
+    /// Returns the fetches to start now and counts them as started. One fetch for each service is in flight; after a
+    /// failure or a timeout another peer, and in the end the key-value service, is asked.
+    std::vector<document_fetch> start_fetches(timestamp now);
+
+    /// Ends a fetch without a usable record.
+    void fetch_failed(const document_fetch& fetch, timestamp now);
+
+    /// Returns up to `limit` versions for the next heartbeat: recent changes first, then the others in turn.
+    std::vector<document_version> next_heartbeat(std::size_t limit, timestamp now);
+
+    /// Returns the document in force, or null.
+    std::shared_ptr<const document_in_force> find(std::string_view service) const;
+
+    /// Returns all documents in force, ordered by service.
+    std::vector<std::shared_ptr<const document_in_force>> all() const;
+
+    /// Returns the versions in force, ordered by service.
+    std::vector<document_version> versions() const;
+
+    /// Returns whether a peer or the key-value service has answered and all versions of its answer are in force.
+    bool ready() const;
+
+    const failure& last_failure() const { return m_failure; }
+
+private:
+    struct entry {
+        std::shared_ptr<const document_in_force> in_force;
+        std::uint64_t highest_heard = 0;
+        std::vector<std::string> holders;
+        std::optional<document_fetch> fetch;
+        timestamp fetch_started{};
+        timestamp retry_at{};
+        std::size_t tried = 0;
+        std::size_t announcements_left = 0;
+    };
+
+    entry& entry_of(std::string_view service);
+    void note(std::string_view peer, const document_version& known, timestamp now);
+    std::optional<document_fetch> next_fetch(const std::string& service, entry& item, timestamp now) const;
+    bool refuse(result_code code, std::string text);
+
+    std::map<std::string, entry, std::less<>> m_entries;
+    std::map<std::string, std::uint64_t> m_answer;
+    bool m_answered = false;
+    std::string m_next_announced;
+    failure m_failure;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/address_lookup.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "membership/member.h"
+#include "util/time.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// The answer of GET /v1/where.
+struct address_answer {
+    std::vector<std::string> addresses; ///< IP address and HTTP port, the preferred one first
+    std::chrono::milliseconds ttl{};    ///< how long the caller may use the answer
+};
+
+/// Orders entry addresses for callers by weighted rendezvous hashing. Loads act in steps, with hysteresis, so that a
+/// small change of load moves no caller. One owner; not thread-safe.
+class address_lookup {
+public:
+    explicit address_lookup(std::chrono::milliseconds ttl);
+
+    /// Sets the entry instances. Only alive ones appear in answers.
+    void update(std::span<const member> entries);
+
+    /// Returns at most `limit` addresses for an account. `caller` spreads the callers of one account and may be empty.
+    address_answer order(std::string_view account, std::string_view caller, std::size_t limit) const;
+
+private:
+    struct candidate {
+        std::string address;
+        std::uint64_t hash = 0;
+        double weight = 1;
+    };
+
+    double weight_of(const member& item);
+
+    std::chrono::milliseconds m_ttl;
+    std::map<std::string, std::uint32_t> m_load_steps;
+    std::vector<candidate> m_candidates;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/duty.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "membership/member.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Work that only a few members do for all, to save calls to the platform.
+enum class duty { poll_instances, watch_documents };
+
+/// Returns one member of each failure domain for a duty, by rendezvous hashing, ordered by failure domain. `members`
+/// are the alive members that are not presumed down. Different views for a moment give an extra holder, never none.
+/// Thread-safe.
+std::vector<std::string> duty_holders(duty what, std::span<const member> members);
+
+/// Returns whether `id` holds the duty. Thread-safe.
+bool has_duty(duty what, std::span<const member> members, std::string_view id);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/heartbeat.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "document/document_version.h"
+#include "membership/member.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+inline constexpr std::size_t max_heartbeat_updates = 8;
+inline constexpr std::size_t max_heartbeat_documents = 4;
+inline constexpr std::size_t max_heartbeat_partitions = 24;
+
+/// Largest heartbeat in CBOR, bytes. With its envelope it stays below the 1,200 bytes that every path carries whole.
+inline constexpr std::size_t max_heartbeat_bytes = 1'000;
+
+/// What a process tells about a member. `sequence` counts the heartbeats of that member: a higher one proves that it
+/// was alive later.
+struct member_update {
+    member about;
+    std::uint64_t sequence = 0;
+
+    bool operator==(const member_update&) const = default;
+};
+
+/// A partition that the sender owns, with the epoch of its head record.
+struct owned_partition {
+    std::uint32_t partition = 0;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const owned_partition&) const = default;
+};
+
+/// The datagram that processes send each other every 500 ms. Idempotent and unordered.
+struct heartbeat {
+    member_update sender;
+    bool wants_answer = false; ///< the receiver answers with a heartbeat without updates
+    std::vector<member_update> updates;
+    std::vector<document_version> documents;
+    std::vector<owned_partition> partitions;
+
+    bool operator==(const heartbeat&) const = default;
+};
+
+/// Returns the message with short field names, to be sent as CBOR. Thread-safe.
+nlohmann::json to_json(const heartbeat& message);
+
+/// Reads a message; nothing when a field is missing, has a wrong type or is out of range. Thread-safe.
+std::optional<heartbeat> heartbeat_from_json(const nlohmann::json& message);
+
+/// Returns the size of the message in CBOR. Thread-safe.
+std::size_t encoded_bytes(const heartbeat& message);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/listed_instance.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "membership/member.h"
+
+#include <string>
+
+namespace lagoonferry {
+
+/// One row of the platform's instance list, which lags behind.
+struct listed_instance {
+    std::string id;
+    member_role role = member_role::entry;
+    member_address address; ///< only the ports that the list knows
+    std::string failure_domain;
+    bool leaving = false;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/rendezvous.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace lagoonferry {
+
+/// Returns a hash that is the same in all processes and versions. Thread-safe.
+std::uint64_t stable_hash(std::string_view text);
+
+/// Returns the score of a member for a key in weighted rendezvous hashing: the member with the highest score wins, and
+/// it wins a share of the keys in proportion to its weight. Precondition: weight > 0. Thread-safe.
+double rendezvous_score(std::uint64_t key_hash, std::uint64_t member_hash, double weight);
+
+} // namespace lagoonferry
