--- a/src/settings/ranged.h
+++ b/src/settings/ranged.h
@@ -2,7 +2,7 @@
 
 #include <concepts>
 #include <optional>
-#include <type_traits>
+#include <utility>
 
 namespace lagoonferry {
 
@@ -45,11 +45,10 @@
     template <std::integral U>
     static consteval T checked(U value)
     {
-        const T converted = static_cast<T>(value);
-        if (converted < Min || converted > Max) {
+        if (std::cmp_less(value, Min) || std::cmp_greater(value, Max)) {
             throw "the value lies outside of its range";
         }
-        return converted;
+        return static_cast<T>(value);
     }
 
     T m_value;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -77,6 +77,18 @@
     std::map<std::string, log_level> parts; ///< levels of single parts, by the names of util/log.h
 };
 
+/// An absolute path of a folder; empty if there is none.
+struct folder_path {
+    std::string text;
+
+    bool operator==(const folder_path&) const = default;
+};
+
+/// Persistent storage for bulk data, which only a few instances have.
+struct storage_settings {
+    folder_path data_folder;
+};
+
 /// The settings of one `entry` or `dispatch` process. Fixed after the start, so any thread may read them.
 struct settings {
     identity_settings identity;
@@ -87,7 +99,7 @@
     partition_settings partitions;
     timing_settings timing;
     log_settings log;
-    std::string data_folder; ///< empty: no persistent storage on this instance
+    storage_settings storage;
 };
 
 /// Returns the address given to callers and peers. Thread-safe.
