Add the interfaces of the platform clients

Cause: the entry, dispatch and membership modules need the interfaces of the platform clients before the clients exist.

--- /dev/null
+++ b/src/platform/engine_client.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "platform/call_counts.h"
+#include "platform/engine_answer.h"
+#include "platform/engine_call.h"
+#include "platform/engine_report.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lagoonferry {
+
+/// An order to an engine. `kind` is "load_model", "unload_model", "load_adapter", "set_version" or "set_role".
+struct engine_order {
+    std::string kind;
+    std::string name;
+    std::optional<fencing_token> fence;
+};
+
+/// The reply to an order. An answered order was accepted with status 200 and refused otherwise (409: stale token).
+struct engine_order_result {
+    call_end end = call_end::not_sent;
+    int http_status = 0;
+    failure reason;
+};
+
+/// Calls to model engines. Every method is thread-safe, and many streams run at the same time. No method repeats a
+/// call. The other calls than `stream` wait at most `timeout` for the reply and as long again for a new connection.
+class engine_client {
+public:
+    /// Receives the text of one token; returning false ends the stream as cancelled.
+    using token_callback = std::function<bool(std::string_view text)>;
+
+    engine_client() = default;
+    engine_client(const engine_client&) = delete;
+    engine_client& operator=(const engine_client&) = delete;
+    virtual ~engine_client() = default;
+
+    /// Runs one completion and returns when its stream has ended. `on_token` runs on the calling thread.
+    virtual engine_answer stream(const engine_call& call, const token_callback& on_token) = 0;
+
+    /// Ends a running `stream` of this client with this call id, if there is one, and tells the engine to cancel the
+    /// call. May be called from any thread. `answered` means that the engine no longer runs the call.
+    virtual call_end cancel(const std::string& address, const std::string& call_id,
+                            std::chrono::milliseconds timeout) = 0;
+
+    /// Drops what the engine holds for the program and returns the number of released tokens.
+    virtual std::optional<std::uint64_t> release(const std::string& address, const std::string& program,
+                                                 std::chrono::milliseconds timeout, failure& why) = 0;
+
+    /// Reads the engine's latest load report, which lags.
+    virtual std::optional<engine_load> load(const std::string& address, std::chrono::milliseconds timeout,
+                                            failure& why) = 0;
+
+    /// Reads the published cache events with a sequence number above `after`.
+    virtual std::optional<engine_cache_events> cache_events(const std::string& address, std::uint64_t after,
+                                                            std::chrono::milliseconds timeout, failure& why) = 0;
+
+    /// Reads the engine's own present count of held tokens.
+    virtual std::optional<engine_held> held(const std::string& address, std::chrono::milliseconds timeout,
+                                            failure& why) = 0;
+
+    /// Reads a program's cached prefix as opaque text for `import_cache` on another engine of the same model.
+    virtual std::optional<std::string> export_cache(const std::string& address, const std::string& program,
+                                                    std::chrono::milliseconds timeout, failure& why) = 0;
+
+    /// Stores an exported prefix. Returns the tokens held afterwards.
+    virtual std::optional<std::uint64_t> import_cache(const std::string& address, const std::string& exported,
+                                                      std::chrono::milliseconds timeout, failure& why) = 0;
+
+    /// Sends one order.
+    virtual engine_order_result order(const std::string& address, const engine_order& order,
+                                      std::chrono::milliseconds timeout) = 0;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/http_engine_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "platform/engine_client.h"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace lagoonferry {
+
+class connection_pool;
+class http_connection;
+struct http_reply;
+struct http_request;
+
+/// Engine client over HTTP with a bounded pool of kept-alive connections to any number of engines.
+class http_engine_client final : public engine_client {
+public:
+    /// `counts` outlives this object. At most `max_connections` calls run at a time; a further one ends as `not_sent`.
+    http_engine_client(std::size_t max_connections, call_counts& counts);
+    ~http_engine_client() override;
+
+    engine_answer stream(const engine_call& call, const token_callback& on_token) override;
+    call_end cancel(const std::string& address, const std::string& call_id, std::chrono::milliseconds timeout) override;
+    std::optional<std::uint64_t> release(const std::string& address, const std::string& program,
+                                         std::chrono::milliseconds timeout, failure& why) override;
+    std::optional<engine_load> load(const std::string& address, std::chrono::milliseconds timeout,
+                                    failure& why) override;
+    std::optional<engine_cache_events> cache_events(const std::string& address, std::uint64_t after,
+                                                    std::chrono::milliseconds timeout, failure& why) override;
+    std::optional<engine_held> held(const std::string& address, std::chrono::milliseconds timeout,
+                                    failure& why) override;
+    std::optional<std::string> export_cache(const std::string& address, const std::string& program,
+                                            std::chrono::milliseconds timeout, failure& why) override;
+    std::optional<std::uint64_t> import_cache(const std::string& address, const std::string& exported,
+                                              std::chrono::milliseconds timeout, failure& why) override;
+    engine_order_result order(const std::string& address, const engine_order& order,
+                              std::chrono::milliseconds timeout) override;
+
+private:
+    struct running_stream {
+        http_connection* connection = nullptr;
+        bool cancelled = false;
+    };
+
+    http_reply exchange(call_kind kind, const std::string& address, const http_request& request,
+                        std::chrono::milliseconds timeout);
+    bool register_stream(const std::string& call_id, http_connection& connection);
+    bool unregister_stream(const std::string& call_id);
+    void interrupt_stream(const std::string& call_id);
+
+    std::unique_ptr<connection_pool> m_pool;
+    call_counts& m_counts;
+    std::mutex m_mutex;
+    std::map<std::string, running_stream> m_streams;
+};
+
+} // namespace lagoonferry
