Publish the interface of the core protocol

Cause: HTTP handlers, actors and sockets are written in parallel with the core and need its events and actions. No implementation yet.

--- /dev/null
+++ b/src/journal/budget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+
+namespace lagoonferry {
+
+/// An amount of the three limited resources of a program.
+struct budget {
+    std::uint64_t tokens = 0;
+    std::uint64_t calls = 0;
+    std::uint64_t money = 0; ///< micro-units of the account's currency
+
+    bool operator==(const budget&) const = default;
+};
+
+/// Returns the sum, saturating at the largest value. Thread-safe, as are all functions of this header.
+budget operator+(const budget& a, const budget& b);
+
+/// Returns the difference, saturating at 0.
+budget operator-(const budget& a, const budget& b);
+
+/// Returns whether no resource of `a` is larger than that of `limit`.
+bool fits(const budget& a, const budget& limit);
+
+/// Returns the smaller amount of each resource.
+budget smallest(const budget& a, const budget& b);
+
+/// Returns the larger amount of each resource.
+budget largest(const budget& a, const budget& b);
+
+void to_json(nlohmann::json& out, const budget& value);
+void from_json(const nlohmann::json& in, budget& value);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/journal/entry.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "journal/budget.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace lagoonferry {
+
+/// A program was opened; a child's limits are a share of its parent's budget.
+struct open_entry {
+    std::string program;
+    std::string account;
+    std::string service;
+    std::string parent; ///< empty for a program without parent
+    budget limits;
+    std::uint32_t mark_chunks = 4; ///< a mark advances by 1 / mark_chunks of the limits
+
+    bool operator==(const open_entry&) const = default;
+};
+
+/// A turn was completed; its text is a `turn_text` with the same digest.
+struct turn_entry {
+    std::string program;
+    std::uint64_t number = 0;
+    std::string digest;
+    std::uint64_t context_tokens = 0; ///< tokens of the history up to and including this turn's answer
+
+    bool operator==(const turn_entry&) const = default;
+};
+
+/// An irreversible call may be sent once this entry is confirmed by the key-value service.
+struct intent_entry {
+    std::string call;
+    std::string program;
+    std::uint64_t turn = 0;
+    std::string tool;
+    std::string key;
+    std::string arguments_digest;
+
+    bool operator==(const intent_entry&) const = default;
+};
+
+/// What is known about a call that was sent. A call without intent (an idempotent one) is recorded here alone.
+struct outcome_entry {
+    std::string call;
+    std::string program;
+    std::string tool;
+    std::string key;
+    std::string arguments_digest;
+    bool known = false;        ///< false: the outcome is unknown
+    std::string result;        ///< the whole result if it is short
+    std::string result_digest; ///< set when the result is stored as a `result_text` instead
+
+    bool operator==(const outcome_entry&) const = default;
+};
+
+/// The intent of this call was recorded and the call will never be sent.
+struct abandon_entry {
+    std::string call;
+    std::string program;
+    std::string key;
+
+    bool operator==(const abandon_entry&) const = default;
+};
+
+/// A program, without its children, has spent at most this much.
+struct mark_entry {
+    std::string program;
+    budget spent_at_most;
+
+    bool operator==(const mark_entry&) const = default;
+};
+
+/// A program ended; `spent` includes its children.
+struct end_entry {
+    std::string program;
+    std::string reason;
+    budget spent;
+
+    bool operator==(const end_entry&) const = default;
+};
+
+/// One entry of a partition's log.
+using entry = std::variant<open_entry, turn_entry, intent_entry, outcome_entry, abandon_entry, mark_entry, end_entry>;
+
+/// Returns the program that an entry belongs to. Thread-safe.
+const std::string& program_of(const entry& value);
+
+/// Serialization of an entry as an object with short member names. Thread-safe.
+nlohmann::json entry_to_json(const entry& value);
+
+/// Throws nlohmann::json::exception for anything that `entry_to_json` does not produce. Thread-safe.
+entry entry_from_json(const nlohmann::json& in);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/owner_settings.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "journal/head_record.h"
+#include "journal/journal_settings.h"
+#include "util/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace lagoonferry {
+
+/// Removes single guards of the protocol so that tests can show that their checks notice. All off in production.
+struct fault_injection {
+    bool send_before_confirmed = false; ///< irreversible calls do not wait for their intent
+    bool answer_before_stored = false;  ///< callers are answered before a backup has acknowledged
+    bool mark_after_use = false;        ///< budget is used before its mark is stored
+    bool ignore_call_epoch = false;     ///< results of other calls of the same program are accepted
+    bool skip_fencing = false;          ///< a takeover does not ask the backups
+    bool forget_intents = false;        ///< a successor treats calls without outcome as never sent
+    bool single_list_change = false;    ///< a change of backups counts acknowledgements of the new list only
+};
+
+/// Limits and times of one partition's owner.
+struct owner_settings {
+    std::uint32_t partition = 0;
+    instance_ref self;
+    std::string failure_domain;
+    std::string writer; ///< unique for each object, for example 8 random bytes as hex; part of every write id
+    journal_settings journal;
+
+    std::size_t backups = 2;
+    timestamp backup_wait{std::chrono::milliseconds{50}};   ///< from then on one acknowledgement suffices
+    timestamp store_timeout{std::chrono::seconds{2}};       ///< without acknowledgement: refused or `not_stored`
+    timestamp confirm_timeout{std::chrono::seconds{2}};     ///< for the intent of an irreversible call
+    timestamp resend_after{std::chrono::milliseconds{200}}; ///< for batches and fetches without reply
+    timestamp retention{std::chrono::minutes{10}};          ///< of ended programs and of results of calls
+    std::uint32_t idempotent_attempts = 3;
+
+    std::size_t max_turn_bytes = 256 * 1024;            ///< new messages of one turn
+    std::size_t max_answer_bytes = 384 * 1024;          ///< answers and results of calls
+    std::size_t inline_result_bytes = 256;              ///< longer results are stored as text
+    std::size_t max_record_bytes = 700 * 1024;          ///< of the snapshot; a value holds at most 1 MB
+    std::size_t max_unflushed_bytes = 16 * 1024 * 1024; ///< not yet in the key-value service
+    std::size_t max_history_bytes = 64 * 1024 * 1024;   ///< texts of all programs of the partition
+    std::size_t max_running_calls = 1024;
+
+    fault_injection faults;
+};
+
+} // namespace lagoonferry
