Rename the membership type that clashed with program/partition_owner

Cause: two modules defined partition_owner in one namespace, which the linker may merge silently. Change: the member table's type is called known_owner. Conclusion: the class that owns a partition keeps the name.

--- a/src/membership/partition_owners.h
+++ b/src/membership/partition_owners.h
@@ -13,11 +13,11 @@
 namespace lagoonferry {
 
 /// Who owns a partition, as far as heartbeats and redirects have told.
-struct partition_owner {
+struct known_owner {
     std::string id;
     std::uint64_t epoch = 0;
 
-    bool operator==(const partition_owner&) const = default;
+    bool operator==(const known_owner&) const = default;
 };
 
 /// The owners of partitions as this process knows them. A higher epoch overrides. One owner; not thread-safe.
@@ -32,7 +32,7 @@
     void learn(std::string_view owner, std::span<const owned_partition> partitions);
 
     /// Returns the owner with the highest epoch heard of, or nothing.
-    std::optional<partition_owner> find(std::uint32_t partition) const;
+    std::optional<known_owner> find(std::uint32_t partition) const;
 
     /// Returns up to `limit` own partitions for the next heartbeat, all of them in turn.
     std::vector<owned_partition> next_heartbeat(std::size_t limit);
@@ -41,7 +41,7 @@
     std::string m_self;
     std::vector<owned_partition> m_own;
     std::size_t m_next = 0;
-    std::map<std::uint32_t, partition_owner> m_heard;
+    std::map<std::uint32_t, known_owner> m_heard;
 };
 
 } // namespace lagoonferry
