Add the controllers of entry processes (wiring in progress)

Cause: the decision modules need actors that feed them with datagrams, platform replies and time. Measured: compiles; not yet started by a process. Conclusion: the request id is carried in the actions that start calls, so that a session receives its own work.

--- /dev/null
+++ b/src/blackboard/board.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "blackboard/board_entry.h"
+#include "dispatch/group_map.h"
+#include "dispatch/target_info.h"
+#include "document/document_table.h"
+#include "membership/address_lookup.h"
+#include "membership/member.h"
+#include "membership/partition_owners.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// The processes of the system as this one sees them.
+struct member_view {
+    std::vector<member> entries;
+    std::vector<member> dispatchers;
+    std::vector<member> targets;
+
+    /// Returns a process by id, or null.
+    const member* find(std::string_view id) const;
+};
+
+/// An entry instance with this process's judgement about it.
+struct judged_member {
+    member known;
+    bool presumed_down = false;
+    bool listed = true; ///< false once the instance list no longer holds it
+};
+
+/// The accounts of a key: a service and the account's name in its document.
+struct account_ref {
+    std::string service;
+    std::string account;
+};
+
+/// The documents in force, with an index of account keys.
+struct document_view {
+    std::map<std::string, std::shared_ptr<const document_in_force>, std::less<>> services;
+    std::map<std::string, std::vector<account_ref>, std::less<>> accounts_by_digest;
+    bool ready = false;
+};
+
+/// A target of the documents in force and where it is.
+struct known_target {
+    target_info info;
+    std::string address;
+    bool checks_fence = false;
+    std::string scope; ///< `<service>` of the document that names it
+};
+
+/// The targets of all documents, divided into groups. `targets` is ordered by id.
+struct target_map {
+    std::map<std::string, known_target, std::less<>> targets;
+    std::shared_ptr<const group_map> groups;
+};
+
+/// Who owns the partitions, with addresses of their HTTP interfaces.
+struct owner_view {
+    std::map<std::uint32_t, std::string> addresses;
+    std::vector<std::uint32_t> own; ///< partitions that this process serves now
+};
+
+/// The state that the controllers of one process share. Each entry names the controller that writes it.
+struct board {
+    board_entry<member_view> members;                            ///< membership controller
+    board_entry<std::vector<judged_member>> all_entries;         ///< membership controller
+    board_entry<owner_view> owners;                              ///< membership controller
+    board_entry<std::shared_ptr<const address_lookup>> addresses; ///< membership controller
+    board_entry<document_view> documents;                        ///< document controller
+    board_entry<target_map> targets;                             ///< membership controller
+    board_entry<std::vector<document_version>> announced_documents;  ///< document controller
+    board_entry<std::vector<owned_partition>> announced_partitions;  ///< ownership controller
+    board_entry<std::uint32_t> load_percent;                         ///< the HTTP interface
+    board_entry<bool> stopping;                                  ///< the process, on a planned stop
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/peer/datagram_sender.cpp
@@ -0,0 +1,22 @@
+#include "peer/datagram_sender.h"
+
+#include "peer/datagram_socket.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoonferry {
+
+datagram_sender::datagram_sender(const datagram_socket& socket, const cluster_key& key, std::string self)
+    : m_socket(socket), m_key(key), m_self(std::move(self))
+{
+}
+
+void datagram_sender::send(const network_address& to, datagram_kind kind, const nlohmann::json& body)
+{
+    const auto bytes = encode_datagram({kind, m_self, to_cbor_text(body)}, m_key);
+    m_socket.send(to, bytes);
+    ++m_datagrams;
+    m_bytes += bytes.size();
+}
+
+} // namespace lagoonferry
--- a/src/program/action.h
+++ b/src/program/action.h
@@ -30,6 +30,7 @@
 /// Start a model call with the whole prompt. Ends with exactly one `engine_completed` or `engine_failed` that carries
 /// the same call id and epoch.
 struct start_engine_call {
+    request_id request = 0; ///< the `begin_turn` that it belongs to
     std::string call;
     std::uint64_t epoch = 0;
     std::string program;
@@ -38,6 +39,7 @@
     std::uint64_t turn = 0;
     std::vector<std::string> messages;
     std::uint64_t max_completion_tokens = 0;
+    std::uint64_t tokens_spent = 0; ///< by the whole program before this call
     timestamp deadline{0};
 };
 
@@ -48,6 +50,7 @@
 
 /// Send a tool call once. The receiver of this action never sends it again on its own.
 struct send_tool_call {
+    request_id request = 0; ///< the `begin_call` that it belongs to
     std::string call;
     std::uint64_t epoch = 0; ///< fencing token
     std::uint32_t attempt = 0;
--- /dev/null
+++ b/src/roles/instance_poller.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "roles/messages.h"
+
+#include <caf/actor.hpp>
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace lagoonferry {
+
+struct board;
+class call_counts;
+class instance_list;
+
+struct instance_poller_state {
+    std::unique_ptr<instance_list> list;
+    bool answered = false;
+};
+
+struct instance_poller_options {
+    std::string address;
+    std::string self;
+    std::chrono::milliseconds interval{2000};
+};
+
+/// Polls the instance list and sends the rows to the membership controller: always until the first answer, later only
+/// if this process has the duty. It blocks, so it needs a thread of its own.
+caf::behavior instance_poller(caf::stateful_actor<instance_poller_state>* self, const instance_poller_options& options,
+                              const caf::actor& membership, const board* shared, call_counts* counts);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/membership_controller.cpp
@@ -0,0 +1,187 @@
+#include "roles/membership_controller.h"
+
+#include "blackboard/board.h"
+#include "peer/datagram_sender.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::size_t heartbeat_peers = 3;
+
+network_address datagram_address(const member& item)
+{
+    return {item.address.ip, item.address.datagram_port};
+}
+
+listed_instance as_listed(const target& item)
+{
+    listed_instance row{item.id, member_role::target, {}, item.failure_domain, false};
+    if (const auto address = parse_address(item.address)) {
+        row.address = {address->host, address->port, 0, 0};
+    }
+    return row;
+}
+
+} // namespace
+
+void membership_state::start(caf::event_based_actor* self, const membership_options& options, membership_links links,
+                             board* shared, datagram_sender* sender)
+{
+    m_self = self;
+    m_links = std::move(links);
+    m_options = options;
+    m_board = shared;
+    m_sender = sender;
+    m_table.emplace(options.self, options.timing, std::uint16_t{0}, options.seed);
+    m_addresses.emplace(options.address_ttl);
+    publish(steady_now());
+    self->send(self, tick_atom::value);
+}
+
+void membership_state::on_tick()
+{
+    const timestamp now = steady_now();
+    m_table->set_own_load(*m_board->load_percent.read());
+    add_document_targets(now);
+    send_heartbeats(now);
+    publish(now);
+    m_self->delayed_send(m_self, m_options.heartbeat, tick_atom::value);
+}
+
+void membership_state::send_heartbeats(timestamp now)
+{
+    heartbeat message = m_table->next_heartbeat(now);
+    message.documents = *m_board->announced_documents.read();
+    message.partitions = *m_board->announced_partitions.read();
+    std::vector<network_address> peers;
+    std::ranges::transform(m_table->next_peers(heartbeat_peers, now), std::back_inserter(peers), datagram_address);
+    if (peers.size() < heartbeat_peers) {
+        peers.insert(peers.end(), m_options.seeds.begin(), m_options.seeds.end());
+        message.wants_answer = true;
+    }
+    const nlohmann::json body = to_json(message);
+    for (const network_address& to : peers) {
+        m_sender->send(to, datagram_kind::heartbeat, body);
+    }
+}
+
+void membership_state::on_heartbeat(const heartbeat_datagram& received)
+{
+    const timestamp now = steady_now();
+    const std::string& sender = received.message.sender.about.id;
+    if (m_table->receive(received.message, now)) {
+        heartbeat answer = m_table->answer();
+        answer.documents = *m_board->announced_documents.read();
+        answer.partitions = *m_board->announced_partitions.read();
+        m_sender->send(received.from, datagram_kind::heartbeat, to_json(answer));
+    }
+    if (m_links.ownership && !received.message.partitions.empty()) {
+        m_self->send(m_links.ownership, heard_partitions{sender, received.message.partitions});
+    }
+    if (!received.message.documents.empty()) {
+        m_self->send(m_links.documents, heard_documents{sender, received.message.documents});
+    }
+}
+
+void membership_state::on_instances(const listed_instances& message)
+{
+    const timestamp now = steady_now();
+    m_table->merge_instances(message.rows, now);
+    publish(now);
+}
+
+bool membership_state::on_drain(const drain_request& request)
+{
+    const std::string& id = request.id.empty() ? m_options.self.id : request.id;
+    const timestamp now = steady_now();
+    const bool known = m_table->mark_leaving(id, now);
+    if (known) {
+        log(log_part::membership, log_level::info, "Instance is leaving.", field("id", id));
+        send_heartbeats(now);
+        publish(now);
+    }
+    return known;
+}
+
+void membership_state::publish(timestamp now)
+{
+    const std::vector<member> entries = m_table->usable(member_role::entry, now);
+    m_board->members.write(
+        {entries, m_table->usable(member_role::dispatch, now), m_table->members(member_role::target)});
+    std::vector<judged_member> judged;
+    std::ranges::transform(m_table->members(member_role::entry), std::back_inserter(judged), [&](const member& item) {
+        return judged_member{item, m_table->judge(item.id, now) == member_judgement::presumed_down,
+                             m_table->listed(item.id).value_or(true)};
+    });
+    m_board->all_entries.write(std::move(judged));
+    m_addresses->update(entries);
+    m_board->addresses.write(std::make_shared<const address_lookup>(*m_addresses));
+    publish_targets();
+}
+
+void membership_state::add_document_targets(timestamp now)
+{
+    std::vector<listed_instance> rows;
+    for (const auto& [service, in_force] : m_board->documents.read()->services) {
+        for (const model& item : in_force->document.models) {
+            std::ranges::transform(item.targets, std::back_inserter(rows), as_listed);
+        }
+        for (const tool& item : in_force->document.tools) {
+            std::ranges::transform(item.targets, std::back_inserter(rows), as_listed);
+        }
+    }
+    m_table->add_targets(rows, now);
+}
+
+target_state membership_state::state_of(const std::string& target) const
+{
+    const auto known = m_table->find(target);
+    if (known && known->state == member_state::gone) {
+        return target_state::gone;
+    }
+    return m_table->excluded(target) ? target_state::leaving : target_state::live;
+}
+
+void membership_state::publish_targets()
+{
+    target_map map;
+    std::vector<target_info> infos;
+    for (const auto& [service, in_force] : m_board->documents.read()->services) {
+        for (const model& item : in_force->document.models) {
+            for (const target& engine : item.targets) {
+                target_info info;
+                info.id = engine.id;
+                info.model = item.name;
+                info.failure_domain = engine.failure_domain;
+                info.state = state_of(engine.id);
+                infos.push_back(info);
+                map.targets[engine.id] = {info, engine.address, engine.checks_fence, service};
+            }
+        }
+    }
+    std::vector<std::string> dispatchers;
+    std::ranges::transform(m_board->members.read()->dispatchers, std::back_inserter(dispatchers), &member::id);
+    map.groups = std::make_shared<const group_map>(infos, std::move(dispatchers));
+    m_board->targets.write(std::move(map));
+}
+
+caf::behavior membership_controller(caf::stateful_actor<membership_state>* self, const membership_options& options,
+                                    const membership_links& links, board* shared, datagram_sender* sender)
+{
+    self->state.start(self, options, links, shared, sender);
+    return {
+        [self](tick_atom) { self->state.on_tick(); },
+        [self](const heartbeat_datagram& received) { self->state.on_heartbeat(received); },
+        [self](const listed_instances& message) { self->state.on_instances(message); },
+        [self](const drain_request& request) { return self->state.on_drain(request); },
+    };
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/messages.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "dispatch/slot_holder.h"
+#include "document/document_record.h"
+#include "membership/heartbeat.h"
+#include "membership/listed_instance.h"
+#include "peer/network_address.h"
+#include "program/action.h"
+#include "program/event.h"
+#include "program/replica_messages.h"
+
+#include <caf/actor.hpp>
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/atom.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+class call_session;
+class slot_ticket;
+
+using tick_atom = caf::atom_constant<caf::atom("tick")>;
+using stop_atom = caf::atom_constant<caf::atom("stop")>;
+
+/// An event for a partition's owner; `session` receives the work and the answer if the event is a request.
+struct partition_event {
+    event input;
+    std::shared_ptr<call_session> session;
+};
+
+/// A call for the key-value service; the reply goes back to the sender as an event of the same partition.
+struct platform_request {
+    kv_call call;
+};
+
+/// Work for the process's own replica store.
+struct replica_request {
+    replicate_request message;
+};
+
+struct replica_fetch {
+    fetch_request message;
+};
+
+/// Asks the slot controller for a slot in a group of the model.
+struct acquire_slot {
+    slot_acquire wanted;
+    std::shared_ptr<slot_ticket> ticket;
+};
+
+/// Returns the slot of a ticket, or withdraws the request if no slot was granted.
+struct return_slot {
+    std::uint64_t request = 0;
+    slot_observation seen;
+};
+
+/// A slot message from another process.
+struct slot_datagram {
+    std::string from;
+    std::string group;
+    slot_message message;
+};
+
+/// A heartbeat from another process and the address it came from.
+struct heartbeat_datagram {
+    network_address from;
+    heartbeat message;
+};
+
+/// The ownership of one partition has changed.
+struct partition_status {
+    std::uint32_t partition = 0;
+    bool owned = false;
+    std::uint64_t epoch = 0;
+    std::string owner_id;     ///< present owner, if another one is known
+    std::string hand_over_to; ///< RPC address of the successor after a finished handover
+};
+
+/// Asks the process to take a partition over, because its owner hands it over.
+struct takeover_request {
+    std::uint32_t partition = 0;
+};
+
+/// Partitions that a peer owns, as its heartbeat says.
+struct heard_partitions {
+    std::string owner;
+    std::vector<owned_partition> partitions;
+};
+
+/// One answer of the instance list.
+struct listed_instances {
+    std::vector<listed_instance> rows;
+};
+
+/// Asks a peer to take a partition over, at its RPC address.
+struct takeover_call {
+    std::string address;
+    std::uint32_t partition = 0;
+};
+
+/// The controllers of all partitions, by number.
+struct partition_actors {
+    std::vector<caf::actor> actors;
+};
+
+/// Marks an instance or target as leaving. An empty id stands for this process.
+struct drain_request {
+    std::string id;
+};
+
+/// Versions of documents that a peer has.
+struct heard_documents {
+    std::string peer;
+    std::vector<document_version> versions;
+};
+
+/// A document accepted by a put in this process.
+struct accepted_document {
+    document_record record;
+};
+
+} // namespace lagoonferry
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_event)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::platform_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::replica_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::replica_fetch)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::replicate_reply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::fetch_reply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::acquire_slot)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::return_slot)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::slot_datagram)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heartbeat_datagram)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_status)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::drain_request)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_documents)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::accepted_document)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_partitions)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_call)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_actors)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::listed_instances)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::kv_reply)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::send_replicate)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::send_fetch)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::release_engine_memory)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::membership_changed)
--- /dev/null
+++ b/src/roles/ownership_controller.cpp
@@ -0,0 +1,248 @@
+#include "roles/ownership_controller.h"
+
+#include "blackboard/board.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{250};
+constexpr timestamp takeover_retry = std::chrono::seconds(1);
+
+// A partition whose owner is unknown is left alone this long after the start, so that heartbeats can name its owner.
+constexpr timestamp settle_time = std::chrono::seconds(2);
+
+// A partition moves to a better placed member only when the placement has stayed the same for this time.
+constexpr timestamp misplaced_time = std::chrono::seconds(5);
+
+std::string rpc_address(const member& item)
+{
+    return to_string(network_address{item.address.ip, item.address.rpc_port});
+}
+
+peer_state as_peer(const member& item)
+{
+    peer_state peer;
+    peer.instance = {item.id, rpc_address(item)};
+    peer.incarnation = item.incarnation;
+    peer.failure_domain = item.failure_domain;
+    peer.leaving = item.state == member_state::leaving;
+    return peer;
+}
+
+bool same(const peer_state& a, const peer_state& b)
+{
+    return a.instance == b.instance && a.incarnation == b.incarnation && a.presumed_down == b.presumed_down &&
+           a.leaving == b.leaving && a.listed == b.listed;
+}
+
+} // namespace
+
+void ownership_state::start(caf::event_based_actor* self, const ownership_options& options, caf::actor peers,
+                            board* shared)
+{
+    m_self = self;
+    m_options = options;
+    m_peers = std::move(peers);
+    m_board = shared;
+    m_owners.emplace(options.self);
+    m_records.resize(options.partitions);
+    m_started = steady_now();
+}
+
+void ownership_state::set_partitions(std::vector<caf::actor> partitions)
+{
+    m_partitions = std::move(partitions);
+    m_self->send(m_self, tick_atom::value);
+}
+
+void ownership_state::on_tick()
+{
+    const timestamp now = steady_now();
+    send_membership();
+    const auto members = m_board->members.read();
+    std::vector<member> alive;
+    std::ranges::copy_if(members->entries, std::back_inserter(alive),
+                         [](const member& item) { return item.state == member_state::alive; });
+    const placement places(alive);
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        consider(partition, places, now);
+    }
+    m_board->announced_partitions.write(m_owners->next_heartbeat(max_heartbeat_partitions));
+    publish();
+    m_self->delayed_send(m_self, tick_interval, tick_atom::value);
+}
+
+void ownership_state::send_membership()
+{
+    std::vector<peer_state> peers;
+    const auto view = m_board->all_entries.read();
+    for (const judged_member& item : *view) {
+        if (item.known.id == m_options.self) {
+            continue;
+        }
+        peer_state peer = as_peer(item.known);
+        peer.presumed_down = item.presumed_down;
+        peer.listed = item.listed;
+        peers.push_back(std::move(peer));
+    }
+    if (std::ranges::equal(peers, m_last_peers, same)) {
+        return;
+    }
+    m_last_peers = peers;
+    for (const caf::actor& partition : m_partitions) {
+        m_self->send(partition, partition_event{membership_changed{peers}, nullptr});
+    }
+}
+
+void ownership_state::consider(std::uint32_t partition, const placement& places, timestamp now)
+{
+    partition_record& record = m_records[partition];
+    const auto place = places.of(partition);
+    if (!place || record.handing_over) {
+        return;
+    }
+    if (record.owned) {
+        const bool misplaced = place->owner != m_options.self;
+        if (!misplaced) {
+            record.misplaced_since = timestamp{0};
+        }
+        else if (record.misplaced_since.count() == 0) {
+            record.misplaced_since = now;
+        }
+        else if (now - record.misplaced_since >= misplaced_time) {
+            hand_over(partition, place->owner);
+        }
+        return;
+    }
+    if (!owner_is_usable(partition) && now >= m_started + settle_time && now >= record.next_takeover &&
+        places.successor(partition, {}) == m_options.self) {
+        take_over(partition, now);
+    }
+}
+
+bool ownership_state::owner_is_usable(std::uint32_t partition) const
+{
+    const auto owner = m_owners->find(partition);
+    if (!owner || owner->id == m_options.self) {
+        return false;
+    }
+    return reachable(owner->id).has_value();
+}
+
+std::optional<member> ownership_state::reachable(const std::string& id) const
+{
+    const auto entries = m_board->all_entries.read();
+    const auto it = std::ranges::find_if(*entries, [&id](const judged_member& item) { return item.known.id == id; });
+    if (it == entries->end() || it->presumed_down || it->known.state == member_state::gone) {
+        return std::nullopt;
+    }
+    return it->known;
+}
+
+void ownership_state::take_over(std::uint32_t partition, timestamp now)
+{
+    m_records[partition].next_takeover = now + takeover_retry;
+    m_self->send(m_partitions[partition], partition_event{start_takeover{}, nullptr});
+}
+
+void ownership_state::hand_over(std::uint32_t partition, const std::string& successor)
+{
+    const auto next = reachable(successor);
+    if (!next) {
+        return;
+    }
+    m_records[partition].handing_over = true;
+    const start_handover order{{next->id, rpc_address(*next)}};
+    m_self->send(m_partitions[partition], partition_event{order, nullptr});
+}
+
+void ownership_state::on_status(const partition_status& status)
+{
+    partition_record& record = m_records.at(status.partition);
+    record.owned = status.owned;
+    record.epoch = status.epoch;
+    record.handing_over = false;
+    record.misplaced_since = timestamp{0};
+    if (!status.hand_over_to.empty()) {
+        m_self->send(m_peers, takeover_call{status.hand_over_to, status.partition});
+        record.next_takeover = steady_now() + m_options.presumed_down;
+    }
+    std::vector<owned_partition> own;
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        if (m_records[partition].owned) {
+            own.push_back({partition, m_records[partition].epoch});
+        }
+    }
+    m_owners->set_own(std::move(own));
+    m_board->announced_partitions.write(m_owners->next_heartbeat(max_heartbeat_partitions));
+    publish();
+}
+
+void ownership_state::on_heard(const heard_partitions& message)
+{
+    m_owners->learn(message.owner, message.partitions);
+}
+
+void ownership_state::on_takeover(const takeover_request& request)
+{
+    if (request.partition < m_records.size() && !m_records[request.partition].owned) {
+        take_over(request.partition, steady_now());
+    }
+}
+
+std::size_t ownership_state::on_stop()
+{
+    std::vector<member> others;
+    std::ranges::copy_if(m_board->members.read()->entries, std::back_inserter(others), [this](const member& item) {
+        return item.id != m_options.self && item.state == member_state::alive;
+    });
+    const placement places(others);
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        const auto place = places.of(partition);
+        if (place && m_records[partition].owned && !m_records[partition].handing_over) {
+            hand_over(partition, place->owner);
+        }
+    }
+    return static_cast<std::size_t>(std::ranges::count(m_records, true, &partition_record::owned));
+}
+
+void ownership_state::publish()
+{
+    owner_view view;
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        if (m_records[partition].owned) {
+            if (!m_records[partition].handing_over) {
+                view.own.push_back(partition);
+            }
+            continue;
+        }
+        const auto owner = m_owners->find(partition);
+        const auto known = owner && owner->id != m_options.self ? reachable(owner->id) : std::nullopt;
+        if (known) {
+            view.addresses[partition] = to_string(network_address{known->address.ip, known->address.http_port});
+        }
+    }
+    m_board->owners.write(std::move(view));
+}
+
+caf::behavior ownership_controller(caf::stateful_actor<ownership_state>* self, const ownership_options& options,
+                                   const caf::actor& peers, board* shared)
+{
+    self->state.start(self, options, peers, shared);
+    return {
+        [self](const partition_actors& message) { self->state.set_partitions(message.actors); },
+        [self](tick_atom) { self->state.on_tick(); },
+        [self](const partition_status& status) { self->state.on_status(status); },
+        [self](const heard_partitions& message) { self->state.on_heard(message); },
+        [self](const takeover_request& request) { self->state.on_takeover(request); },
+        [self](stop_atom) { return static_cast<std::uint64_t>(self->state.on_stop()); },
+    };
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/ownership_controller.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "membership/partition_owners.h"
+#include "membership/placement.h"
+#include "roles/messages.h"
+
+#include <caf/actor.hpp>
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+struct board;
+
+struct ownership_options {
+    std::string self;
+    std::uint32_t partitions = 32;
+    timestamp presumed_down = std::chrono::seconds(6);
+};
+
+/// Decides when this instance takes partitions over and when it hands them over, from the placement on live members.
+/// Safety does not depend on it: the head record decides who owns a partition.
+class ownership_state {
+public:
+    void start(caf::event_based_actor* self, const ownership_options& options, caf::actor peers, board* shared);
+
+    /// Sets the controllers of the partitions, by number. Precondition: called once, before the first tick.
+    void set_partitions(std::vector<caf::actor> partitions);
+
+    void on_tick();
+    void on_status(const partition_status& status);
+    void on_heard(const heard_partitions& message);
+
+    /// Takes a partition over that its owner has handed over.
+    void on_takeover(const takeover_request& request);
+
+    /// Hands all partitions over; returns how many this instance still has.
+    std::size_t on_stop();
+
+private:
+    struct partition_record {
+        bool owned = false;
+        bool handing_over = false;
+        std::uint64_t epoch = 0;
+        timestamp next_takeover{0};
+        timestamp misplaced_since{0};
+    };
+
+    void send_membership();
+    void consider(std::uint32_t partition, const placement& places, timestamp now);
+    void take_over(std::uint32_t partition, timestamp now);
+    void hand_over(std::uint32_t partition, const std::string& successor);
+    bool owner_is_usable(std::uint32_t partition) const;
+
+    /// Returns an entry instance that is not presumed down, also a leaving one, which still serves its partitions.
+    std::optional<member> reachable(const std::string& id) const;
+    void publish();
+
+    caf::event_based_actor* m_self = nullptr;
+    ownership_options m_options;
+    caf::actor m_peers;
+    board* m_board = nullptr;
+    std::optional<partition_owners> m_owners;
+    std::vector<caf::actor> m_partitions;
+    std::vector<partition_record> m_records;
+    std::vector<peer_state> m_last_peers;
+    timestamp m_started{0};
+};
+
+/// The behaviour of the ownership controller. `shared` outlives the actor.
+caf::behavior ownership_controller(caf::stateful_actor<ownership_state>* self, const ownership_options& options,
+                                   const caf::actor& peers, board* shared);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/partition_controller.cpp
@@ -0,0 +1,182 @@
+#include "roles/partition_controller.h"
+
+#include "entry/call_session.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+// Longer than any timeout of the workers behind the requests, which answer in every case.
+constexpr std::chrono::seconds worker_timeout{60};
+
+template <class T>
+void set_request(T& input, request_id request)
+{
+    if constexpr (requires { input.request; }) {
+        input.request = request;
+    }
+}
+
+} // namespace
+
+void partition_state::start(caf::event_based_actor* self, const owner_settings& values, partition_links links)
+{
+    m_self = self;
+    m_links = std::move(links);
+    m_partition = values.partition;
+    m_owner.emplace(values);
+}
+
+void partition_state::on_event(const partition_event& message)
+{
+    if (!message.session) {
+        feed(message.input);
+        return;
+    }
+    const request_id request = m_next_request++;
+    m_requests[request] = message.session;
+    event input = message.input;
+    std::visit([request](auto& value) { set_request(value, request); }, input);
+    feed(input);
+}
+
+void partition_state::on_timer()
+{
+    m_wake.reset();
+    feed(timer_fired{});
+}
+
+void partition_state::feed(const event& input)
+{
+    for (const action& next : m_owner->handle(input, steady_now())) {
+        std::visit([this](const auto& value) { carry_out(value); }, next);
+    }
+    schedule();
+}
+
+void partition_state::schedule()
+{
+    const auto next = m_owner->next_wake();
+    if (!next || (m_wake && *m_wake <= *next)) {
+        return;
+    }
+    m_wake = next;
+    const auto delay = std::max(*next - steady_now(), timestamp{0});
+    m_self->delayed_send(m_self, delay, tick_atom::value);
+}
+
+void partition_state::carry_out(const kv_call& call)
+{
+    const std::uint64_t request = call.request;
+    m_self->request(m_links.platform, worker_timeout, platform_request{call})
+        .then([this](const kv_reply& reply) { feed(reply); },
+              [this, request](const caf::error&) {
+                  kv_reply lost;
+                  lost.request = request;
+                  feed(lost);
+              });
+}
+
+void partition_state::carry_out(const send_replicate& message)
+{
+    m_self->request(m_links.peers, worker_timeout, message)
+        .then([this](const replicate_reply& reply) { feed(reply); }, [](const caf::error&) {});
+}
+
+void partition_state::carry_out(const send_fetch& message)
+{
+    if (message.backup.id == m_links.self) {
+        m_self->request(m_links.replicas, worker_timeout, replica_fetch{message.message})
+            .then([this](const fetch_reply& reply) { feed(reply); }, [](const caf::error&) {});
+        return;
+    }
+    m_self->request(m_links.peers, worker_timeout, message)
+        .then([this](const fetch_reply& reply) { feed(reply); }, [](const caf::error&) {});
+}
+
+void partition_state::carry_out(const start_engine_call& call)
+{
+    const auto it = m_requests.find(call.request);
+    if (it != m_requests.end()) {
+        it->second->post(call);
+        return;
+    }
+    engine_failed failed;
+    failed.call = call.call;
+    failed.epoch = call.epoch;
+    failed.run = run_state::not_run;
+    failed.text = "the request has ended";
+    m_self->send(m_self, partition_event{failed, nullptr});
+}
+
+void partition_state::carry_out(const cancel_engine_call& call)
+{
+    log(log_part::program, log_level::info, "Engine call is no longer wanted.", field("call", call.call));
+}
+
+void partition_state::carry_out(const send_tool_call& call)
+{
+    const auto it = m_requests.find(call.request);
+    if (it != m_requests.end()) {
+        it->second->post(call);
+        return;
+    }
+    call_finished finished;
+    finished.call = call.call;
+    finished.epoch = call.epoch;
+    finished.attempt = call.attempt;
+    finished.status = call_status::not_sent;
+    finished.result = "the request has ended";
+    m_self->send(m_self, partition_event{finished, nullptr});
+}
+
+void partition_state::carry_out(const answer_request& answer)
+{
+    const auto it = m_requests.find(answer.request);
+    if (it == m_requests.end()) {
+        return;
+    }
+    const std::shared_ptr<call_session> session = std::move(it->second);
+    m_requests.erase(it);
+    session->post(answer);
+}
+
+void partition_state::carry_out(const release_engine_memory& order)
+{
+    m_self->send(m_links.engines, order);
+}
+
+void partition_state::carry_out(const partition_ready& status)
+{
+    log(log_part::program, log_level::info, "Partition is owned.", field("partition", m_partition),
+        field("epoch", status.epoch));
+    m_self->send(m_links.ownership, partition_status{m_partition, true, status.epoch, {}, {}});
+}
+
+void partition_state::carry_out(const partition_lost& status)
+{
+    const std::string owner = status.owner ? status.owner->id : std::string();
+    const bool handed_over = status.reason == loss_reason::handed_over;
+    log(log_part::program, log_level::info, "Partition is no longer owned.", field("partition", m_partition),
+        field("owner", owner), field("handed_over", handed_over));
+    partition_status message{m_partition, false, 0, owner, {}};
+    if (handed_over && status.owner) {
+        message.hand_over_to = status.owner->address;
+    }
+    m_self->send(m_links.ownership, message);
+}
+
+caf::behavior partition_controller(caf::stateful_actor<partition_state>* self, const owner_settings& values,
+                                   const partition_links& links)
+{
+    self->state.start(self, values, links);
+    return {
+        [self](const partition_event& message) { self->state.on_event(message); },
+        [self](tick_atom) { self->state.on_timer(); },
+    };
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/partition_controller.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "program/partition_owner.h"
+#include "roles/messages.h"
+
+#include <caf/actor.hpp>
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lagoonferry {
+
+/// The actors that carry out the actions of a partition's owner.
+struct partition_links {
+    caf::actor platform;  ///< `platform_request` -> `kv_reply`
+    caf::actor peers;     ///< `send_replicate` -> `replicate_reply`, `send_fetch` -> `fetch_reply`
+    caf::actor replicas;  ///< the same for this instance's own copies
+    caf::actor engines;   ///< `release_engine_memory`
+    caf::actor ownership; ///< `partition_status`
+    std::string self;     ///< id of this instance
+};
+
+/// Runs one `partition_owner`: feeds it events, carries out its actions and answers sessions.
+class partition_state {
+public:
+    partition_state() = default;
+
+    void start(caf::event_based_actor* self, const owner_settings& values, partition_links links);
+    void on_event(const partition_event& message);
+    void on_timer();
+
+private:
+    void feed(const event& input);
+    void schedule();
+    void carry_out(const kv_call& call);
+    void carry_out(const send_replicate& message);
+    void carry_out(const send_fetch& message);
+    void carry_out(const start_engine_call& call);
+    void carry_out(const cancel_engine_call& call);
+    void carry_out(const send_tool_call& call);
+    void carry_out(const answer_request& answer);
+    void carry_out(const release_engine_memory& order);
+    void carry_out(const partition_ready& status);
+    void carry_out(const partition_lost& status);
+
+    caf::event_based_actor* m_self = nullptr;
+    partition_links m_links;
+    std::uint32_t m_partition = 0;
+    std::optional<partition_owner> m_owner;
+    std::uint64_t m_next_request = 1;
+    std::map<request_id, std::shared_ptr<call_session>> m_requests;
+    std::optional<timestamp> m_wake;
+};
+
+/// The behaviour of a partition's controller.
+caf::behavior partition_controller(caf::stateful_actor<partition_state>* self, const owner_settings& values,
+                                   const partition_links& links);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/release_controller.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "roles/messages.h"
+#include "util/time.h"
+
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <deque>
+#include <string>
+
+namespace lagoonferry {
+
+struct board;
+class engine_client;
+
+/// Releases what engines hold for ended programs, with retries until the engine's own expiry has done it.
+class release_state {
+public:
+    void start(const board* shared, engine_client* engines);
+    void add(const release_engine_memory& order, timestamp now);
+
+    /// Tries the releases that are due. Blocks for the calls.
+    void run(timestamp now);
+
+private:
+    struct pending_release {
+        std::string program;
+        std::string target;
+        timestamp next_try{0};
+        timestamp interval{0};
+        timestamp gives_up{0};
+    };
+
+    bool try_release(const pending_release& item) const;
+
+    const board* m_board = nullptr;
+    engine_client* m_engines = nullptr;
+    std::deque<pending_release> m_pending;
+};
+
+/// The behaviour of the release controller; it blocks, so it needs a thread of its own.
+caf::behavior release_controller(caf::stateful_actor<release_state>* self, const board* shared,
+                                 engine_client* engines);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/replica_controller.cpp
@@ -0,0 +1,17 @@
+#include "roles/replica_controller.h"
+
+#include <caf/event_based_actor.hpp>
+
+namespace lagoonferry {
+
+caf::behavior replica_controller(caf::stateful_actor<replica_state>* self, const std::string& id,
+                                 std::uint64_t incarnation)
+{
+    self->state.store.emplace(id, incarnation);
+    return {
+        [self](const replica_request& request) { return self->state.store->replicate(request.message); },
+        [self](const replica_fetch& request) { return self->state.store->fetch(request.message); },
+    };
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/replica_controller.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "program/replica_store.h"
+#include "roles/messages.h"
+
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace lagoonferry {
+
+struct replica_state {
+    std::optional<replica_store> store;
+};
+
+/// Owns the copies that this instance keeps for owners of other instances.
+caf::behavior replica_controller(caf::stateful_actor<replica_state>* self, const std::string& id,
+                                 std::uint64_t incarnation);
+
+} // namespace lagoonferry
