--- /dev/null
+++ b/src/document/document_put.cpp
@@ -0,0 +1,282 @@
+#include "document/document_put.h"
+
+#include "util/ensure.h"
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr timestamp retry_pause = std::chrono::milliseconds(100);
+
+} // namespace
+
+document_put::document_put(put_request request, timestamp deadline)
+    : m_request(std::move(request)), m_deadline(deadline)
+{
+    m_next = {m_request.service, m_request.if_version + 1, m_request.write_id,
+              m_request.author,  m_request.time_ms,        m_request.body};
+}
+
+std::optional<put_call> document_put::next() const
+{
+    using kind = put_call::kind;
+    const std::string head = document_key(m_request.service);
+    switch (m_step) {
+    case step::read_head:
+    case step::read_conflict:
+        return put_call{kind::get, head, 0, {}, m_pause};
+    case step::keep_history:
+        return put_call{kind::compare_and_swap, document_history_key(m_request.service, m_former_version), 0,
+                        m_former_text, m_pause};
+    case step::swap_head:
+        return put_call{kind::compare_and_swap, head, m_head_version, to_text(m_next), m_pause};
+    case step::read_superseding:
+        return put_call{kind::get, document_history_key(m_request.service, m_next.version), 0, {}, m_pause};
+    case step::list_history:
+        return put_call{kind::list, document_history_prefix(m_request.service), 0, {}, {}};
+    case step::read_oldest:
+        return put_call{kind::get, m_oldest.back(), 0, {}, {}};
+    case step::erase_oldest:
+        return put_call{kind::erase, m_oldest.back(), m_oldest_version, {}, {}};
+    case step::end:
+        break;
+    }
+    return std::nullopt;
+}
+
+void document_put::on_read(const kv_read& answer, timestamp now)
+{
+    if (answer.status != kv_status::ok) {
+        if (m_step == step::read_oldest) {
+            go(step::end);
+        }
+        else if (m_step == step::read_head && answer.status == kv_status::unavailable) {
+            refuse(result_code::platform_unavailable, run_state::not_run, "the key-value service is unavailable");
+        }
+        else {
+            repeat(now);
+        }
+        return;
+    }
+    switch (m_step) {
+    case step::read_head:
+        return on_head(answer.entry);
+    case step::read_conflict:
+        return on_conflict(answer.entry);
+    case step::read_superseding:
+        return on_superseded(answer.entry);
+    case step::read_oldest:
+        return on_oldest(answer.entry);
+    default:
+        ensure(false, "a put got the answer of a read that it did not ask for");
+    }
+}
+
+void document_put::on_list(const std::optional<std::vector<std::string>>& keys)
+{
+    ensure(m_step == step::list_history, "a put got the answer of a list that it did not ask for");
+    if (!keys || m_next.version <= document_history_length + 1) {
+        return go(step::end);
+    }
+    const std::string first_kept = document_history_key(m_request.service, m_next.version - document_history_length);
+    std::ranges::copy_if(*keys, std::back_inserter(m_oldest), [&](const std::string& key) { return key < first_kept; });
+    std::ranges::sort(m_oldest, std::greater{});
+    go(m_oldest.empty() ? step::end : step::read_oldest);
+}
+
+void document_put::on_write(const kv_write& answer, timestamp now)
+{
+    switch (m_step) {
+    case step::keep_history:
+        return on_kept(answer, now);
+    case step::swap_head:
+        return on_swapped(answer, now);
+    case step::erase_oldest:
+        return answer.status == kv_status::unavailable ? go(step::end) : next_oldest();
+    default:
+        ensure(false, "a put got the answer of a write that it did not ask for");
+    }
+}
+
+void document_put::on_head(const kv_entry& head)
+{
+    const bool absent = head.version == 0;
+    const auto former = absent ? std::nullopt : parse_record(head.value);
+    if (!absent && !former) {
+        return refuse(result_code::platform_unavailable, run_state::not_run, "the stored document cannot be read");
+    }
+    m_head_version = head.version;
+    m_former_version = former ? former->version : 0;
+    m_former_text = head.value;
+    if (m_former_version > m_request.if_version) {
+        m_lost = true;
+        return on_conflict(head);
+    }
+    if (m_former_version < m_request.if_version) {
+        return lose(former);
+    }
+    go(absent ? step::swap_head : step::keep_history);
+}
+
+void document_put::on_conflict(const kv_entry& head)
+{
+    m_newer = parse_record(head.value);
+    if (is_own(m_newer)) {
+        return take_effect();
+    }
+    if (m_newer && m_newer->version > m_next.version) {
+        return go(step::read_superseding);
+    }
+    lose(m_newer);
+}
+
+void document_put::on_superseded(const kv_entry& earlier)
+{
+    if (earlier.version != 0 && is_own(parse_record(earlier.value))) {
+        return take_effect();
+    }
+    // Without the record of this version nothing tells whether the lost write was the one that was superseded.
+    if (earlier.version == 0 && m_maybe_written) {
+        return refuse(result_code::outcome_unknown, run_state::outcome_unknown,
+                      "the reply was lost and the history does not reach back to this version");
+    }
+    lose(m_newer);
+}
+
+void document_put::on_kept(const kv_write& answer, timestamp now)
+{
+    switch (answer.status) {
+    case kv_status::ok:
+    case kv_status::conflict:
+        return go(step::swap_head);
+    case kv_status::unavailable:
+        return refuse(result_code::platform_unavailable, run_state::not_run, "the key-value service is unavailable");
+    case kv_status::unknown:
+        return repeat(now);
+    }
+}
+
+void document_put::on_swapped(const kv_write& answer, timestamp now)
+{
+    switch (answer.status) {
+    case kv_status::ok:
+        return take_effect();
+    case kv_status::conflict:
+        m_lost = !m_maybe_written;
+        return go(step::read_conflict);
+    case kv_status::unavailable:
+        if (!m_maybe_written) {
+            return refuse(result_code::platform_unavailable, run_state::not_run,
+                          "the key-value service is unavailable");
+        }
+        return repeat(now);
+    case kv_status::unknown:
+        m_maybe_written = true;
+        return repeat(now);
+    }
+}
+
+void document_put::on_oldest(const kv_entry& oldest)
+{
+    m_oldest_version = oldest.version;
+    if (oldest.version == 0) {
+        return next_oldest();
+    }
+    go(step::erase_oldest);
+}
+
+void document_put::next_oldest()
+{
+    m_oldest.pop_back();
+    go(m_oldest.empty() ? step::end : step::read_oldest);
+}
+
+void document_put::go(step next_step)
+{
+    m_step = next_step;
+    m_pause = {};
+}
+
+void document_put::repeat(timestamp now)
+{
+    if (now >= m_deadline) {
+        return out_of_time();
+    }
+    m_pause = retry_pause;
+}
+
+void document_put::take_effect()
+{
+    m_decided = true;
+    m_result.run = run_state::run;
+    m_result.record = m_next;
+    go(step::list_history);
+}
+
+void document_put::lose(const std::optional<document_record>& newer)
+{
+    if (!newer) {
+        return refuse(result_code::document_conflict, run_state::not_run,
+                      "the document has no version " + std::to_string(m_request.if_version));
+    }
+    m_result.newer_version = newer->version;
+    m_result.newer_author = newer->author;
+    refuse(result_code::document_conflict, run_state::not_run,
+           "version " + std::to_string(newer->version) + " by " + newer->author + " is in force, not version " +
+               std::to_string(m_request.if_version));
+}
+
+void document_put::refuse(result_code code, run_state run, std::string text)
+{
+    m_decided = true;
+    m_result.code = code;
+    m_result.run = run;
+    m_result.text = std::move(text);
+    go(step::end);
+}
+
+void document_put::out_of_time()
+{
+    if (m_lost) {
+        return refuse(result_code::document_conflict, run_state::not_run,
+                      "a newer version is in force, which could not be read");
+    }
+    if (m_maybe_written) {
+        return refuse(result_code::outcome_unknown, run_state::outcome_unknown,
+                      "the key-value service has not told whether the write took effect");
+    }
+    refuse(result_code::platform_unavailable, run_state::not_run, "the key-value service has not answered in time");
+}
+
+bool document_put::is_own(const std::optional<document_record>& record) const
+{
+    return record && record->write_id == m_request.write_id;
+}
+
+put_result run_put(document_put& put, kv_store& store, const put_clock& clock)
+{
+    while (const auto call = put.next()) {
+        if (call->pause.count() > 0) {
+            clock.wait(call->pause);
+        }
+        switch (call->what) {
+        case put_call::kind::get:
+            put.on_read(store.get(call->key), clock.now());
+            break;
+        case put_call::kind::list:
+            put.on_list(store.list(call->key));
+            break;
+        case put_call::kind::compare_and_swap:
+            put.on_write(store.compare_and_swap(call->key, call->expected, call->value), clock.now());
+            break;
+        case put_call::kind::erase:
+            put.on_write(store.erase(call->key, call->expected), clock.now());
+            break;
+        }
+    }
+    return put.result();
+}
+
+} // namespace lagoonferry
--- a/src/document/document_record.h
+++ b/src/document/document_record.h
@@ -28,6 +28,9 @@
 /// Returns the key of the newest version. Thread-safe.
 std::string document_key(std::string_view service);
 
+/// Returns the common prefix of the keys of earlier versions. Thread-safe.
+std::string document_history_prefix(std::string_view service);
+
 /// Returns the key of an earlier version; the keys of a service sort by version. Thread-safe.
 std::string document_history_key(std::string_view service, std::uint64_t version);
 
--- /dev/null
+++ b/src/document/document_table.cpp
@@ -0,0 +1,211 @@
+#include "document/document_table.h"
+
+#include "document/document_schema.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr timestamp fetch_timeout = std::chrono::seconds(1);
+constexpr timestamp first_backoff = std::chrono::milliseconds(100);
+constexpr std::size_t max_backoff_doublings = 5;
+constexpr std::size_t max_fetches = 8;
+constexpr std::size_t max_holders = 8;
+
+/// With 3 peers for each heartbeat this reaches every process of a fleet of 700 with high probability.
+constexpr std::size_t announcements = 12;
+
+} // namespace
+
+void document_table::learn(std::string_view peer, std::span<const document_version> versions)
+{
+    for (const document_version& known : versions) {
+        note(peer, known);
+    }
+}
+
+void document_table::answer(std::string_view peer, std::span<const document_version> versions)
+{
+    learn(peer, versions);
+    m_answered = true;
+    for (const document_version& known : versions) {
+        std::uint64_t& needed = m_needed[known.service];
+        needed = std::max(needed, known.version);
+    }
+}
+
+bool document_table::install(document_record record)
+{
+    entry& item = m_entries[record.service];
+    item.highest_heard = std::max(item.highest_heard, version_of(item));
+    if (record.version <= version_of(item)) {
+        return refuse(result_code::document_conflict, "version " + std::to_string(version_of(item)) + " is in force");
+    }
+    if (record.version < item.highest_heard) {
+        return refuse(result_code::document_conflict,
+                      "version " + std::to_string(item.highest_heard) + " was heard of");
+    }
+    document_check check = check_document(record.body);
+    if (!check.document) {
+        return refuse(result_code::document_invalid, describe(check.faults));
+    }
+    if (check.document->service != record.service) {
+        return refuse(result_code::document_invalid, "the document names the service " + check.document->service);
+    }
+    item.highest_heard = record.version;
+    item.holders.clear();
+    item.fetch.reset();
+    item.failed_fetches = 0;
+    item.announcements_left = announcements;
+    item.in_force = std::make_shared<document_in_force>(std::move(record), std::move(*check.document));
+    return true;
+}
+
+std::vector<document_fetch> document_table::start_fetches(timestamp now)
+{
+    std::vector<document_fetch> started;
+    for (auto& [service, item] : m_entries) {
+        if (item.fetch && now - item.fetch_started >= fetch_timeout) {
+            end_fetch(item, now);
+        }
+        const bool due = item.highest_heard > version_of(item) && !item.fetch && now >= item.retry_at;
+        if (!due || fetches_in_flight() >= max_fetches) {
+            continue;
+        }
+        const std::size_t choice = item.failed_fetches % (item.holders.size() + 1);
+        const std::string peer = choice < item.holders.size() ? item.holders[choice] : "";
+        item.fetch = document_fetch{peer, service, item.highest_heard};
+        item.fetch_started = now;
+        started.push_back(*item.fetch);
+    }
+    return started;
+}
+
+void document_table::fetch_failed(const document_fetch& fetch, timestamp now)
+{
+    const auto it = m_entries.find(fetch.service);
+    if (it != m_entries.end() && it->second.fetch == fetch) {
+        end_fetch(it->second, now);
+    }
+}
+
+std::vector<document_version> document_table::next_heartbeat(std::size_t limit)
+{
+    std::vector<std::string> services = recent_changes(limit);
+    auto it = m_entries.upper_bound(m_last_announced);
+    for (std::size_t n = 0; n < m_entries.size() && services.size() < limit; ++n) {
+        it = it == m_entries.end() ? m_entries.begin() : it;
+        if (it->second.in_force && std::ranges::find(services, it->first) == services.end()) {
+            services.push_back(it->first);
+            m_last_announced = it->first;
+        }
+        ++it;
+    }
+    std::vector<document_version> result;
+    std::ranges::transform(services, std::back_inserter(result), [&](const std::string& service) {
+        return document_version{service, version_of(m_entries.find(service)->second)};
+    });
+    return result;
+}
+
+std::shared_ptr<const document_in_force> document_table::find(std::string_view service) const
+{
+    const auto it = m_entries.find(service);
+    return it == m_entries.end() ? nullptr : it->second.in_force;
+}
+
+std::vector<std::shared_ptr<const document_in_force>> document_table::all() const
+{
+    std::vector<std::shared_ptr<const document_in_force>> result;
+    for (const auto& [service, item] : m_entries) {
+        if (item.in_force) {
+            result.push_back(item.in_force);
+        }
+    }
+    return result;
+}
+
+std::vector<document_version> document_table::versions() const
+{
+    std::vector<document_version> result;
+    for (const auto& [service, item] : m_entries) {
+        if (item.in_force) {
+            result.push_back({service, version_of(item)});
+        }
+    }
+    return result;
+}
+
+bool document_table::ready() const
+{
+    return m_answered && std::ranges::all_of(m_needed, [&](const auto& needed) {
+               const auto it = m_entries.find(needed.first);
+               return it != m_entries.end() && version_of(it->second) >= needed.second;
+           });
+}
+
+void document_table::note(std::string_view peer, const document_version& known)
+{
+    entry& item = m_entries[known.service];
+    if (known.version <= version_of(item) || known.version < item.highest_heard) {
+        return;
+    }
+    if (known.version > item.highest_heard) {
+        item.highest_heard = known.version;
+        item.holders.clear();
+        item.failed_fetches = 0;
+        item.retry_at = {};
+    }
+    const bool is_new = std::ranges::find(item.holders, peer) == item.holders.end();
+    if (!peer.empty() && is_new && item.holders.size() < max_holders) {
+        item.holders.emplace_back(peer);
+    }
+}
+
+std::uint64_t document_table::version_of(const entry& item)
+{
+    return item.in_force ? item.in_force->record.version : 0;
+}
+
+void document_table::end_fetch(entry& item, timestamp now)
+{
+    const std::size_t doublings = std::min(item.failed_fetches, max_backoff_doublings);
+    item.fetch.reset();
+    item.retry_at = now + first_backoff * (1 << doublings);
+    ++item.failed_fetches;
+}
+
+std::size_t document_table::fetches_in_flight() const
+{
+    const auto in_flight = [](const auto& item) { return item.second.fetch.has_value(); };
+    return static_cast<std::size_t>(std::ranges::count_if(m_entries, in_flight));
+}
+
+std::vector<std::string> document_table::recent_changes(std::size_t limit)
+{
+    std::vector<std::pair<std::size_t, std::string>> recent;
+    for (const auto& [service, item] : m_entries) {
+        if (item.in_force && item.announcements_left > 0) {
+            recent.emplace_back(item.announcements_left, service);
+        }
+    }
+    std::ranges::sort(recent, std::greater{}, &std::pair<std::size_t, std::string>::first);
+    recent.resize(std::min(recent.size(), limit));
+    std::vector<std::string> services;
+    for (const auto& [left, service] : recent) {
+        --m_entries.find(service)->second.announcements_left;
+        services.push_back(service);
+    }
+    return services;
+}
+
+bool document_table::refuse(result_code code, std::string text)
+{
+    m_failure = {code, std::move(text)};
+    return false;
+}
+
+} // namespace lagoonferry
--- a/src/document/document_table.h
+++ b/src/document/document_table.h
@@ -37,15 +37,15 @@
 class document_table {
 public:
     /// Notes that `peer` has these versions, as heard in a heartbeat.
-    void learn(std::string_view peer, std::span<const document_version> versions, timestamp now);
+    void learn(std::string_view peer, std::span<const document_version> versions);
 
     /// Takes the complete list of a peer's or of the key-value service's versions (an empty `peer`). The process
-    /// becomes ready when it has all of them.
-    void answer(std::string_view peer, std::span<const document_version> versions, timestamp now);
+    /// becomes ready when it has all of them. Precondition: the peer was ready itself.
+    void answer(std::string_view peer, std::span<const document_version> versions);
 
     /// Puts a record in force if its version is higher than the present one and not lower than one that was heard of.
     /// Returns whether it did; last_failure() tells why not.
-    bool install(document_record record, timestamp now);
+    bool install(document_record record);
 
     /// Returns the fetches to start now and counts them as started. One fetch for each service is in flight; after a
     /// failure or a timeout another peer, and in the end the key-value service, is asked.
@@ -55,7 +55,7 @@
     void fetch_failed(const document_fetch& fetch, timestamp now);
 
     /// Returns up to `limit` versions for the next heartbeat: recent changes first, then the others in turn.
-    std::vector<document_version> next_heartbeat(std::size_t limit, timestamp now);
+    std::vector<document_version> next_heartbeat(std::size_t limit);
 
     /// Returns the document in force, or null.
     std::shared_ptr<const document_in_force> find(std::string_view service) const;
@@ -75,23 +75,25 @@
     struct entry {
         std::shared_ptr<const document_in_force> in_force;
         std::uint64_t highest_heard = 0;
-        std::vector<std::string> holders;
+        std::vector<std::string> holders; ///< peers that have the highest version
         std::optional<document_fetch> fetch;
         timestamp fetch_started{};
         timestamp retry_at{};
-        std::size_t tried = 0;
+        std::size_t failed_fetches = 0;
         std::size_t announcements_left = 0;
     };
 
-    entry& entry_of(std::string_view service);
-    void note(std::string_view peer, const document_version& known, timestamp now);
-    std::optional<document_fetch> next_fetch(const std::string& service, entry& item, timestamp now) const;
+    void note(std::string_view peer, const document_version& known);
+    static std::uint64_t version_of(const entry& item);
+    static void end_fetch(entry& item, timestamp now);
+    std::size_t fetches_in_flight() const;
+    std::vector<std::string> recent_changes(std::size_t limit);
     bool refuse(result_code code, std::string text);
 
     std::map<std::string, entry, std::less<>> m_entries;
-    std::map<std::string, std::uint64_t> m_answer;
+    std::map<std::string, std::uint64_t> m_needed;
     bool m_answered = false;
-    std::string m_next_announced;
+    std::string m_last_announced;
     failure m_failure;
 };
 
