--- /dev/null
+++ b/src/journal/budget.cpp
@@ -0,0 +1,61 @@
+#include "journal/budget.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace lagoonferry {
+
+namespace {
+
+std::uint64_t add(std::uint64_t a, std::uint64_t b)
+{
+    return a > std::numeric_limits<std::uint64_t>::max() - b ? std::numeric_limits<std::uint64_t>::max() : a + b;
+}
+
+std::uint64_t subtract(std::uint64_t a, std::uint64_t b)
+{
+    return a > b ? a - b : 0;
+}
+
+} // namespace
+
+budget operator+(const budget& a, const budget& b)
+{
+    return {add(a.tokens, b.tokens), add(a.calls, b.calls), add(a.money, b.money)};
+}
+
+budget operator-(const budget& a, const budget& b)
+{
+    return {subtract(a.tokens, b.tokens), subtract(a.calls, b.calls), subtract(a.money, b.money)};
+}
+
+bool fits(const budget& a, const budget& limit)
+{
+    return a.tokens <= limit.tokens && a.calls <= limit.calls && a.money <= limit.money;
+}
+
+budget smallest(const budget& a, const budget& b)
+{
+    return {std::min(a.tokens, b.tokens), std::min(a.calls, b.calls), std::min(a.money, b.money)};
+}
+
+budget largest(const budget& a, const budget& b)
+{
+    return {std::max(a.tokens, b.tokens), std::max(a.calls, b.calls), std::max(a.money, b.money)};
+}
+
+void to_json(nlohmann::json& out, const budget& value)
+{
+    out = nlohmann::json::array({value.tokens, value.calls, value.money});
+}
+
+void from_json(const nlohmann::json& in, budget& value)
+{
+    in.at(0).get_to(value.tokens);
+    in.at(1).get_to(value.calls);
+    in.at(2).get_to(value.money);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/journal/entry.cpp
@@ -0,0 +1,152 @@
+#include "journal/entry.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+// Short member names keep the tail of the head record small: it is rewritten with every append.
+
+json write(const open_entry& it)
+{
+    return {{"p", it.program}, {"a", it.account}, {"s", it.service},
+            {"u", it.parent},  {"l", it.limits},  {"m", it.mark_chunks}};
+}
+
+void read(const json& in, open_entry& it)
+{
+    in.at("p").get_to(it.program);
+    in.at("a").get_to(it.account);
+    in.at("s").get_to(it.service);
+    in.at("u").get_to(it.parent);
+    in.at("l").get_to(it.limits);
+    in.at("m").get_to(it.mark_chunks);
+}
+
+json write(const turn_entry& it)
+{
+    return {{"p", it.program}, {"n", it.number}, {"d", it.digest}, {"c", it.context_tokens}};
+}
+
+void read(const json& in, turn_entry& it)
+{
+    in.at("p").get_to(it.program);
+    in.at("n").get_to(it.number);
+    in.at("d").get_to(it.digest);
+    in.at("c").get_to(it.context_tokens);
+}
+
+json write(const intent_entry& it)
+{
+    return {{"i", it.call}, {"p", it.program}, {"n", it.turn},
+            {"o", it.tool}, {"k", it.key},     {"d", it.arguments_digest}};
+}
+
+void read(const json& in, intent_entry& it)
+{
+    in.at("i").get_to(it.call);
+    in.at("p").get_to(it.program);
+    in.at("n").get_to(it.turn);
+    in.at("o").get_to(it.tool);
+    in.at("k").get_to(it.key);
+    in.at("d").get_to(it.arguments_digest);
+}
+
+json write(const outcome_entry& it)
+{
+    return {{"i", it.call},  {"p", it.program}, {"o", it.tool},         {"k", it.key}, {"d", it.arguments_digest},
+            {"y", it.known}, {"r", it.result},  {"e", it.result_digest}};
+}
+
+void read(const json& in, outcome_entry& it)
+{
+    in.at("i").get_to(it.call);
+    in.at("p").get_to(it.program);
+    in.at("o").get_to(it.tool);
+    in.at("k").get_to(it.key);
+    in.at("d").get_to(it.arguments_digest);
+    in.at("y").get_to(it.known);
+    in.at("r").get_to(it.result);
+    in.at("e").get_to(it.result_digest);
+}
+
+json write(const abandon_entry& it)
+{
+    return {{"i", it.call}, {"p", it.program}, {"k", it.key}};
+}
+
+void read(const json& in, abandon_entry& it)
+{
+    in.at("i").get_to(it.call);
+    in.at("p").get_to(it.program);
+    in.at("k").get_to(it.key);
+}
+
+json write(const mark_entry& it)
+{
+    return {{"p", it.program}, {"b", it.spent_at_most}};
+}
+
+void read(const json& in, mark_entry& it)
+{
+    in.at("p").get_to(it.program);
+    in.at("b").get_to(it.spent_at_most);
+}
+
+json write(const end_entry& it)
+{
+    return {{"p", it.program}, {"w", it.reason}, {"b", it.spent}};
+}
+
+void read(const json& in, end_entry& it)
+{
+    in.at("p").get_to(it.program);
+    in.at("w").get_to(it.reason);
+    in.at("b").get_to(it.spent);
+}
+
+/// In the order of the alternatives of `entry`.
+constexpr std::array kind_names{"open", "turn", "intent", "outcome", "abandon", "mark", "end"};
+static_assert(kind_names.size() == std::variant_size_v<entry>);
+
+template <std::size_t Index = 0>
+entry read_kind(std::string_view name, const json& in)
+{
+    if constexpr (Index < kind_names.size()) {
+        if (name != kind_names.at(Index)) {
+            return read_kind<Index + 1>(name, in);
+        }
+        std::variant_alternative_t<Index, entry> value;
+        read(in, value);
+        return value;
+    }
+    else {
+        throw json::other_error::create(501, "unknown kind of entry", &in);
+    }
+}
+
+} // namespace
+
+const std::string& program_of(const entry& value)
+{
+    return std::visit([](const auto& it) -> const std::string& { return it.program; }, value);
+}
+
+json entry_to_json(const entry& value)
+{
+    json out = std::visit([](const auto& it) { return write(it); }, value);
+    out["t"] = kind_names.at(value.index());
+    return out;
+}
+
+entry entry_from_json(const json& in)
+{
+    return read_kind(in.at("t").get_ref<const std::string&>(), in);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/journal/journal.cpp
@@ -0,0 +1,599 @@
+#include "journal/journal.h"
+
+#include "util/digest.h"
+#include "util/ensure.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace lagoonferry {
+
+namespace {
+
+std::size_t entry_bytes(const entry& value)
+{
+    return entry_to_json(value).dump().size();
+}
+
+std::string snapshot_prefix(std::uint32_t partition)
+{
+    return "snapshot/" + std::to_string(partition) + "/";
+}
+
+std::string history_prefix(std::uint32_t partition)
+{
+    return "history/" + std::to_string(partition) + "/";
+}
+
+/// Returns the epoch in a key `<prefix><epoch>-<sequence>`, or nothing for another key.
+std::optional<std::uint64_t> key_epoch(const std::string& key, const std::string& prefix)
+{
+    const std::size_t dash = key.rfind('-');
+    if (!key.starts_with(prefix) || dash == std::string::npos || dash <= prefix.size()) {
+        return std::nullopt;
+    }
+    const std::string digits = key.substr(prefix.size(), dash - prefix.size());
+    if (digits.size() > 19 || !std::ranges::all_of(digits, [](char c) { return c >= '0' && c <= '9'; })) {
+        return std::nullopt;
+    }
+    return std::stoull(digits);
+}
+
+void add_wake(std::optional<timestamp>& earliest, std::optional<timestamp> wake)
+{
+    if (wake && (!earliest || *wake < *earliest)) {
+        earliest = wake;
+    }
+}
+
+} // namespace
+
+journal::journal(std::uint32_t partition, instance_ref self, std::string writer, const journal_settings& settings)
+    : m_partition(partition), m_self(std::move(self)), m_settings(&settings),
+      m_chain(partition, std::move(writer), m_outbox, settings), m_segments(partition, m_outbox, settings),
+      m_eraser(m_outbox, settings), m_load_channel(m_outbox, settings)
+{
+}
+
+void journal::start_takeover()
+{
+    const bool startable =
+        m_phase == journal_phase::idle || m_phase == journal_phase::handed_over || m_phase == journal_phase::lost;
+    ensure(startable, "a takeover starts only without ownership");
+    m_segments = segment_set(m_partition, m_outbox, *m_settings);
+    m_eraser.clear();
+    m_load_channel = kv_channel(m_outbox, *m_settings);
+    m_image = {};
+    m_loaded_texts.clear();
+    m_log.clear();
+    m_log_bytes = 0;
+    m_snapshot.reset();
+    m_current_snapshot.clear();
+    m_current_snapshot_version = 0;
+    m_next_backups.reset();
+    m_release = false;
+    m_epoch = 0;
+    m_confirm = 0;
+    m_phase = journal_phase::reading;
+    m_chain.load();
+}
+
+void journal::finish_takeover(std::vector<log_item> recovered, std::vector<backup_ref> backups, timestamp now)
+{
+    ensure(m_phase == journal_phase::recovering, "the takeover has not loaded the partition");
+    m_loaded_texts.clear();
+    m_loaded_texts.shrink_to_fit();
+    for (log_item& it : recovered) {
+        if (it.text) {
+            m_segments.add(it.sequence, it.text, now);
+        }
+        m_last = std::max(m_last, it.sequence);
+        m_log_bytes += item_bytes(it);
+        m_log.push_back({std::move(it), now});
+    }
+    m_next_backups = std::move(backups);
+    m_phase = journal_phase::publishing;
+}
+
+std::uint64_t journal::append(entry content, text_ref text, durability wanted, timestamp now)
+{
+    const bool open = m_phase == journal_phase::ready || (m_phase == journal_phase::handing_over && !m_release);
+    ensure(open, "the journal does not accept entries");
+    ++m_last;
+    if (text) {
+        m_segments.add(m_last, text, now);
+    }
+    if (wanted == durability::confirmed) {
+        m_confirm = m_last;
+    }
+    log_item item{m_last, std::move(content), std::move(text)};
+    m_log_bytes += item_bytes(item);
+    m_log.push_back({std::move(item), now});
+    return m_last;
+}
+
+void journal::change_backups(std::vector<backup_ref> backups)
+{
+    ensure(m_phase == journal_phase::ready && !m_next_backups, "a change of backups is already running");
+    m_next_backups = std::move(backups);
+}
+
+void journal::start_handover(instance_ref successor)
+{
+    ensure(m_phase == journal_phase::ready, "only the owner hands over");
+    m_successor = std::move(successor);
+    m_phase = journal_phase::handing_over;
+}
+
+void journal::finish_handover()
+{
+    ensure(m_phase == journal_phase::handing_over, "no handover is running");
+    m_release = true;
+}
+
+void journal::stop()
+{
+    m_phase = journal_phase::lost;
+}
+
+void journal::forget(std::string_view program)
+{
+    m_image.forget(program);
+    m_segments.drop([program](const stored_text& it) { return program_of(it) == program; });
+}
+
+void journal::expire_result(const std::string& program, const std::string& key, const std::string& call)
+{
+    m_image.expire_result(program, key);
+    m_segments.drop([&call](const stored_text& it) {
+        const auto* result = std::get_if<result_text>(&it);
+        return result != nullptr && result->call == call;
+    });
+}
+
+void journal::handle(const kv_reply& reply, timestamp now)
+{
+    on_head(m_chain.handle(reply, now));
+    m_segments.handle(reply, now);
+    if (m_snapshot) {
+        m_snapshot->handle(reply, now);
+    }
+    m_eraser.handle(reply, now);
+    if (m_load_channel.accept(reply, now) && m_phase == journal_phase::loading) {
+        handle_load(reply, now);
+    }
+    poll(now);
+}
+
+void journal::poll(timestamp now)
+{
+    if (stopped()) {
+        return;
+    }
+    on_head(m_chain.poll(now));
+    if (m_phase == journal_phase::loading) {
+        load_next(now);
+    }
+    const bool at_once = m_phase == journal_phase::publishing || m_phase == journal_phase::handing_over;
+    m_segments.poll(m_epoch, at_once, now);
+    start_snapshot();
+    if (m_snapshot) {
+        m_snapshot->poll(now);
+    }
+    if (m_chain.idle() && wants_write(now)) {
+        m_chain.write(next_head());
+    }
+    on_head(m_chain.poll(now));
+    if (m_phase == journal_phase::ready) {
+        m_eraser.poll(now);
+    }
+}
+
+void journal::on_head(head_event event)
+{
+    if (stopped()) {
+        return;
+    }
+    switch (event) {
+    case head_event::none:
+        return;
+    case head_event::loaded:
+        on_loaded();
+        return;
+    case head_event::committed:
+        on_committed();
+        return;
+    case head_event::retry:
+        if (m_phase == journal_phase::sealing) {
+            seal();
+        }
+        return;
+    case head_event::replaced:
+        on_replaced();
+        return;
+    }
+}
+
+void journal::on_loaded()
+{
+    if (m_phase == journal_phase::reading) {
+        m_phase = journal_phase::sealing;
+        seal();
+        return;
+    }
+    // A key that the sealed head names was missing: another takeover may have replaced it since.
+    if (m_phase == journal_phase::loading && head().epoch != m_epoch) {
+        m_phase = journal_phase::lost;
+    }
+}
+
+void journal::seal()
+{
+    head_record next = head();
+    next.epoch += 1;
+    next.owner = m_self;
+    m_chain.write(std::move(next));
+}
+
+void journal::on_replaced()
+{
+    // During a takeover, an append of the present owner only moves the version; a higher epoch is another winner.
+    if (m_phase == journal_phase::sealing) {
+        seal();
+        return;
+    }
+    m_phase = journal_phase::lost;
+}
+
+void journal::on_committed()
+{
+    const head_record& present = head();
+    if (m_phase == journal_phase::sealing) {
+        start_loading();
+        return;
+    }
+    apply_durable(present.sequence);
+    for (auto& [key, version] : m_segments.committed(present.segments)) {
+        m_eraser.erase(std::move(key), version);
+    }
+    replace_current_snapshot();
+    trim_log();
+    if (m_phase == journal_phase::publishing && present.ready_epoch == m_epoch) {
+        m_phase = journal_phase::ready;
+        sweep_orphans();
+    }
+    if (m_phase == journal_phase::ready && m_next_backups && present.backups == *m_next_backups) {
+        m_next_backups.reset();
+    }
+    if (present.epoch != m_epoch) {
+        m_phase = journal_phase::handed_over;
+    }
+}
+
+void journal::replace_current_snapshot()
+{
+    if (!m_snapshot || head().snapshot != m_snapshot->key()) {
+        return;
+    }
+    if (!m_current_snapshot.empty()) {
+        m_eraser.erase(std::move(m_current_snapshot), m_current_snapshot_version);
+    }
+    m_current_snapshot = m_snapshot->key();
+    m_current_snapshot_version = *m_snapshot->version();
+    m_snapshot.reset();
+}
+
+void journal::start_loading()
+{
+    m_phase = journal_phase::loading;
+    m_epoch = head().epoch;
+    m_durable = head().sequence;
+    m_last = head().sequence;
+    m_next_load = 0;
+    count_tail();
+}
+
+void journal::load_next(timestamp now)
+{
+    m_load_channel.timed_out(now);
+    const head_record& sealed = head();
+    if (m_next_load == 0 && sealed.snapshot.empty()) {
+        m_next_load = 1;
+    }
+    if (m_next_load > sealed.segments.size()) {
+        std::ranges::for_each(sealed.tail, [this](const entry& it) { m_image.apply(it); });
+        drop_unused_texts();
+        m_phase = journal_phase::recovering;
+        return;
+    }
+    if (m_load_channel.ready(now) && m_chain.idle()) {
+        const std::string& key = m_next_load == 0 ? sealed.snapshot : sealed.segments.at(m_next_load - 1);
+        m_load_channel.send({.request = 0, .operation = kv_operation::get, .key = key, .expected = 0, .value = {}},
+                            now);
+    }
+}
+
+void journal::drop_unused_texts()
+{
+    m_segments.drop([this](const stored_text& it) {
+        const program_record* program = m_image.find(program_of(it));
+        return program == nullptr || (program->ended && std::holds_alternative<turn_text>(it));
+    });
+}
+
+void journal::handle_load(const kv_reply& reply, timestamp now)
+{
+    if (reply.status != kv_status::ok) {
+        return;
+    }
+    if (m_next_load == 0) {
+        load_snapshot(reply, now);
+    }
+    else {
+        load_segment(reply);
+    }
+}
+
+void journal::load_snapshot(const kv_reply& reply, timestamp now)
+{
+    std::optional<partition_image> image;
+    if (reply.version != 0 && digest_hex(reply.value) == head().snapshot_digest) {
+        image = partition_image::decode(reply.value);
+    }
+    if (!image) {
+        // Nothing may be decided without the snapshot; the read is repeated until the head names another one.
+        m_load_channel.back_off(now);
+        check_still_sealed();
+        return;
+    }
+    m_image = std::move(*image);
+    m_current_snapshot = head().snapshot;
+    m_current_snapshot_version = reply.version;
+    m_next_load = 1;
+}
+
+void journal::load_segment(const kv_reply& reply)
+{
+    std::optional<std::vector<text_ref>> texts;
+    if (reply.version != 0) {
+        texts = decode_segment(reply.value);
+    }
+    const std::string& key = head().segments.at(m_next_load - 1);
+    if (texts) {
+        std::ranges::copy(*texts, std::back_inserter(m_loaded_texts));
+        m_segments.add_loaded(key, reply.version, std::move(*texts));
+    }
+    else {
+        // The programs whose texts are missing become unavailable, unless another takeover has replaced the head.
+        check_still_sealed();
+    }
+    ++m_next_load;
+}
+
+void journal::check_still_sealed()
+{
+    if (m_chain.idle()) {
+        m_chain.load();
+    }
+}
+
+void journal::apply_durable(std::uint64_t sequence)
+{
+    for (const logged_item& it : m_log) {
+        if (it.item.sequence <= m_durable) {
+            continue;
+        }
+        if (it.item.sequence > sequence) {
+            break;
+        }
+        m_image.apply(it.item.content);
+        drop_ended(it.item.content);
+    }
+    m_durable = std::max(m_durable, sequence);
+    count_tail();
+}
+
+void journal::count_tail()
+{
+    m_tail_bytes = 0;
+    for (const entry& it : head().tail) {
+        m_tail_bytes += entry_bytes(it);
+    }
+}
+
+void journal::drop_ended(const entry& content)
+{
+    const auto* ended = std::get_if<end_entry>(&content);
+    if (ended == nullptr) {
+        return;
+    }
+    m_segments.drop([ended](const stored_text& it) {
+        return std::holds_alternative<turn_text>(it) && program_of(it) == ended->program;
+    });
+}
+
+void journal::trim_log()
+{
+    const std::uint64_t done = flushed();
+    while (!m_log.empty() && m_log.front().item.sequence <= done) {
+        m_log_bytes -= item_bytes(m_log.front().item);
+        m_log.pop_front();
+    }
+}
+
+void journal::start_snapshot()
+{
+    const bool writes = m_phase == journal_phase::publishing || m_phase == journal_phase::ready ||
+                        m_phase == journal_phase::handing_over;
+    if (!writes || m_snapshot || m_tail_bytes <= m_settings->tail_limit) {
+        return;
+    }
+    std::string value = m_image.encode();
+    m_snapshot_digest = digest_hex(value);
+    m_snapshot_sequence = m_durable;
+    std::string key =
+        snapshot_prefix(m_partition) + std::to_string(m_epoch) + "-" + std::to_string(m_snapshot_sequence);
+    m_snapshot.emplace(std::move(key), std::move(value), m_outbox, *m_settings);
+}
+
+void journal::sweep_orphans()
+{
+    const auto sweep = [this](const std::string& prefix) {
+        m_eraser.sweep(prefix, [this, prefix](const std::string& key) {
+            const auto epoch = key_epoch(key, prefix);
+            const bool named = key == head().snapshot || std::ranges::count(head().segments, key) > 0;
+            return epoch && *epoch < m_epoch && !named;
+        });
+    };
+    sweep(snapshot_prefix(m_partition));
+    sweep(history_prefix(m_partition));
+}
+
+std::uint64_t journal::flushed() const
+{
+    return std::min(m_durable, m_segments.flushed(m_last));
+}
+
+bool journal::stalled(timestamp now, timestamp limit) const
+{
+    return !m_chain.idle() && now >= m_chain.write_started() + limit;
+}
+
+const logged_item* journal::first_pending() const
+{
+    const auto it = std::ranges::find_if(
+        m_log, [this](std::uint64_t sequence) { return sequence > m_durable; },
+        [](const logged_item& item) { return item.item.sequence; });
+    return it == m_log.end() ? nullptr : &*it;
+}
+
+std::optional<timestamp> journal::lazy_due() const
+{
+    if (writes_everything()) {
+        return std::nullopt;
+    }
+    const logged_item* first = first_pending();
+    return first == nullptr ? std::nullopt : std::optional{first->appended + m_settings->lazy_delay};
+}
+
+bool journal::stopped() const
+{
+    return m_phase == journal_phase::idle || m_phase == journal_phase::lost || m_phase == journal_phase::handed_over;
+}
+
+bool journal::writes_everything() const
+{
+    return m_phase == journal_phase::publishing || (m_phase == journal_phase::handing_over && m_release);
+}
+
+bool journal::has_room() const
+{
+    return m_tail_bytes < m_settings->write_limit || (m_snapshot && m_snapshot->version());
+}
+
+bool journal::wants_write(timestamp now) const
+{
+    if (writes_everything()) {
+        return has_room() && (m_segments.waits_for_head() || m_segments.complete());
+    }
+    if (m_phase != journal_phase::ready && m_phase != journal_phase::handing_over) {
+        return false;
+    }
+    if (m_segments.waits_for_head() || m_next_backups) {
+        return true;
+    }
+    const std::optional<timestamp> due = lazy_due();
+    const bool entries_due = m_confirm > m_durable || (due && now >= *due);
+    return entries_due && has_room();
+}
+
+head_record journal::next_head() const
+{
+    head_record next = head();
+    replace_snapshot(next);
+    add_entries(next);
+    next.segments = m_segments.next_keys();
+    change_ownership(next);
+    return next;
+}
+
+void journal::replace_snapshot(head_record& next) const
+{
+    if (!m_snapshot || !m_snapshot->version()) {
+        return;
+    }
+    const std::uint64_t covered = m_snapshot_sequence - snapshot_sequence(next);
+    next.tail.erase(next.tail.begin(), next.tail.begin() + static_cast<std::ptrdiff_t>(covered));
+    next.snapshot = m_snapshot->key();
+    next.snapshot_digest = m_snapshot_digest;
+}
+
+void journal::add_entries(head_record& next) const
+{
+    std::size_t bytes = 0;
+    for (const entry& it : next.tail) {
+        bytes += entry_bytes(it);
+    }
+    for (const logged_item& it : m_log) {
+        if (it.item.sequence <= m_durable) {
+            continue;
+        }
+        if (bytes >= m_settings->write_limit) {
+            return;
+        }
+        bytes += entry_bytes(it.item.content);
+        next.tail.push_back(it.item.content);
+        next.sequence = it.item.sequence;
+    }
+}
+
+void journal::change_ownership(head_record& next) const
+{
+    const bool complete = next.sequence == m_last && m_segments.complete();
+    if (m_phase == journal_phase::publishing) {
+        if (complete) {
+            next.ready_epoch = m_epoch;
+            next.backups = *m_next_backups;
+        }
+        return;
+    }
+    if (m_phase == journal_phase::handing_over && m_release && complete) {
+        next.epoch = m_epoch + 1;
+        next.ready_epoch = next.epoch;
+        next.owner = m_successor;
+        next.backups.clear();
+        return;
+    }
+    if (m_next_backups) {
+        next.backups = *m_next_backups;
+    }
+}
+
+std::optional<timestamp> journal::next_wake() const
+{
+    if (stopped()) {
+        return std::nullopt;
+    }
+    std::optional<timestamp> earliest;
+    if (!m_chain.idle()) {
+        add_wake(earliest, m_chain.next_wake());
+    }
+    if (m_phase == journal_phase::loading && m_chain.idle()) {
+        add_wake(earliest, m_load_channel.next_wake());
+    }
+    add_wake(earliest, m_segments.next_wake());
+    if (m_snapshot && !m_snapshot->version()) {
+        add_wake(earliest, m_snapshot->next_wake());
+    }
+    if (m_phase == journal_phase::ready) {
+        add_wake(earliest, m_eraser.next_wake());
+    }
+    if (m_chain.idle() && has_room()) {
+        add_wake(earliest, lazy_due());
+    }
+    return earliest;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/journal/log_item.cpp
@@ -0,0 +1,42 @@
+#include "journal/log_item.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+/// Member names, digests and identifiers of one entry.
+constexpr std::size_t entry_overhead_bytes = 256;
+
+std::size_t variable_bytes(const entry& value)
+{
+    const auto* outcome = std::get_if<outcome_entry>(&value);
+    return outcome == nullptr ? 0 : outcome->result.size();
+}
+
+} // namespace
+
+std::size_t item_bytes(const log_item& item)
+{
+    const std::size_t text = item.text ? entry_overhead_bytes + text_bytes(*item.text) : 0;
+    return entry_overhead_bytes + variable_bytes(item.content) + text;
+}
+
+void to_json(nlohmann::json& out, const log_item& item)
+{
+    out = {{"sequence", item.sequence}, {"entry", entry_to_json(item.content)}};
+    if (item.text) {
+        out["text"] = text_to_json(*item.text);
+    }
+}
+
+void from_json(const nlohmann::json& in, log_item& item)
+{
+    in.at("sequence").get_to(item.sequence);
+    item.content = entry_from_json(in.at("entry"));
+    const auto it = in.find("text");
+    item.text = it == in.end() ? nullptr : std::make_shared<const stored_text>(text_from_json(*it));
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/journal/segment_set.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "journal/immutable_write.h"
+#include "journal/stored_text.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lagoonferry {
+
+/// The history segments of one partition: collects texts, writes them in batches below immutable keys, and merges
+/// small segments from memory while it writes new ones. A segment counts once the head record names it.
+/// One thread at a time.
+class segment_set {
+public:
+    segment_set(std::uint32_t partition, kv_outbox& outbox, const journal_settings& settings);
+
+    /// Adds a segment that was read during a takeover.
+    void add_loaded(std::string key, std::uint64_t version, std::vector<text_ref> texts);
+
+    /// Adds a text to be written. Precondition: `sequence` rises from call to call.
+    void add(std::uint64_t sequence, text_ref text, timestamp now);
+
+    /// Drops the texts for which `unused` returns true, from memory and from later segments.
+    void drop(const std::function<bool(const stored_text&)>& unused);
+
+    /// Starts and continues writing; `at_once` ignores the interval between segments.
+    void poll(std::uint64_t epoch, bool at_once, timestamp now);
+
+    void handle(const kv_reply& reply, timestamp now);
+
+    /// The keys that the next head record names.
+    std::vector<std::string> next_keys() const;
+
+    /// A head record that names `keys` took effect. Returns keys and versions that are not needed any more.
+    std::vector<std::pair<std::string, std::uint64_t>> committed(const std::vector<std::string>& keys);
+
+    /// Returns whether a segment is written and waits for a head record that names it.
+    bool waits_for_head() const { return m_written && m_write.has_value(); }
+
+    /// Returns whether every text is in a segment that `next_keys` names.
+    bool complete() const { return m_pending.empty() && (!m_write || m_written); }
+
+    /// Every text up to this sequence is in a segment that the head names, where `last` is the last sequence in use.
+    std::uint64_t flushed(std::uint64_t last) const;
+
+    std::optional<timestamp> next_wake() const;
+
+    /// Bytes of the texts that no segment named by the head contains.
+    std::size_t unflushed_bytes() const { return m_unflushed_bytes; }
+
+private:
+    struct segment {
+        std::string key;
+        std::uint64_t version = 0;
+        std::vector<text_ref> texts;
+    };
+
+    struct pending_text {
+        std::uint64_t sequence = 0;
+        text_ref text;
+        timestamp added{0};
+    };
+
+    /// The segment that is being written or waits for its head record.
+    struct batch {
+        segment content;
+        std::vector<std::string> replaces;
+        std::uint64_t first = 0; ///< sequence of the first new text
+        std::size_t new_bytes = 0;
+    };
+
+    bool due(bool at_once, timestamp now) const;
+    void start_batch(std::uint64_t epoch, timestamp now);
+    void merge_small(std::size_t room);
+
+    std::uint32_t m_partition;
+    kv_outbox* m_outbox;
+    const journal_settings* m_settings;
+    std::vector<segment> m_segments;
+    std::deque<pending_text> m_pending;
+    batch m_batch;
+    std::optional<immutable_write> m_write;
+    bool m_written = false;
+    std::optional<timestamp> m_last_start;
+    std::size_t m_unflushed_bytes = 0;
+};
+
+/// Value of a segment's key (CBOR). Thread-safe.
+std::string encode_segment(const std::vector<text_ref>& texts);
+
+/// Returns nothing for a value that `encode_segment` does not produce; does not verify digests. Thread-safe.
+std::optional<std::vector<text_ref>> decode_segment(std::string_view value);
+
+} // namespace lagoonferry
