Add the stand-ins for the platform and the HTTP clients

Cause: the end-to-end path, tests and demos need a platform on loopback, and the modules need its clients. Change: key-value, engine, tool, instance list and weight store stand-ins with faults over HTTP, the binary lagoonferry_standins, and the HTTP clients with the classification of failed calls.

--- /dev/null
+++ b/src/platform/engine_request.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "platform/engine_call.h"
+#include "platform/http_connection.h"
+
+namespace lagoonferry {
+
+/// Builds the completion request of a call. A resumed call carries the text received so far as a last assistant
+/// message. Precondition: `messages` is a JSON array and `parameters` is empty or a JSON object. Thread-safe.
+http_request make_completion_request(const engine_call& call);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/http_engine_client.cpp
@@ -0,0 +1,248 @@
+#include "platform/http_engine_client.h"
+
+#include "platform/completion_reader.h"
+#include "platform/connection_pool.h"
+#include "platform/engine_request.h"
+#include "platform/event_stream.h"
+#include "platform/http_connection.h"
+#include "platform/json_reply.h"
+
+namespace lagoonferry {
+
+namespace {
+
+stream_end classify(const http_reply& reply, const completion_reader& reader, bool cancelled)
+{
+    if (reader.complete()) {
+        return stream_end::complete;
+    }
+    if (cancelled || reader.stopped()) {
+        return stream_end::cancelled;
+    }
+    if (reply.end == call_end::not_sent) {
+        return stream_end::not_sent;
+    }
+    if (reply.status == 0) {
+        return stream_end::no_answer;
+    }
+    return reply.status == 200 ? stream_end::cut : stream_end::refused;
+}
+
+failure reason_of(stream_end end, const http_reply& reply, const failure& stream_error)
+{
+    switch (end) {
+    case stream_end::complete:
+        return {};
+    case stream_end::cancelled:
+        return {result_code::answer_cut, "cancelled"};
+    case stream_end::cut:
+        if (stream_error.code != result_code::ok) {
+            return stream_error;
+        }
+        return {result_code::answer_cut, reply.reason.empty() ? "stream without final event" : reply.reason};
+    default:
+        return describe_failure(reply, result_code::target_failed);
+    }
+}
+
+call_end count_as(stream_end end, const http_reply& reply)
+{
+    return end == stream_end::complete ? call_end::answered : end == stream_end::cut ? call_end::no_reply : reply.end;
+}
+
+engine_load read_load(const nlohmann::json& body)
+{
+    engine_load out;
+    out.running = body.at("running").get<std::uint32_t>();
+    out.queued = body.at("queued").get<std::uint32_t>();
+    out.batch_limit = body.at("batch_limit").get<std::uint32_t>();
+    out.held_tokens = body.at("held_tokens").get<std::uint64_t>();
+    out.capacity_tokens = body.at("capacity_tokens").get<std::uint64_t>();
+    out.tokens_per_second = body.at("tokens_per_second").get<double>();
+    return out;
+}
+
+engine_cache_events read_events(const nlohmann::json& body)
+{
+    engine_cache_events out;
+    for (const auto& it : body.at("events")) {
+        out.events.push_back({it.at("sequence").get<std::uint64_t>(), it.at("kind").get<std::string>(),
+                              it.at("program").get<std::string>(), it.at("tokens").get<std::uint64_t>()});
+    }
+    return out;
+}
+
+engine_held read_held(const nlohmann::json& body)
+{
+    return {body.at("capacity_tokens").get<std::uint64_t>(),
+            body.at("programs").get<std::map<std::string, std::uint64_t>>()};
+}
+
+std::uint64_t read_tokens(const nlohmann::json& body)
+{
+    return body.at("tokens").get<std::uint64_t>();
+}
+
+} // namespace
+
+http_engine_client::http_engine_client(std::size_t max_connections, call_counts& counts)
+    : m_pool(std::make_unique<connection_pool>(max_connections)), m_counts(counts)
+{
+}
+
+http_engine_client::~http_engine_client() = default;
+
+engine_answer http_engine_client::stream(const engine_call& call, const token_callback& on_token)
+{
+    const connection_pool::handle connection = m_pool->take(call.address);
+    completion_reader reader(on_token);
+    event_stream events([&](std::string_view data) { return reader.read_event(data); });
+    http_reply reply;
+    reply.reason = "all connections are in use";
+    bool cancelled = false;
+    if (connection != nullptr) {
+        const std::uint64_t id = register_stream(call.call_id, *connection);
+        reply = connection->send(make_completion_request(call),
+                                 {call.connect_timeout, call.idle_timeout, call.total_timeout},
+                                 [&](std::string_view piece) { return events.feed(piece); });
+        unregister_stream(id);
+        cancelled = connection->interrupted();
+    }
+    engine_answer answer = std::move(reader.answer());
+    answer.end = classify(reply, reader, cancelled);
+    answer.http_status = reply.status;
+    answer.reason = reason_of(answer.end, reply, answer.reason);
+    m_counts.add(call_kind::engine_stream, count_as(answer.end, reply));
+    return answer;
+}
+
+call_end http_engine_client::cancel(const std::string& address, const std::string& call_id,
+                                    std::chrono::milliseconds timeout)
+{
+    interrupt_streams(call_id);
+    return exchange(call_kind::engine_cancel, address, {"DELETE", "/v1/calls/" + percent_encode(call_id), {}, {}},
+                    timeout)
+        .end;
+}
+
+std::optional<std::uint64_t> http_engine_client::release(const std::string& address, const std::string& program,
+                                                         std::chrono::milliseconds timeout, failure& why)
+{
+    const http_request request{"DELETE", "/v1/cache/" + percent_encode(program), {}, {}};
+    return read_json_reply(exchange(call_kind::engine_release, address, request, timeout), why, read_tokens);
+}
+
+std::optional<engine_load> http_engine_client::load(const std::string& address, std::chrono::milliseconds timeout,
+                                                    failure& why)
+{
+    const http_request request{"GET", "/v1/load", {}, {}};
+    return read_json_reply(exchange(call_kind::engine_report, address, request, timeout), why, read_load);
+}
+
+std::optional<engine_cache_events> http_engine_client::cache_events(const std::string& address, std::uint64_t after,
+                                                                    std::chrono::milliseconds timeout, failure& why)
+{
+    const http_request request{"GET", "/v1/cache/events?after=" + std::to_string(after), {}, {}};
+    return read_json_reply(exchange(call_kind::engine_report, address, request, timeout), why, read_events);
+}
+
+std::optional<engine_held> http_engine_client::held(const std::string& address, std::chrono::milliseconds timeout,
+                                                    failure& why)
+{
+    const http_request request{"GET", "/v1/cache", {}, {}};
+    return read_json_reply(exchange(call_kind::engine_report, address, request, timeout), why, read_held);
+}
+
+std::optional<std::string> http_engine_client::export_cache(const std::string& address, const std::string& program,
+                                                            std::chrono::milliseconds timeout, failure& why)
+{
+    const nlohmann::json body{{"program", program}};
+    http_reply reply =
+        exchange(call_kind::engine_transfer, address, {"POST", "/v1/cache/export", {}, body.dump()}, timeout);
+    if (reply.end == call_end::answered && reply.status == 200) {
+        return std::move(reply.body);
+    }
+    why = describe_failure(reply, result_code::target_failed);
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> http_engine_client::import_cache(const std::string& address, const std::string& exported,
+                                                              std::chrono::milliseconds timeout, failure& why)
+{
+    const http_request request{"POST", "/v1/cache/import", {}, exported};
+    return read_json_reply(exchange(call_kind::engine_transfer, address, request, timeout), why, read_tokens);
+}
+
+engine_order_result http_engine_client::order(const std::string& address, const engine_order& order,
+                                              std::chrono::milliseconds timeout)
+{
+    nlohmann::json body{{"kind", order.kind}, {"name", order.name}};
+    if (order.fence) {
+        body["fence"] = order.fence->number;
+        body["fence_scope"] = order.fence->scope;
+    }
+    const http_reply reply =
+        exchange(call_kind::engine_order, address, {"POST", "/v1/orders", {}, body.dump()}, timeout);
+    engine_order_result result{reply.end, reply.status, {}};
+    if (reply.end != call_end::answered || reply.status != 200) {
+        result.reason = describe_failure(reply, result_code::target_failed);
+    }
+    return result;
+}
+
+http_reply http_engine_client::exchange(call_kind kind, const std::string& address, const http_request& request,
+                                        std::chrono::milliseconds timeout)
+{
+    const connection_pool::handle connection = m_pool->take(address);
+    http_reply reply;
+    reply.reason = "all connections are in use";
+    if (connection != nullptr) {
+        reply = connection->send(request, http_timeouts::all(timeout));
+    }
+    m_counts.add(kind, reply.end);
+    return reply;
+}
+
+std::uint64_t http_engine_client::register_stream(const std::string& call_id, http_connection& connection)
+{
+    const std::lock_guard lock(m_mutex);
+    m_streams.emplace(++m_last_stream, running_stream{call_id, &connection});
+    return m_last_stream;
+}
+
+void http_engine_client::unregister_stream(std::uint64_t id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_streams.erase(id);
+}
+
+void http_engine_client::interrupt_streams(const std::string& call_id)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [id, stream] : m_streams) {
+        if (stream.call_id == call_id) {
+            stream.connection->interrupt();
+        }
+    }
+}
+
+std::string_view to_string(stream_end end)
+{
+    switch (end) {
+    case stream_end::complete:
+        return "complete";
+    case stream_end::not_sent:
+        return "not_sent";
+    case stream_end::refused:
+        return "refused";
+    case stream_end::no_answer:
+        return "no_answer";
+    case stream_end::cut:
+        return "cut";
+    case stream_end::cancelled:
+        return "cancelled";
+    }
+    return "cut";
+}
+
+} // namespace lagoonferry
--- a/src/platform/http_engine_client.h
+++ b/src/platform/http_engine_client.h
@@ -40,20 +40,21 @@
 
 private:
     struct running_stream {
+        std::string call_id;
         http_connection* connection = nullptr;
-        bool cancelled = false;
     };
 
     http_reply exchange(call_kind kind, const std::string& address, const http_request& request,
                         std::chrono::milliseconds timeout);
-    bool register_stream(const std::string& call_id, http_connection& connection);
-    bool unregister_stream(const std::string& call_id);
-    void interrupt_stream(const std::string& call_id);
+    std::uint64_t register_stream(const std::string& call_id, http_connection& connection);
+    void unregister_stream(std::uint64_t id);
+    void interrupt_streams(const std::string& call_id);
 
     std::unique_ptr<connection_pool> m_pool;
     call_counts& m_counts;
     std::mutex m_mutex;
-    std::map<std::string, running_stream> m_streams;
+    std::uint64_t m_last_stream = 0;
+    std::map<std::uint64_t, running_stream> m_streams;
 };
 
 } // namespace lagoonferry
--- /dev/null
+++ b/src/platform/http_weight_store.cpp
@@ -0,0 +1,28 @@
+#include "platform/http_weight_store.h"
+
+#include "platform/call_counts.h"
+#include "platform/http_connection.h"
+#include "platform/json_reply.h"
+
+namespace lagoonferry {
+
+http_weight_store::http_weight_store(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts)
+    : m_connection(std::make_unique<http_connection>(address)), m_timeout(timeout), m_counts(counts)
+{
+}
+
+http_weight_store::~http_weight_store() = default;
+
+std::optional<std::string> http_weight_store::read(std::string_view name)
+{
+    const http_request request{"GET", "/weights/" + percent_encode(name), {}, {}};
+    http_reply reply = m_connection->send(request, http_timeouts::all(m_timeout));
+    m_counts.add(call_kind::weight_read, reply.end);
+    if (reply.end == call_end::answered && reply.status == 200) {
+        return std::move(reply.body);
+    }
+    m_failure = describe_failure(reply, result_code::platform_unavailable);
+    return std::nullopt;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/json_reply.cpp
@@ -0,0 +1,36 @@
+#include "platform/json_reply.h"
+
+namespace lagoonferry {
+
+namespace {
+
+// Error bodies are quoted in logs and answers.
+constexpr std::size_t max_quoted_body = 200;
+
+result_code code_of_status(int status)
+{
+    switch (status) {
+    case 429:
+        return result_code::overloaded;
+    case 503:
+        return result_code::platform_unavailable;
+    default:
+        return result_code::target_failed;
+    }
+}
+
+} // namespace
+
+failure describe_failure(const http_reply& reply, result_code unsent)
+{
+    if (reply.end == call_end::not_sent) {
+        return {unsent, reply.reason};
+    }
+    if (reply.end == call_end::no_reply) {
+        return {result_code::outcome_unknown, reply.reason};
+    }
+    return {code_of_status(reply.status),
+            "status " + std::to_string(reply.status) + ": " + reply.body.substr(0, max_quoted_body)};
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/kv_reply.cpp
@@ -0,0 +1,59 @@
+#include "platform/kv_reply.h"
+
+#include "platform/json_reply.h"
+
+#include <charconv>
+
+namespace lagoonferry {
+
+namespace {
+
+kv_status status_of_write(const http_reply& reply)
+{
+    if (reply.end != call_end::answered) {
+        return reply.end == call_end::not_sent ? kv_status::unavailable : kv_status::unknown;
+    }
+    if (reply.status == 200 || reply.status == 409) {
+        return reply.status == 200 ? kv_status::ok : kv_status::conflict;
+    }
+    return reply.status >= 500 && reply.status != 503 ? kv_status::unknown : kv_status::unavailable;
+}
+
+} // namespace
+
+http_request kv_write_request(std::string_view method, std::string_view key, std::uint64_t expected,
+                              std::string_view value)
+{
+    http_request request{std::string(method), "/kv/" + percent_encode(key), {}, std::string(value)};
+    request.headers.emplace_back("If-Version", std::to_string(expected));
+    request.headers.emplace_back("Content-Type", "application/octet-stream");
+    return request;
+}
+
+kv_write read_kv_write(const http_reply& reply, failure& why)
+{
+    const kv_status status = status_of_write(reply);
+    if (status != kv_status::ok && status != kv_status::conflict) {
+        why = describe_failure(reply, result_code::platform_unavailable);
+        return {status, 0};
+    }
+    const auto version = read_version(reply);
+    if (!version) {
+        why = {result_code::malformed, "reply without X-Version"};
+        return {kv_status::unknown, 0};
+    }
+    return {status, *version};
+}
+
+std::optional<std::uint64_t> read_version(const http_reply& reply)
+{
+    const std::string_view text = reply.header("X-Version");
+    std::uint64_t version = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return version;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/kv_reply.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "platform/http_connection.h"
+#include "platform/kv_store.h"
+#include "util/failure.h"
+
+#include <string_view>
+
+namespace lagoonferry {
+
+/// Builds a conditional write or removal of one key. Thread-safe.
+http_request kv_write_request(std::string_view method, std::string_view key, std::uint64_t expected,
+                              std::string_view value);
+
+/// Classifies the reply of a conditional write or removal, and sets `why` unless it is `ok` or `conflict`.
+/// Thread-safe.
+kv_write read_kv_write(const http_reply& reply, failure& why);
+
+/// Reads the `X-Version` header, or nothing if it is missing or malformed. Thread-safe.
+std::optional<std::uint64_t> read_version(const http_reply& reply);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/platform/target_headers.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "platform/fencing_token.h"
+#include "platform/http_connection.h"
+
+#include <optional>
+
+namespace lagoonferry {
+
+/// Adds `X-Fence` and, for a named scope, `X-Fence-Scope`. Thread-safe.
+void add_fence(http_headers& headers, const std::optional<fencing_token>& fence);
+
+} // namespace lagoonferry
--- /dev/null
+++ b/standins/engine_server.cpp
@@ -0,0 +1,359 @@
+#include "engine_server.h"
+
+#include "completion_text.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+
+namespace lagoonferry::standin {
+
+namespace {
+
+// Bounds the memory of an engine that nobody asks for its events.
+constexpr std::size_t max_events = 10'000;
+
+// How often a waiting stream looks whether its client has gone.
+constexpr std::chrono::milliseconds client_check_interval{50};
+
+} // namespace
+
+struct engine_server::completion {
+    completion_text text;
+    sequence_ptr work;
+    std::uint32_t sent = 0; ///< answer tokens, including resumed ones
+    std::uint32_t cut_after = 0;
+};
+
+engine_server::engine_server(const engine_options& options)
+    : m_options(options), m_models(options.models),
+      m_core(options.limits, [this](std::string_view kind, const std::string& program, std::uint64_t tokens) {
+          add_event(kind, program, tokens);
+      })
+{
+    m_load.set(steady_now(), m_core.load());
+    add_routes();
+    add_cache_routes();
+    m_http.on_stop([this] {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+        m_work.notify_all();
+    });
+    m_thread = std::thread([this] { run(); });
+}
+
+engine_server::~engine_server()
+{
+    m_http.stop();
+    m_thread.join();
+}
+
+void engine_server::add_routes()
+{
+    m_http.on("POST", "/v1/chat/completions",
+              [this](const request& req, response& res, const fault& effect) { complete(req, res, effect); });
+    m_http.on("DELETE", "/v1/calls/(.+)",
+              [this](const request& req, response& res, const fault&) { cancel(req, res); });
+    m_http.on("GET", "/v1/load",
+              [this](const request&, response& res, const fault& effect) { answer_load(res, effect); });
+    m_http.on("POST", "/v1/orders",
+              [this](const request& req, response& res, const fault& effect) { order(req, res, effect); });
+    m_http.on("GET", "/v1/orders", [this](const request&, response& res, const fault&) {
+        const std::lock_guard lock(m_mutex);
+        answer_json(res, m_orders);
+    });
+    m_http.on("GET", "/stats", [this](const request&, response& res, const fault&) { answer_totals(res); });
+}
+
+void engine_server::add_cache_routes()
+{
+    m_http.on("GET", "/v1/cache/events",
+              [this](const request& req, response& res, const fault& effect) { answer_events(req, res, effect); });
+    m_http.on("GET", "/v1/cache", [this](const request&, response& res, const fault&) { answer_held(res); });
+    m_http.on("DELETE", "/v1/cache/(.+)",
+              [this](const request& req, response& res, const fault&) { release(req, res); });
+    m_http.on("POST", "/v1/cache/export",
+              [this](const request& req, response& res, const fault&) { export_cache(req, res); });
+    m_http.on("POST", "/v1/cache/import",
+              [this](const request& req, response& res, const fault&) { import_cache(req, res); });
+}
+
+void engine_server::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        update(steady_now());
+        if (const auto next = m_core.next_change()) {
+            m_work.wait_for(lock, *next - steady_now());
+        }
+        else {
+            m_work.wait(lock);
+        }
+    }
+}
+
+void engine_server::update(timestamp now)
+{
+    const fault standing = m_http.faults().standing();
+    m_core.set_slow_factor(standing.slow_factor);
+    m_core.advance(now);
+    if (!standing.lose_reports) {
+        m_load.set(now, m_core.load());
+    }
+}
+
+void engine_server::add_event(std::string_view kind, const std::string& program, std::uint64_t tokens)
+{
+    ++m_last_event;
+    const bool lost = m_options.lose_every_event > 0 && m_last_event % m_options.lose_every_event == 0;
+    if (lost || m_http.faults().standing().lose_reports) {
+        return;
+    }
+    m_events.push_back({{m_last_event, std::string(kind), program, tokens}, steady_now()});
+    if (m_events.size() > max_events) {
+        m_events.pop_front();
+    }
+}
+
+timestamp engine_server::report_time(const fault& effect) const
+{
+    return steady_now() - std::max(m_options.report_lag, effect.lag);
+}
+
+void engine_server::complete(const request& req, response& res, const fault& effect)
+{
+    const auto body = nlohmann::json::parse(req.body);
+    auto call = std::make_shared<completion>();
+    engine_job job;
+    if (const auto error = read_completion(req, body, m_options.answer_tokens, call->text, job)) {
+        answer_error(res, 400, *error);
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!admit(req, body, res, effect)) {
+            return;
+        }
+        call->sent = job.resumed;
+        call->cut_after = effect.cut_after_tokens;
+        call->work = m_core.submit(steady_now(), std::move(job));
+        m_work.notify_all();
+    }
+    if (call->work == nullptr) {
+        answer_error(res, 400, "prompt and answer exceed the memory");
+        return;
+    }
+    if (effect.lose_reply) {
+        return;
+    }
+    if (body.value("stream", false)) {
+        answer_stream(res, call);
+        return;
+    }
+    answer_whole(res, call);
+}
+
+bool engine_server::admit(const request& req, const nlohmann::json& body, response& res, const fault& effect)
+{
+    if (!m_fences.admit(read_fence(req), effect)) {
+        answer_error(res, 409, "stale fencing token");
+        return false;
+    }
+    if (!m_models.empty() && !m_models.contains(body.value("model", ""))) {
+        answer_error(res, 404, "model not loaded");
+        return false;
+    }
+    return true;
+}
+
+void engine_server::answer_stream(response& res, const std::shared_ptr<completion>& call)
+{
+    const auto write = [this, call](std::size_t, httplib::DataSink& sink) {
+        std::uint32_t ready = 0;
+        sequence_state state = sequence_state::queued;
+        if (!wait_for_tokens(*call, ready, state)) {
+            return sink.is_writable();
+        }
+        std::string events;
+        while (call->sent < ready) {
+            events += call->text.token_event(call->sent++);
+            if (call->cut_after > 0 && call->sent - call->work->job.resumed == call->cut_after) {
+                sink.write(events.data(), events.size());
+                http_server::drop_connection();
+                return false;
+            }
+        }
+        if (state == sequence_state::finished) {
+            events += call->text.final_events(*call->work);
+        }
+        if (!events.empty() && !sink.write(events.data(), events.size())) {
+            return false;
+        }
+        if (state == sequence_state::finished || state == sequence_state::cancelled) {
+            sink.done();
+        }
+        return true;
+    };
+    res.set_chunked_content_provider("text/event-stream", write, [this, call](bool) { abandon(*call); });
+}
+
+void engine_server::answer_whole(response& res, const std::shared_ptr<completion>& call)
+{
+    std::uint32_t ready = 0;
+    sequence_state state = sequence_state::queued;
+    do {
+        wait_for_tokens(*call, ready, state);
+        call->sent = ready;
+    } while (state != sequence_state::finished && state != sequence_state::cancelled);
+    if (state == sequence_state::cancelled) {
+        answer_error(res, 499, "cancelled");
+        return;
+    }
+    answer_json(res, call->text.whole_answer(*call->work));
+}
+
+bool engine_server::wait_for_tokens(const completion& call, std::uint32_t& ready, sequence_state& state)
+{
+    std::unique_lock lock(m_mutex);
+    sequence& work = *call.work;
+    const bool changed = work.changed.wait_for(
+        lock, client_check_interval, [&] { return m_stopping || work.ended() || work.generated > call.sent; });
+    if (m_stopping) {
+        m_core.cancel(steady_now(), work);
+    }
+    ready = work.generated;
+    state = work.state;
+    return changed;
+}
+
+void engine_server::abandon(const completion& call)
+{
+    const std::lock_guard lock(m_mutex);
+    m_core.cancel(steady_now(), *call.work);
+    m_work.notify_all();
+}
+
+void engine_server::cancel(const request& req, response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool found = m_core.cancel(steady_now(), req.matches[1].str());
+    update(steady_now());
+    m_work.notify_all();
+    answer_json(res, {{"cancelled", found}});
+    res.status = found ? 200 : 404;
+}
+
+void engine_server::order(const request& req, response& res, const fault& effect)
+{
+    const auto body = nlohmann::json::parse(req.body);
+    const std::string kind = body.at("kind");
+    const std::string name = body.at("name");
+    std::optional<fencing_token> token;
+    if (body.contains("fence")) {
+        token = {body.value("fence_scope", ""), body.at("fence").get<std::uint64_t>()};
+    }
+    const std::lock_guard lock(m_mutex);
+    if (!m_fences.admit(token, effect)) {
+        answer_error(res, 409, "stale fencing token");
+        return;
+    }
+    if (kind == "load_model") {
+        m_models.insert(name);
+    }
+    else if (kind == "unload_model") {
+        m_models.erase(name);
+    }
+    m_orders.push_back(body);
+    answer_json(res, body);
+}
+
+void engine_server::answer_load(response& res, const fault& effect)
+{
+    const std::lock_guard lock(m_mutex);
+    const engine_load& load = m_load.at(report_time(effect));
+    answer_json(res, {{"running", load.running},
+                      {"queued", load.queued},
+                      {"batch_limit", load.batch_limit},
+                      {"held_tokens", load.held_tokens},
+                      {"capacity_tokens", load.capacity_tokens},
+                      {"tokens_per_second", load.tokens_per_second}});
+}
+
+void engine_server::answer_events(const request& req, response& res, const fault& effect)
+{
+    const std::uint64_t after = std::strtoull(req.get_param_value("after").c_str(), nullptr, 10);
+    const timestamp limit = report_time(effect);
+    nlohmann::json list = nlohmann::json::array();
+    const std::lock_guard lock(m_mutex);
+    for (const published_event& it : m_events) {
+        if (it.event.sequence > after && it.at <= limit) {
+            list.push_back({{"sequence", it.event.sequence},
+                            {"kind", it.event.kind},
+                            {"program", it.event.program},
+                            {"tokens", it.event.tokens}});
+        }
+    }
+    answer_json(res, {{"events", std::move(list)}});
+}
+
+void engine_server::answer_held(response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    update(steady_now());
+    const engine_held held = m_core.held();
+    answer_json(res, {{"capacity_tokens", held.capacity_tokens}, {"programs", held.programs}});
+}
+
+void engine_server::answer_totals(response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    const engine_totals& totals = m_core.totals();
+    answer_json(res, {{"submitted", totals.submitted},
+                      {"finished", totals.finished},
+                      {"cancelled", totals.cancelled},
+                      {"preempted", totals.preempted},
+                      {"generated_tokens", totals.generated_tokens},
+                      {"prefilled_tokens", totals.prefilled_tokens},
+                      {"cached_tokens", totals.cached_tokens}});
+}
+
+void engine_server::release(const request& req, response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    answer_json(res, {{"tokens", m_core.release(req.matches[1].str())}});
+}
+
+void engine_server::export_cache(const request& req, response& res)
+{
+    const std::string program = nlohmann::json::parse(req.body).at("program");
+    const std::lock_guard lock(m_mutex);
+    const auto blocks = m_core.export_cache(program);
+    if (blocks.empty()) {
+        answer_error(res, 404, "nothing cached for the program");
+        return;
+    }
+    nlohmann::json list = nlohmann::json::array();
+    std::ranges::for_each(blocks, [&](const prompt_block& it) {
+        list.push_back({{"digest", it.digest}, {"tokens", it.tokens}});
+    });
+    answer_json(res, {{"program", program}, {"blocks", std::move(list)}});
+}
+
+void engine_server::import_cache(const request& req, response& res)
+{
+    const auto body = nlohmann::json::parse(req.body);
+    std::vector<prompt_block> blocks;
+    std::ranges::for_each(body.at("blocks"), [&](const nlohmann::json& it) {
+        blocks.push_back({it.at("digest").get<std::string>(), it.at("tokens").get<std::uint32_t>()});
+    });
+    const std::uint64_t tokens = token_sum(blocks);
+    const std::lock_guard lock(m_mutex);
+    if (!m_core.import_cache(steady_now(), body.at("program"), std::move(blocks))) {
+        answer_error(res, 507, "prefix does not fit");
+        return;
+    }
+    m_work.notify_all();
+    answer_json(res, {{"tokens", tokens}});
+}
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/engine_server.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "engine_core.h"
+#include "fence_book.h"
+#include "http_server.h"
+#include "lagged.h"
+
+#include <nlohmann/json.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace lagoonferry::standin {
+
+struct engine_options {
+    engine_limits limits;
+    std::uint32_t answer_tokens = 24;          ///< length of an answer without a rule in its prompt
+    std::chrono::milliseconds report_lag{200}; ///< of load reports and cache events
+    std::uint32_t lose_every_event = 0;        ///< every n-th cache event is never published; 0: off
+    std::set<std::string> models;              ///< loaded at the start; empty: every model is served
+};
+
+/// Stand-in for a model engine over HTTP. Thread-safe.
+class engine_server {
+public:
+    explicit engine_server(const engine_options& options);
+    ~engine_server();
+    engine_server(const engine_server&) = delete;
+    engine_server& operator=(const engine_server&) = delete;
+
+    http_server& http() { return m_http; }
+
+private:
+    using request = httplib::Request;
+    using response = httplib::Response;
+    using sequence_ptr = std::shared_ptr<sequence>;
+
+    struct published_event {
+        engine_cache_event event;
+        timestamp at{};
+    };
+    /// What a completion handler needs to write its answer.
+    struct completion;
+
+    void add_routes();
+    void add_cache_routes();
+    void run();
+    void update(timestamp now);
+    void add_event(std::string_view kind, const std::string& program, std::uint64_t tokens);
+    timestamp report_time(const fault& effect) const;
+
+    void complete(const request& req, response& res, const fault& effect);
+    bool admit(const request& req, const nlohmann::json& body, response& res, const fault& effect);
+    void answer_stream(response& res, const std::shared_ptr<completion>& call);
+    void answer_whole(response& res, const std::shared_ptr<completion>& call);
+    bool wait_for_tokens(const completion& call, std::uint32_t& ready, sequence_state& state);
+    void abandon(const completion& call);
+    void cancel(const request& req, response& res);
+    void order(const request& req, response& res, const fault& effect);
+    void answer_load(response& res, const fault& effect);
+    void answer_events(const request& req, response& res, const fault& effect);
+    void answer_held(response& res);
+    void answer_totals(response& res);
+    void release(const request& req, response& res);
+    void export_cache(const request& req, response& res);
+    void import_cache(const request& req, response& res);
+
+    const engine_options m_options;
+    std::mutex m_mutex;
+    std::condition_variable m_work;
+    bool m_stopping = false;
+    fence_book m_fences;
+    std::set<std::string> m_models;
+    nlohmann::json m_orders = nlohmann::json::array();
+    std::uint64_t m_last_event = 0;
+    std::deque<published_event> m_events;
+    lagged<engine_load> m_load{std::chrono::milliseconds(5)};
+    http_server m_http; ///< stopped by the destructor, so that its handlers end before the state
+    engine_core m_core;
+    std::thread m_thread;
+};
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/fault_plan.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "fault.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <condition_variable>
+#include <cstdint>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace lagoonferry::standin {
+
+/// The faults switched on for a stand-in: rules with the newest first; the first matching rule decides. Thread-safe.
+class fault_plan {
+public:
+    /// Adds the rule of a `POST /faults` body: the members of `fault` (`slow_ms` and `lag_ms` in milliseconds), and
+    /// optionally `method`, `path` (a prefix) and `count` (the next n matching calls). A rule without `count` replaces
+    /// older rules for the same method and path. Throws nlohmann::json::exception for a member of a wrong type and
+    /// std::invalid_argument for an unknown one.
+    void add(const nlohmann::json& body);
+
+    /// Removes all rules and lets hanging calls go on.
+    void clear();
+
+    /// Lets hanging and delayed calls go on, now and later.
+    void stop();
+
+    /// Returns the fault of one call and uses up one of its rule's count.
+    fault take(const std::string& method, const std::string& path);
+
+    /// Returns the fault of the newest rule without method, path and count, for behaviour outside of calls.
+    fault standing() const;
+
+    /// Waits until `clear` or `stop`.
+    void wait_until_cleared();
+
+    /// Waits for `delay`, or until `stop`.
+    void wait_for(std::chrono::milliseconds delay);
+
+private:
+    struct rule {
+        fault effect;
+        std::string method;
+        std::string path;
+        std::optional<std::uint32_t> remaining;
+    };
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::list<rule> m_rules;
+    std::uint64_t m_clearings = 0;
+    bool m_stopped = false;
+};
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/instances_server.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "http_server.h"
+#include "lagged.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace lagoonferry::standin {
+
+/// Stand-in for the platform's instance list over HTTP. Thread-safe.
+class instances_server {
+public:
+    /// Entries are published `lag` after their change.
+    explicit instances_server(std::chrono::milliseconds lag);
+
+    http_server& http() { return m_http; }
+
+    /// Registers or changes an entry; `body` has the members `kind`, `address`, `failure_domain` and optionally
+    /// `state`, as in the published list. Throws nlohmann::json::exception if one is missing.
+    void put(const std::string& id, const nlohmann::json& body);
+
+private:
+    using entry_map = std::map<std::string, nlohmann::json>;
+
+    void remove(const std::string& id);
+    void publish();
+    void answer_list(httplib::Response& res, const fault& effect);
+
+    const std::chrono::milliseconds m_lag;
+    std::mutex m_mutex;
+    entry_map m_entries;
+    lagged<entry_map> m_published;
+    http_server m_http; ///< last, so that its handlers end before the state
+};
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/server_connection.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <array>
+#include <chrono>
+
+namespace lagoonferry::standin {
+
+/// The server's side of one connection. Unlike cpp-httplib's own stream it can be dropped in the middle of an answer
+/// and notices that the client has gone while nothing is written. One thread at a time.
+class server_connection final : public httplib::Stream {
+public:
+    /// Does not own `socket`.
+    explicit server_connection(int socket) : m_socket(socket) {}
+
+    /// Waits until the next request arrives. Returns false on a timeout or a closed connection.
+    bool wait_for_request(std::chrono::milliseconds timeout) const;
+
+    /// Makes every further write fail, so that the answer ends here.
+    void drop() { m_dropped = true; }
+
+    bool dropped() const { return m_dropped; }
+
+    bool is_readable() const override;
+    /// Returns false once the client has closed the connection.
+    bool is_writable() const override;
+    ssize_t read(char* data, std::size_t size) override;
+    ssize_t write(const char* data, std::size_t size) override;
+    void get_remote_ip_and_port(std::string& ip, int& port) const override;
+    void get_local_ip_and_port(std::string& ip, int& port) const override;
+    int socket() const override { return m_socket; }
+
+private:
+    std::size_t buffered() const { return m_end - m_begin; }
+
+    const int m_socket;
+    bool m_dropped = false;
+    std::array<char, 8192> m_buf{};
+    std::size_t m_begin = 0;
+    std::size_t m_end = 0;
+};
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/standin_set.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "engine_server.h"
+#include "instances_server.h"
+#include "kv_server.h"
+#include "options.h"
+#include "tool_server.h"
+#include "weights_server.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::standin {
+
+/// A stand-in that accepts connections.
+struct standin_address {
+    std::string kind;
+    std::string name;
+    std::string address;
+};
+
+/// The stand-ins of one process. One thread at a time.
+class standin_set {
+public:
+    /// Starts what the options ask for. Engines and tools of `all` are registered as targets in its instance list.
+    /// Returns false if a port is taken.
+    bool start(const options& opts);
+
+    /// The started stand-ins in the order of their start.
+    const std::vector<standin_address>& addresses() const { return m_addresses; }
+
+private:
+    bool add(const options& opts, const std::string& kind, const std::string& name, http_server& server);
+    bool add_engines(const options& opts, std::size_t count);
+    bool add_tools(const options& opts, std::size_t count);
+    bool add_single(const options& opts);
+    void register_targets(const options& opts);
+
+    std::vector<standin_address> m_addresses;
+    std::unique_ptr<kv_server> m_kv;
+    std::unique_ptr<instances_server> m_instances;
+    std::unique_ptr<weights_server> m_weights;
+    std::vector<std::unique_ptr<engine_server>> m_engines;
+    std::vector<std::unique_ptr<tool_server>> m_tools;
+};
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/weights_server.cpp
@@ -0,0 +1,53 @@
+#include "weights_server.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace lagoonferry::standin {
+
+namespace {
+
+/// Returns the name repeated up to a size, so that a reader can verify which weights it got.
+std::string weights_of(const std::string& name, std::size_t size)
+{
+    std::string out;
+    out.reserve(size + name.size());
+    while (out.size() < size) {
+        out += name;
+    }
+    out.resize(size);
+    return out;
+}
+
+} // namespace
+
+weights_server::weights_server(const size_map& sizes, double reads_per_second) : m_sizes(sizes)
+{
+    m_reads.set_rate(reads_per_second);
+    m_http.on("GET", "/weights/(.+)",
+              [this](const httplib::Request& req, httplib::Response& res, const fault&) { read(req, res); });
+    m_http.on("POST", "/weights", [this](const httplib::Request& req, httplib::Response& res, const fault&) {
+        const auto body = nlohmann::json::parse(req.body);
+        const std::lock_guard lock(m_mutex);
+        m_sizes[body.at("name").get<std::string>()] = body.at("bytes").get<std::size_t>();
+        answer_json(res, nlohmann::json::object());
+    });
+}
+
+void weights_server::read(const httplib::Request& req, httplib::Response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_sizes.find(req.matches[1].str());
+    if (it == m_sizes.end()) {
+        answer_error(res, 404, "unknown weights");
+        return;
+    }
+    if (!m_reads.take(steady_now())) {
+        res.set_header("Retry-After", "1");
+        answer_error(res, 429, "rate limit");
+        return;
+    }
+    res.set_content(weights_of(it->first, it->second), "application/octet-stream");
+}
+
+} // namespace lagoonferry::standin
--- /dev/null
+++ b/standins/weights_server.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "http_server.h"
+#include "token_bucket.h"
+
+#include <cstddef>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace lagoonferry::standin {
+
+/// Stand-in for the rate-limited weight store over HTTP. Thread-safe.
+class weights_server {
+public:
+    using size_map = std::map<std::string, std::size_t>;
+
+    /// `sizes` are the weights with their sizes in bytes. `reads_per_second` 0 switches the limit off.
+    weights_server(const size_map& sizes, double reads_per_second);
+
+    http_server& http() { return m_http; }
+
+private:
+    void read(const httplib::Request& req, httplib::Response& res);
+
+    std::mutex m_mutex;
+    size_map m_sizes;
+    token_bucket m_reads;
+    http_server m_http; ///< last, so that its handlers end before the state
+};
+
+} // namespace lagoonferry::standin
