Add the HTTP interface for callers (wiring in progress)

Cause: callers need programs, turns, tool calls and address lookups over HTTP. Change: caller interface with streamed answers, turn and tool runners, slot and document controllers. Measured: compiles; not yet started by a process. Conclusion: the thread that serves a request runs its engine call, so that a stream needs no second thread.

--- a/src/blackboard/board.h
+++ b/src/blackboard/board.h
@@ -70,16 +70,16 @@
 
 /// The state that the controllers of one process share. Each entry names the controller that writes it.
 struct board {
-    board_entry<member_view> members;                            ///< membership controller
-    board_entry<std::vector<judged_member>> all_entries;         ///< membership controller
-    board_entry<owner_view> owners;                              ///< membership controller
-    board_entry<std::shared_ptr<const address_lookup>> addresses; ///< membership controller
-    board_entry<document_view> documents;                        ///< document controller
-    board_entry<target_map> targets;                             ///< membership controller
-    board_entry<std::vector<document_version>> announced_documents;  ///< document controller
-    board_entry<std::vector<owned_partition>> announced_partitions;  ///< ownership controller
-    board_entry<std::uint32_t> load_percent;                         ///< the HTTP interface
-    board_entry<bool> stopping;                                  ///< the process, on a planned stop
+    board_entry<member_view> members;                               ///< membership controller
+    board_entry<std::vector<judged_member>> all_entries;            ///< membership controller
+    board_entry<owner_view> owners;                                 ///< membership controller
+    board_entry<std::shared_ptr<const address_lookup>> addresses;   ///< membership controller
+    board_entry<document_view> documents;                           ///< document controller
+    board_entry<target_map> targets;                                ///< membership controller
+    board_entry<std::vector<document_version>> announced_documents; ///< document controller
+    board_entry<std::vector<owned_partition>> announced_partitions; ///< ownership controller
+    board_entry<std::uint32_t> load_percent;                        ///< the HTTP interface
+    board_entry<bool> stopping;                                     ///< the process, on a planned stop
 };
 
 } // namespace lagoonferry
--- a/src/dispatch/slot_holder.cpp
+++ b/src/dispatch/slot_holder.cpp
@@ -123,9 +123,8 @@
 
 std::optional<slot_event> slot_holder::on_preempt(std::string_view group, const slot_preempt& m) const
 {
-    const auto it = std::ranges::find_if(m_held, [&](const auto& item) {
-        return item.second.slot.group == group && item.second.slot.slot == m.slot;
-    });
+    const auto it = std::ranges::find_if(
+        m_held, [&](const auto& item) { return item.second.slot.group == group && item.second.slot.slot == m.slot; });
     if (it == m_held.end()) {
         return std::nullopt;
     }
--- /dev/null
+++ b/src/entry/call_options.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "dispatch/request_class.h"
+#include "util/time.h"
+
+#include <string>
+
+namespace lagoonferry {
+
+/// What the caller asked for beside the messages of a turn.
+struct call_options {
+    std::string service;
+    std::string model;
+    std::string account; ///< `<service>/<account>`
+    request_class priority = request_class::normal;
+    int engine_priority = 2;
+    timestamp deadline{0};
+    std::string parameters; ///< JSON object that is passed on to the engine
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/entry/caller_api.cpp
@@ -0,0 +1,382 @@
+#include "entry/caller_api.h"
+
+#include "blackboard/board.h"
+#include "entry/call_session.h"
+#include "entry/completion_json.h"
+#include "entry/entry_metrics.h"
+#include "entry/refusal_json.h"
+#include "entry/request_reader.h"
+#include "util/log.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::uint64_t moved_retry_ms = 500;
+constexpr std::size_t addresses_in_answer = 4;
+constexpr std::uint32_t percent = 100;
+
+class active_request {
+public:
+    explicit active_request(std::atomic<std::uint32_t>& count) : m_count(count) { ++m_count; }
+    active_request(const active_request&) = delete;
+    active_request& operator=(const active_request&) = delete;
+    ~active_request() { --m_count; }
+
+private:
+    std::atomic<std::uint32_t>& m_count;
+};
+
+const turn_runner::token_sink ignore_tokens = [](std::string_view) { return true; };
+
+} // namespace
+
+/// One streamed turn between the handler and the content provider.
+struct caller_api::turn_exchange {
+    explicit turn_exchange(std::atomic<std::uint32_t>& count) : active(count) {}
+
+    active_request active;
+    std::uint32_t partition = 0;
+    std::string program;
+    call_options options;
+    std::shared_ptr<call_session> session;
+    std::optional<start_engine_call> work; ///< not yet run
+};
+
+caller_api::caller_api(const board& shared, const partition_router& router, turn_runner& turns, tool_runner& tools,
+                       entry_metrics& metrics)
+    : m_board(shared), m_router(router), m_turns(turns), m_tools(tools), m_metrics(metrics)
+{
+}
+
+void caller_api::attach(httplib::Server& server)
+{
+    using handler = void (caller_api::*)(const httplib::Request&, httplib::Response&);
+    const auto route = [this](handler member) {
+        return [this, member](const httplib::Request& request, httplib::Response& response) {
+            const active_request active(m_active);
+            (this->*member)(request, response);
+        };
+    };
+    server.Post("/v1/programs", route(&caller_api::open));
+    server.Get(R"(/v1/programs/([\w-]+))", route(&caller_api::query));
+    server.Delete(R"(/v1/programs/([\w-]+))", route(&caller_api::end));
+    server.Post("/v1/chat/completions", route(&caller_api::chat));
+    server.Post(R"(/v1/tools/([\w.-]+))", route(&caller_api::tool));
+    server.Get(R"(/v1/calls/([\w-]+)/([\w.:-]+))", route(&caller_api::query_call));
+    server.Get("/v1/where",
+               [this](const httplib::Request& request, httplib::Response& response) { where(request, response); });
+}
+
+void caller_api::open(const httplib::Request& request, httplib::Response& response)
+{
+    refusal why;
+    const auto body = read_object(request.body.empty() ? "{}" : request.body, why);
+    const auto caller =
+        body ? identify(request, body->value("service", request.get_header_value("X-Service")), m_board, why)
+             : std::nullopt;
+    if (!caller) {
+        send_refusal(response, why);
+        return;
+    }
+    open_program wanted;
+    wanted.parent = body->value("parent", std::string());
+    wanted.account = caller->full_name();
+    wanted.service = caller->service->record.service;
+    const auto limits = read_budget(*body, caller->service->document.budgets, why);
+    if (!limits) {
+        send_refusal(response, why);
+        return;
+    }
+    wanted.limits = *limits;
+    wanted.mark_chunks = std::max<std::uint32_t>(1, percent / caller->service->document.budgets.mark_share_percent);
+
+    const auto parent_partition = m_router.partition_of(wanted.parent);
+    if (!wanted.parent.empty() && !parent_partition) {
+        send_refusal(response, refuse(result_code::unknown_program, "the parent does not exist"));
+        return;
+    }
+    const auto program =
+        parent_partition ? partition_router::new_program_in(*parent_partition) : m_router.new_program();
+    if (!program) {
+        const auto other = m_router.any_owner_address();
+        refusal value = refuse(other ? result_code::moved : result_code::program_unavailable,
+                               "this instance owns no partition", moved_retry_ms);
+        if (other) {
+            response.set_header("Location", "http://" + *other + request.target);
+        }
+        send_refusal(response, value);
+        return;
+    }
+    wanted.program = *program;
+    const std::uint32_t partition = *m_router.partition_of(*program);
+    const answer_request answer = ask(partition, wanted);
+    m_metrics.count("program", answer);
+    finish(request, partition, answer, response);
+}
+
+bool caller_api::admit(const httplib::Request& request, const std::string& program, httplib::Response& response,
+                       caller_identity& caller, std::uint32_t& partition) const
+{
+    refusal why;
+    const auto known = identify(request, request.get_header_value("X-Service"), m_board, why);
+    if (!known) {
+        send_refusal(response, why);
+        return false;
+    }
+    const auto number = m_router.partition_of(program);
+    if (!number) {
+        send_refusal(response, refuse(result_code::unknown_program, "there is no program with this identifier"));
+        return false;
+    }
+    caller = *known;
+    partition = *number;
+    return true;
+}
+
+void caller_api::query(const httplib::Request& request, httplib::Response& response)
+{
+    caller_identity caller;
+    std::uint32_t partition = 0;
+    query_program wanted;
+    wanted.program = request.matches[1];
+    if (admit(request, wanted.program, response, caller, partition)) {
+        wanted.account = caller.full_name();
+        finish(request, partition, ask(partition, wanted), response);
+    }
+}
+
+void caller_api::end(const httplib::Request& request, httplib::Response& response)
+{
+    caller_identity caller;
+    std::uint32_t partition = 0;
+    end_program wanted;
+    wanted.program = request.matches[1];
+    wanted.reason = "ended by the caller";
+    if (admit(request, wanted.program, response, caller, partition)) {
+        wanted.account = caller.full_name();
+        finish(request, partition, ask(partition, wanted), response);
+    }
+}
+
+void caller_api::query_call(const httplib::Request& request, httplib::Response& response)
+{
+    caller_identity caller;
+    std::uint32_t partition = 0;
+    lagoonferry::query_call wanted;
+    wanted.program = request.matches[1];
+    wanted.key = request.matches[2];
+    if (admit(request, wanted.program, response, caller, partition)) {
+        wanted.account = caller.full_name();
+        finish(request, partition, ask(partition, wanted), response);
+    }
+}
+
+void caller_api::chat(const httplib::Request& request, httplib::Response& response)
+{
+    caller_identity caller;
+    auto exchange = std::make_shared<turn_exchange>(m_active);
+    exchange->program = request.get_header_value("X-Program");
+    if (!admit(request, exchange->program, response, caller, exchange->partition)) {
+        return;
+    }
+    refusal why;
+    const auto body = read_object(request.body, why);
+    const auto options = body ? read_options(request, caller, why) : std::nullopt;
+    auto turn = options ? read_turn(request, *body, why) : std::nullopt;
+    if (!turn) {
+        send_refusal(response, why);
+        return;
+    }
+    exchange->options = *options;
+    exchange->options.model = body->value("model", std::string());
+    exchange->options.parameters = engine_parameters(*body);
+    if (find_model(caller.service->document, exchange->options.model) == nullptr) {
+        send_refusal(response, refuse(result_code::no_target, "the service has no model of this name"));
+        return;
+    }
+    turn->program = exchange->program;
+    turn->account = caller.full_name();
+    turn->deadline = exchange->options.deadline;
+    exchange->session = std::make_shared<call_session>();
+    m_router.send(exchange->partition, *turn, exchange->session);
+
+    if (!body->value("stream", false)) {
+        const answer_request answer = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
+        m_metrics.count("turn", answer);
+        if (const auto* done = std::get_if<success>(&answer.result)) {
+            response.set_content(completion_json(exchange->program, exchange->options.model, *done),
+                                 "application/json");
+            return;
+        }
+        finish(request, exchange->partition, answer, response);
+        return;
+    }
+    call_session::item first = exchange->session->wait();
+    if (const auto* answer = std::get_if<answer_request>(&first)) {
+        m_metrics.count("turn", *answer);
+        if (const auto* done = std::get_if<success>(&answer->result)) {
+            response.set_content(replayed_stream(exchange->program, exchange->options.model, *done),
+                                 "text/event-stream");
+            return;
+        }
+        finish(request, exchange->partition, *answer, response);
+        return;
+    }
+    exchange->work = std::get<start_engine_call>(std::move(first));
+    stream_answer(exchange, response);
+}
+
+void caller_api::stream_answer(const std::shared_ptr<turn_exchange>& exchange, httplib::Response& response)
+{
+    const auto provide = [this, exchange](std::size_t, httplib::DataSink& sink) {
+        const auto write = [&sink](const std::string& text) { return sink.write(text.data(), text.size()); };
+        const start_engine_call work = std::move(*exchange->work);
+        exchange->work.reset();
+        run_engine_call(exchange->partition, work, exchange->options, [&](std::string_view token) {
+            return write(stream_token(exchange->program, exchange->options.model, token));
+        });
+        const answer_request answer = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
+        m_metrics.count("turn", answer);
+        if (const auto* done = std::get_if<success>(&answer.result)) {
+            write(stream_end_of_answer(exchange->program, exchange->options.model, *done));
+        }
+        else {
+            write("data: " + refusal_json(std::get<refusal>(answer.result)).dump() + "\n\n");
+        }
+        sink.done();
+        return true;
+    };
+    const auto release = [this, exchange](bool) {
+        if (!exchange->work) {
+            return;
+        }
+        // The caller disconnected before the stream began.
+        engine_failed failed;
+        failed.call = exchange->work->call;
+        failed.epoch = exchange->work->epoch;
+        failed.run = run_state::not_run;
+        failed.text = "the caller has gone";
+        m_router.send(exchange->partition, failed, nullptr);
+    };
+    response.set_chunked_content_provider("text/event-stream", provide, release);
+}
+
+void caller_api::run_engine_call(std::uint32_t partition, const start_engine_call& work, const call_options& options,
+                                 const turn_runner::token_sink& sink)
+{
+    const turn_result result = m_turns.run(work, options, sink);
+    std::visit([&](const auto& value) { m_router.send(partition, value, nullptr); }, result);
+}
+
+answer_request caller_api::ask(std::uint32_t partition, event input) const
+{
+    auto session = std::make_shared<call_session>();
+    m_router.send(partition, std::move(input), session);
+    while (true) {
+        const call_session::item next = session->wait();
+        if (const auto* answer = std::get_if<answer_request>(&next)) {
+            return *answer;
+        }
+    }
+}
+
+answer_request caller_api::serve(std::uint32_t partition, call_session& session, const call_options& options,
+                                 const turn_runner::token_sink& sink)
+{
+    while (true) {
+        const call_session::item next = session.wait();
+        if (const auto* answer = std::get_if<answer_request>(&next)) {
+            return *answer;
+        }
+        if (const auto* work = std::get_if<start_engine_call>(&next)) {
+            run_engine_call(partition, *work, options, sink);
+        }
+        else {
+            m_router.send(partition, m_tools.run(std::get<send_tool_call>(next)), nullptr);
+        }
+    }
+}
+
+void caller_api::tool(const httplib::Request& request, httplib::Response& response)
+{
+    caller_identity caller;
+    std::uint32_t partition = 0;
+    const std::string program = request.get_header_value("X-Program");
+    if (!admit(request, program, response, caller, partition)) {
+        return;
+    }
+    const std::string name = request.matches[1];
+    const lagoonferry::tool* known = find_tool(caller.service->document, name);
+    if (known == nullptr) {
+        send_refusal(response, refuse(result_code::unknown_tool, "the service has no tool of this name"));
+        return;
+    }
+    refusal why;
+    const auto body = read_object(request.body.empty() ? "{}" : request.body, why);
+    const auto options = body ? read_options(request, caller, why) : std::nullopt;
+    if (!options) {
+        send_refusal(response, why);
+        return;
+    }
+    begin_call call;
+    call.program = program;
+    call.account = caller.full_name();
+    call.irreversible = !known->idempotent;
+    call.key = request.get_header_value("Idempotency-Key");
+    call.tool = name;
+    call.arguments = body->value("arguments", nlohmann::json::object()).dump();
+    call.max_money = body->value("max_cost_micro", std::uint64_t{0});
+    call.deadline = std::min(options->deadline, steady_now() + std::chrono::milliseconds(known->deadline_ms));
+    auto session = std::make_shared<call_session>();
+    m_router.send(partition, call, session);
+    const answer_request answer = serve(partition, *session, *options, ignore_tokens);
+    m_metrics.count("tool", answer);
+    finish(request, partition, answer, response);
+}
+
+void caller_api::where(const httplib::Request& request, httplib::Response& response) const
+{
+    const auto lookup = m_board.addresses.read();
+    const std::string account = request.get_param_value("account");
+    const std::string caller = request.get_param_value("caller");
+    const address_answer answer = (*lookup)->order(account, caller, addresses_in_answer);
+    const nlohmann::json body{{"addresses", answer.addresses}, {"ttl_ms", answer.ttl.count()}};
+    response.set_content(body.dump(), "application/json");
+}
+
+void caller_api::finish(const httplib::Request& request, std::uint32_t partition, const answer_request& answer,
+                        httplib::Response& response) const
+{
+    if (const auto* done = std::get_if<success>(&answer.result)) {
+        response.set_content(done->payload, "application/json");
+        return;
+    }
+    refusal value = std::get<refusal>(answer.result);
+    if (value.code == result_code::moved) {
+        send_moved(request, partition, std::move(value), response);
+        return;
+    }
+    send_refusal(response, value);
+}
+
+void caller_api::send_moved(const httplib::Request& request, std::uint32_t partition, refusal value,
+                            httplib::Response& response) const
+{
+    if (const auto address = m_router.owner_address(partition)) {
+        response.set_header("Location", "http://" + *address + request.target);
+        value.owner_address = *address;
+    }
+    else {
+        value.code = result_code::program_unavailable;
+        value.retry_after_ms = std::max(value.retry_after_ms, moved_retry_ms);
+    }
+    send_refusal(response, value);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/entry/completion_json.cpp
@@ -0,0 +1,82 @@
+#include "entry/completion_json.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+std::string dump(const nlohmann::json& value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+nlohmann::json parse_message(const success& done)
+{
+    nlohmann::json message = nlohmann::json::parse(done.payload, nullptr, false);
+    return message.is_object() ? message : nlohmann::json{{"role", "assistant"}, {"content", done.payload}};
+}
+
+std::string_view finish_reason(const nlohmann::json& message)
+{
+    return message.contains("tool_calls") ? "tool_calls" : "stop";
+}
+
+nlohmann::json position(const std::string& program, const success& done)
+{
+    return {{"program", program}, {"turn", done.turn}};
+}
+
+nlohmann::json chunk(const std::string& program, const std::string& model, const nlohmann::json& delta)
+{
+    const nlohmann::json choice{{"index", 0}, {"delta", delta}, {"finish_reason", nullptr}};
+    return {{"id", program},
+            {"object", "chat.completion.chunk"},
+            {"model", model},
+            {"choices", nlohmann::json::array({choice})}};
+}
+
+std::string as_event(const nlohmann::json& value)
+{
+    return "data: " + dump(value) + "\n\n";
+}
+
+} // namespace
+
+std::string completion_json(const std::string& program, const std::string& model, const success& done)
+{
+    const nlohmann::json message = parse_message(done);
+    const nlohmann::json choice{{"index", 0}, {"message", message}, {"finish_reason", finish_reason(message)}};
+    return dump({{"id", program},
+                 {"object", "chat.completion"},
+                 {"model", model},
+                 {"choices", nlohmann::json::array({choice})},
+                 {"lagoonferry", position(program, done)}});
+}
+
+std::string stream_token(const std::string& program, const std::string& model, std::string_view token)
+{
+    return as_event(chunk(program, model, {{"content", token}}));
+}
+
+std::string stream_end_of_answer(const std::string& program, const std::string& model, const success& done)
+{
+    const nlohmann::json message = parse_message(done);
+    nlohmann::json delta = nlohmann::json::object();
+    if (message.contains("tool_calls")) {
+        delta["tool_calls"] = message.at("tool_calls");
+    }
+    nlohmann::json last = chunk(program, model, delta);
+    last["choices"][0]["finish_reason"] = finish_reason(message);
+    last["lagoonferry"] = position(program, done);
+    return as_event(last) + "data: [DONE]\n\n";
+}
+
+std::string replayed_stream(const std::string& program, const std::string& model, const success& done)
+{
+    const nlohmann::json message = parse_message(done);
+    const std::string text = message.value("content", std::string());
+    return stream_token(program, model, text) + stream_end_of_answer(program, model, done);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/entry/turn_runner.cpp
@@ -0,0 +1,267 @@
+#include "entry/turn_runner.h"
+
+#include "blackboard/board.h"
+#include "entry/slot_ticket.h"
+#include "membership/rendezvous.h"
+#include "platform/engine_client.h"
+#include "roles/messages.h"
+#include "util/log.h"
+
+#include <caf/send.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <thread>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Rule of thumb for English text; it only weighs queue order and placement.
+constexpr std::size_t bytes_per_token = 4;
+
+constexpr milliseconds prefix_pin{60'000};
+constexpr milliseconds longest_slot_wait{120'000};
+
+// Grace for the dispatcher's own refusal at the deadline to arrive before this side gives up.
+constexpr milliseconds slot_wait_grace{200};
+
+milliseconds left_until(timestamp deadline, milliseconds at_most)
+{
+    if (deadline.count() == 0) {
+        return at_most;
+    }
+    const auto left = std::chrono::duration_cast<milliseconds>(deadline - steady_now());
+    return std::clamp(left, milliseconds(0), at_most);
+}
+
+std::string join_messages(const std::vector<std::string>& messages)
+{
+    std::string out = "[";
+    for (const std::string& message : messages) {
+        if (out.size() > 1) {
+            out += ',';
+        }
+        out += message;
+    }
+    return out + ']';
+}
+
+std::uint32_t estimated_tokens(const std::vector<std::string>& messages)
+{
+    const std::size_t bytes = std::accumulate(messages.begin(), messages.end(), std::size_t{0},
+                                              [](std::size_t sum, const std::string& m) { return sum + m.size(); });
+    return static_cast<std::uint32_t>(bytes / bytes_per_token + 1);
+}
+
+std::uint32_t micros(timestamp value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, UINT32_MAX));
+}
+
+nlohmann::json message_of(const std::string& text, const std::vector<engine_tool_call>& calls)
+{
+    nlohmann::json message{{"role", "assistant"}, {"content", text}};
+    for (const engine_tool_call& call : calls) {
+        message["tool_calls"].push_back({{"id", call.id},
+                                         {"type", "function"},
+                                         {"function", {{"name", call.name}, {"arguments", call.arguments}}}});
+    }
+    return message;
+}
+
+std::string dump(const nlohmann::json& value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+/// State of one call over its attempts.
+struct turn_runner::run_state_of_call {
+    const start_engine_call* work = nullptr;
+    std::string text; ///< received over all attempts
+    std::uint32_t tokens = 0;
+    std::uint32_t attempts = 0;
+    std::vector<std::string> excluded;
+    std::shared_ptr<slot_ticket> ticket;
+    granted_slot slot;
+    std::string address;
+    attempt last;
+    engine_failed failed;
+};
+
+turn_runner::turn_runner(const board* shared, caf::actor slots, engine_client* engines, std::uint64_t seed)
+    : m_board(shared), m_slots(std::move(slots)), m_engines(engines), m_retries(retry_settings{}, seed)
+{
+}
+
+void turn_runner::set_observer(std::function<void(const call_options&, const attempt&)> observer)
+{
+    m_observer = std::move(observer);
+}
+
+turn_result turn_runner::run(const start_engine_call& work, const call_options& options, const token_sink& sink)
+{
+    run_state_of_call call;
+    call.work = &work;
+    call.failed.call = work.call;
+    call.failed.epoch = work.epoch;
+    call.failed.run = run_state::not_run;
+    while (true) {
+        if (!get_slot(call, options)) {
+            return call.failed;
+        }
+        stream(call, options, sink);
+        if (call.last.answer.end == stream_end::complete) {
+            engine_completed done;
+            done.call = work.call;
+            done.epoch = work.epoch;
+            done.answer = dump(message_of(call.text, call.last.answer.tool_calls));
+            done.usage = {call.last.answer.usage.prompt_tokens, call.tokens};
+            done.target = call.slot.target;
+            return done;
+        }
+        if (!may_continue(call, options)) {
+            return call.failed;
+        }
+    }
+}
+
+bool turn_runner::get_slot(run_state_of_call& call, const call_options& options)
+{
+    slot_acquire wanted;
+    wanted.service = options.service;
+    wanted.model = options.model;
+    wanted.account = options.account;
+    wanted.priority = options.priority;
+    wanted.service_received = call.work->tokens_spent + call.tokens;
+    wanted.prompt_tokens = estimated_tokens(call.work->messages);
+    wanted.expected_output = static_cast<std::uint32_t>(call.work->max_completion_tokens);
+    wanted.prefix = stable_hash(call.work->program);
+    wanted.deadline = left_until(call.work->deadline, longest_slot_wait);
+    wanted.excluded = call.excluded;
+    call.ticket = std::make_shared<slot_ticket>();
+    caf::anon_send(m_slots, acquire_slot{wanted, call.ticket});
+
+    const auto answer = call.ticket->wait(wanted.deadline + slot_wait_grace);
+    if (!answer) {
+        caf::anon_send(m_slots, return_slot{call.ticket->request(), {}});
+        call.failed.code = result_code::deadline_exceeded;
+        call.failed.text = "no slot was granted before the deadline";
+        call.failed.retry_after_ms = 1000;
+        return false;
+    }
+    if (const auto* refused = std::get_if<slot_refuse>(&*answer)) {
+        call.failed.code = refused->reason;
+        call.failed.text = "the dispatcher refused the call";
+        call.failed.retry_after_ms = static_cast<std::uint64_t>(refused->retry_after.count());
+        return false;
+    }
+    call.slot = std::get<granted_slot>(*answer);
+    const auto targets = m_board->targets.read();
+    const auto it = targets->targets.find(call.slot.target);
+    call.address = it == targets->targets.end() ? std::string() : it->second.address;
+    return true;
+}
+
+engine_call turn_runner::request_for(const run_state_of_call& call, const call_options& options) const
+{
+    engine_call request;
+    request.address = call.address;
+    request.call_id = call.work->call + '-' + std::to_string(call.attempts);
+    request.program = call.work->program;
+    request.model = options.model;
+    request.messages = join_messages(call.work->messages);
+    request.parameters = options.parameters;
+    request.max_tokens = static_cast<std::uint32_t>(call.work->max_completion_tokens);
+    request.priority = options.engine_priority;
+    request.fence = fencing_token{call.work->program.substr(0, call.work->program.find('-')), call.work->epoch};
+    request.pin = prefix_pin;
+    request.resume_text = call.text;
+    request.resume_tokens = call.tokens;
+    request.total_timeout = left_until(call.work->deadline, request.total_timeout);
+    return request;
+}
+
+void turn_runner::stream(run_state_of_call& call, const call_options& options, const token_sink& sink)
+{
+    ++call.attempts;
+    attempt seen;
+    seen.target = call.slot.target;
+    seen.sent = steady_now();
+    const auto on_token = [&](std::string_view text) {
+        seen.last_token = steady_now();
+        if (seen.tokens++ == 0) {
+            seen.first_token = seen.last_token;
+        }
+        call.text += text;
+        ++call.tokens;
+        call.ticket->add_token();
+        seen.caller_gone = !sink(text);
+        seen.preempted = call.ticket->preempted();
+        return !seen.caller_gone && !seen.preempted;
+    };
+    seen.answer = m_engines->stream(request_for(call, options), on_token);
+    give_back(call, seen);
+    if (m_observer) {
+        m_observer(options, seen);
+    }
+    call.last = std::move(seen);
+}
+
+void turn_runner::give_back(const run_state_of_call& call, const attempt& seen) const
+{
+    slot_observation observed;
+    if (seen.tokens > 0) {
+        observed.first_token_us = micros(seen.first_token - seen.sent);
+    }
+    if (seen.tokens > 1) {
+        observed.per_token_us = micros((seen.last_token - seen.first_token) / (seen.tokens - 1));
+    }
+    observed.tokens = seen.tokens;
+    observed.cached_tokens = seen.answer.usage.cached_tokens;
+    observed.preempted = seen.preempted;
+    observed.failed = seen.answer.end != stream_end::complete && seen.answer.end != stream_end::cancelled;
+    caf::anon_send(m_slots, return_slot{call.ticket->request(), observed});
+}
+
+bool turn_runner::may_continue(run_state_of_call& call, const call_options& options)
+{
+    const attempt& last = call.last;
+    call.failed.target = last.target;
+    call.failed.run = last.answer.end == stream_end::not_sent && call.tokens == 0 ? run_state::not_run : run_state::run;
+    call.failed.code = call.tokens == 0 ? result_code::target_failed : result_code::answer_cut;
+    call.failed.text = last.answer.reason.text;
+    if (last.caller_gone) {
+        call.failed.text = "the caller has gone";
+        return false;
+    }
+    if (last.preempted) {
+        return true;
+    }
+    log(log_part::entry, log_level::warning, "Call failed on its target.", field("program", call.work->program),
+        field("turn", call.work->turn), field("target", last.target), field("end", to_string(last.answer.end)),
+        field("reason", last.answer.reason.text));
+    call.excluded.push_back(last.target);
+    attempt_state state;
+    state.idempotent = true;
+    state.attempts = call.attempts;
+    state.deadline = options.deadline;
+    state.refused_not_run = last.answer.end == stream_end::not_sent;
+    std::optional<timestamp> pause;
+    {
+        const std::lock_guard lock(m_mutex);
+        pause = m_retries.next_attempt(state, steady_now());
+    }
+    if (!pause) {
+        return false;
+    }
+    std::this_thread::sleep_for(*pause);
+    return true;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/entry/turn_runner.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "dispatch/retry_policy.h"
+#include "dispatch/slot_holder.h"
+#include "entry/call_options.h"
+#include "platform/engine_answer.h"
+#include "program/action.h"
+#include "program/event.h"
+
+#include <caf/actor.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lagoonferry {
+
+struct board;
+struct engine_call;
+class engine_client;
+class slot_ticket;
+
+/// How a turn ended on the engines.
+using turn_result = std::variant<engine_completed, engine_failed>;
+
+/// Runs model calls: gets a slot from the dispatcher, streams from the target, and resumes on another target after a
+/// failure or a preemption, within the retry budget and the deadline. Thread-safe; a call blocks its thread.
+class turn_runner {
+public:
+    /// Receives the text of one token; returning false means that the caller has gone, which cancels the call.
+    using token_sink = std::function<bool(std::string_view text)>;
+
+    /// `shared` and `engines` outlive this object.
+    turn_runner(const board* shared, caf::actor slots, engine_client* engines, std::uint64_t seed);
+
+    /// Runs one call to its end.
+    turn_result run(const start_engine_call& work, const call_options& options, const token_sink& sink);
+
+    /// Measurements of the last attempt of a call.
+    struct attempt {
+        std::string target;
+        timestamp sent{0};
+        timestamp first_token{0}; ///< 0 without a token
+        timestamp last_token{0};
+        std::uint32_t tokens = 0;
+        engine_answer answer;
+        bool preempted = false;
+        bool caller_gone = false;
+    };
+
+    /// Called after each attempt, for metrics. Set before the first call; must be thread-safe.
+    void set_observer(std::function<void(const call_options&, const attempt&)> observer);
+
+private:
+    struct run_state_of_call;
+
+    bool get_slot(run_state_of_call& call, const call_options& options);
+    void stream(run_state_of_call& call, const call_options& options, const token_sink& sink);
+    bool may_continue(run_state_of_call& call, const call_options& options);
+    engine_call request_for(const run_state_of_call& call, const call_options& options) const;
+    void give_back(const run_state_of_call& call, const attempt& seen) const;
+
+    const board* m_board;
+    caf::actor m_slots;
+    engine_client* m_engines;
+    std::mutex m_mutex;
+    retry_policy m_retries;
+    std::function<void(const call_options&, const attempt&)> m_observer;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/document_controller.cpp
@@ -0,0 +1,111 @@
+#include "roles/document_controller.h"
+
+#include "blackboard/board.h"
+#include "membership/heartbeat.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{250};
+
+// A fetcher tries the key-value service and every peer, each with a timeout of its own.
+constexpr std::chrono::seconds fetch_timeout{60};
+
+} // namespace
+
+void document_state::start(caf::event_based_actor* self, caf::actor fetcher, board* shared)
+{
+    m_self = self;
+    m_fetcher = std::move(fetcher);
+    m_board = shared;
+    self->send(self, tick_atom::value);
+}
+
+void document_state::on_tick()
+{
+    if (!m_table.ready() && !m_asking) {
+        ask_for_list();
+    }
+    for (const document_fetch& wanted : m_table.start_fetches(steady_now())) {
+        fetch(wanted);
+    }
+    m_board->announced_documents.write(m_table.next_heartbeat(max_heartbeat_documents));
+    publish();
+    m_self->delayed_send(m_self, tick_interval, tick_atom::value);
+}
+
+void document_state::ask_for_list()
+{
+    m_asking = true;
+    m_self->request(m_fetcher, fetch_timeout, list_documents{})
+        .then(
+            [this](const listed_documents& answer) {
+                m_asking = false;
+                if (answer.versions) {
+                    m_table.answer(answer.source, *answer.versions);
+                }
+            },
+            [this](const caf::error&) { m_asking = false; });
+}
+
+void document_state::fetch(const document_fetch& wanted)
+{
+    m_self->request(m_fetcher, fetch_timeout, wanted)
+        .then(
+            [this](const fetched_document& answer) {
+                if (answer.record) {
+                    on_record(*answer.record);
+                }
+                else {
+                    m_table.fetch_failed(answer.wanted, steady_now());
+                }
+            },
+            [this, wanted](const caf::error&) { m_table.fetch_failed(wanted, steady_now()); });
+}
+
+void document_state::on_heard(const heard_documents& message)
+{
+    m_table.learn(message.peer, message.versions);
+    for (const document_fetch& wanted : m_table.start_fetches(steady_now())) {
+        fetch(wanted);
+    }
+}
+
+void document_state::on_record(const document_record& record)
+{
+    if (m_table.install(record)) {
+        log(log_part::document, log_level::info, "Document is in force.", field("service", record.service),
+            field("version", record.version), field("author", record.author));
+        m_board->announced_documents.write(m_table.next_heartbeat(max_heartbeat_documents));
+        publish();
+    }
+}
+
+void document_state::publish()
+{
+    document_view view;
+    view.ready = m_table.ready();
+    for (const auto& item : m_table.all()) {
+        view.services[item->record.service] = item;
+        for (const account& known : item->document.accounts) {
+            view.accounts_by_digest[known.key_digest].push_back({item->record.service, known.name});
+        }
+    }
+    m_board->documents.write(std::move(view));
+}
+
+caf::behavior document_controller(caf::stateful_actor<document_state>* self, const caf::actor& fetcher, board* shared)
+{
+    self->state.start(self, fetcher, shared);
+    return {
+        [self](tick_atom) { self->state.on_tick(); },
+        [self](const heard_documents& message) { self->state.on_heard(message); },
+        [self](const accepted_document& message) { self->state.on_record(message.record); },
+    };
+}
+
+} // namespace lagoonferry
--- a/src/roles/instance_poller.cpp
+++ b/src/roles/instance_poller.cpp
@@ -29,8 +29,8 @@
 
 listed_instance row_of(const instance& listed)
 {
-    listed_instance row{listed.id, role_of(listed.kind), {}, listed.failure_domain,
-                        listed.state == instance_state::leaving};
+    listed_instance row{
+        listed.id, role_of(listed.kind), {}, listed.failure_domain, listed.state == instance_state::leaving};
     if (const auto address = parse_address(listed.address)) {
         row.address = {address->host, address->port, 0, 0};
     }
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/slot_holder.h"
 #include "document/document_record.h"
+#include "document/document_table.h"
 #include "membership/heartbeat.h"
 #include "membership/listed_instance.h"
 #include "peer/network_address.h"
@@ -15,6 +16,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +125,21 @@
     document_record record;
 };
 
+/// Asks for the versions of all documents.
+struct list_documents {};
+
+/// The versions of all documents, or nothing if no source answered. An empty source is the key-value service.
+struct listed_documents {
+    std::string source;
+    std::optional<std::vector<document_version>> versions;
+};
+
+/// The end of a fetch.
+struct fetched_document {
+    document_fetch wanted;
+    std::optional<document_record> record;
+};
+
 } // namespace lagoonferry
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_event)
@@ -140,6 +157,10 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::drain_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_documents)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::accepted_document)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::document_fetch)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::list_documents)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::listed_documents)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::fetched_document)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_partitions)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_call)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_actors)
--- a/src/roles/peer_controller.cpp
+++ b/src/roles/peer_controller.cpp
@@ -39,7 +39,9 @@
 {
     self->state.client = std::make_unique<rpc_client>(address, rpc_token, call_timeout);
     return {
-        [self](const takeover_call& m) { self->state.client->call("take_over", {{"partition", m.partition}}); },
+        [self](const takeover_call& m) {
+            self->state.client->call("take_over", {{"partition", m.partition}});
+        },
         [self](const send_replicate& m) { return call<replicate_reply>(*self->state.client, "replicate", m.message); },
         [self](const send_fetch& m) { return call<fetch_reply>(*self->state.client, "fetch", m.message); },
     };
@@ -52,8 +54,8 @@
         return it->second;
     }
     const auto parsed = parse_address(address);
-    const caf::actor worker = self->spawn<caf::linked + caf::detached>(
-        peer_worker, parsed.value_or(network_address{"0.0.0.0", 0}), token);
+    const caf::actor worker =
+        self->spawn<caf::linked + caf::detached>(peer_worker, parsed.value_or(network_address{"0.0.0.0", 0}), token);
     self->state.workers.emplace(address, worker);
     return worker;
 }
--- a/src/roles/release_controller.h
+++ b/src/roles/release_controller.h
@@ -40,7 +40,6 @@
 };
 
 /// The behaviour of the release controller; it blocks, so it needs a thread of its own.
-caf::behavior release_controller(caf::stateful_actor<release_state>* self, const board* shared,
-                                 engine_client* engines);
+caf::behavior release_controller(caf::stateful_actor<release_state>* self, const board* shared, engine_client* engines);
 
 } // namespace lagoonferry
--- /dev/null
+++ b/src/roles/slot_controller.cpp
@@ -0,0 +1,143 @@
+#include "roles/slot_controller.h"
+
+#include "blackboard/board.h"
+#include "entry/slot_ticket.h"
+#include "peer/datagram_sender.h"
+
+#include <caf/event_based_actor.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::chrono::milliseconds no_dispatcher_retry{1000};
+
+} // namespace
+
+void slot_state::start(caf::event_based_actor* self, const std::string& id, const board* shared,
+                       datagram_sender* sender)
+{
+    m_self = self;
+    m_board = shared;
+    m_sender = sender;
+    m_holder.emplace(id);
+    self->send(self, tick_atom::value);
+}
+
+std::optional<std::string> slot_state::group_for(const slot_acquire& wanted) const
+{
+    const auto targets = m_board->targets.read();
+    const auto groups = targets->groups->groups_of(wanted.model, wanted.prefix);
+    return groups.empty() ? std::nullopt : std::optional(groups.front());
+}
+
+void slot_state::on_acquire(const acquire_slot& message)
+{
+    const timestamp now = steady_now();
+    const auto group = group_for(message.wanted);
+    if (!group) {
+        message.ticket->answer(slot_refuse{0, no_dispatcher_retry, result_code::no_target});
+        return;
+    }
+    const std::uint64_t request = m_holder->acquire(*group, message.wanted, now);
+    message.ticket->set_request(request);
+    m_tickets.emplace(request, message.ticket);
+    follow_dispatchers();
+    send_due(now);
+}
+
+void slot_state::on_return(const return_slot& message)
+{
+    const timestamp now = steady_now();
+    m_holder->cancel(message.request, now);
+    m_holder->release(message.request, message.seen, now);
+    m_tickets.erase(message.request);
+    send_due(now);
+}
+
+void slot_state::on_datagram(const slot_datagram& message)
+{
+    const timestamp now = steady_now();
+    const auto happened = m_holder->handle(message.group, message.from, message.message, now);
+    if (happened) {
+        const auto it = m_tickets.find(happened->request);
+        if (it != m_tickets.end()) {
+            switch (happened->what) {
+            case slot_event::kind::granted:
+                it->second->answer(happened->slot);
+                break;
+            case slot_event::kind::refused:
+                it->second->answer(happened->refuse);
+                m_tickets.erase(it);
+                break;
+            case slot_event::kind::preempted:
+                it->second->preempt();
+                break;
+            }
+        }
+    }
+    send_due(now);
+}
+
+void slot_state::on_tick()
+{
+    follow_dispatchers();
+    count_tokens();
+    send_due(steady_now());
+    m_self->delayed_send(m_self, tick_interval, tick_atom::value);
+}
+
+void slot_state::count_tokens()
+{
+    for (const auto& [request, ticket] : m_tickets) {
+        for (std::uint32_t n = ticket->take_tokens(); n > 0; --n) {
+            m_holder->add_token(request);
+        }
+    }
+}
+
+void slot_state::follow_dispatchers()
+{
+    const auto targets = m_board->targets.read();
+    if (!targets->groups) {
+        return;
+    }
+    for (const target_group& group : targets->groups->groups()) {
+        const auto order = targets->groups->dispatchers_of(group.id);
+        if (!order.empty()) {
+            m_dispatchers[group.id] = order.front();
+            m_holder->set_dispatcher(group.id, order.front());
+        }
+    }
+}
+
+void slot_state::send_due(timestamp now)
+{
+    const auto members = m_board->members.read();
+    for (const group_message& item : m_holder->due(now)) {
+        const member* dispatcher = members->find(m_dispatchers[item.group]);
+        if (dispatcher == nullptr) {
+            continue;
+        }
+        const network_address to{dispatcher->address.ip, dispatcher->address.datagram_port};
+        m_sender->send(to, datagram_kind::dispatch, {{"g", item.group}, {"m", encode_slot_message(item.message)}});
+    }
+}
+
+caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, const board* shared,
+                              datagram_sender* sender)
+{
+    self->state.start(self, id, shared, sender);
+    return {
+        [self](const acquire_slot& message) { self->state.on_acquire(message); },
+        [self](const return_slot& message) { self->state.on_return(message); },
+        [self](const slot_datagram& message) { self->state.on_datagram(message); },
+        [self](tick_atom) { self->state.on_tick(); },
+    };
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/slot_controller.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "dispatch/slot_holder.h"
+#include "roles/messages.h"
+
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lagoonferry {
+
+struct board;
+class datagram_sender;
+
+/// The holder's side of the slot protocol of an entry process: sends requests of the serving threads to dispatchers.
+class slot_state {
+public:
+    void start(caf::event_based_actor* self, const std::string& id, const board* shared, datagram_sender* sender);
+    void on_acquire(const acquire_slot& message);
+    void on_return(const return_slot& message);
+    void on_datagram(const slot_datagram& message);
+    void on_tick();
+
+private:
+    void send_due(timestamp now);
+    void follow_dispatchers();
+    void count_tokens();
+    std::optional<std::string> group_for(const slot_acquire& wanted) const;
+
+    caf::event_based_actor* m_self = nullptr;
+    const board* m_board = nullptr;
+    datagram_sender* m_sender = nullptr;
+    std::optional<slot_holder> m_holder;
+    std::map<std::uint64_t, std::shared_ptr<slot_ticket>> m_tickets;
+    std::map<std::string, std::string> m_dispatchers; ///< by group
+};
+
+/// The behaviour of the slot controller. `shared` and `sender` outlive the actor.
+caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, const board* shared,
+                              datagram_sender* sender);
+
+} // namespace lagoonferry
