Add the partition owner

Cause: turns, budgets, irreversible calls and takeovers of one partition need one object that decides about them. Change: partition_owner with backup streams, recovery, budget accounts, history checks, turns, tool calls, handover. Conclusion: builds; not yet exercised.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -41,13 +41,6 @@
     return std::stoull(digits);
 }
 
-void add_wake(std::optional<timestamp>& earliest, std::optional<timestamp> wake)
-{
-    if (wake && (!earliest || *wake < *earliest)) {
-        earliest = wake;
-    }
-}
-
 } // namespace
 
 journal::journal(std::uint32_t partition, instance_ref self, std::string writer, const journal_settings& settings)
@@ -220,6 +213,7 @@
 {
     if (m_phase == journal_phase::reading) {
         m_phase = journal_phase::sealing;
+        m_read_epoch = head().epoch;
         seal();
         return;
     }
@@ -240,7 +234,7 @@
 void journal::on_replaced()
 {
     // During a takeover, an append of the present owner only moves the version; a higher epoch is another winner.
-    if (m_phase == journal_phase::sealing) {
+    if (m_phase == journal_phase::sealing && head().epoch == m_read_epoch) {
         seal();
         return;
     }
@@ -264,7 +258,7 @@
         m_phase = journal_phase::ready;
         sweep_orphans();
     }
-    if (m_phase == journal_phase::ready && m_next_backups && present.backups == *m_next_backups) {
+    if (m_phase != journal_phase::publishing && m_next_backups && present.backups == *m_next_backups) {
         m_next_backups.reset();
     }
     if (present.epoch != m_epoch) {
@@ -571,29 +565,25 @@
     }
 }
 
-std::optional<timestamp> journal::next_wake() const
+void journal::add_wakes(wake_time& wakes) const
 {
     if (stopped()) {
-        return std::nullopt;
+        return;
     }
-    std::optional<timestamp> earliest;
     if (!m_chain.idle()) {
-        add_wake(earliest, m_chain.next_wake());
+        wakes.add(m_chain.next_wake());
     }
-    if (m_phase == journal_phase::loading && m_chain.idle()) {
-        add_wake(earliest, m_load_channel.next_wake());
+    if (m_phase == journal_phase::loading) {
+        wakes.add(m_load_channel.next_wake());
     }
-    add_wake(earliest, m_segments.next_wake());
+    wakes.add(m_segments.next_wake());
     if (m_snapshot && !m_snapshot->version()) {
-        add_wake(earliest, m_snapshot->next_wake());
+        wakes.add(m_snapshot->next_wake());
     }
     if (m_phase == journal_phase::ready) {
-        add_wake(earliest, m_eraser.next_wake());
-    }
-    if (m_chain.idle() && has_room()) {
-        add_wake(earliest, lazy_due());
+        wakes.add(m_eraser.next_wake());
     }
-    return earliest;
+    wakes.add(lazy_due());
 }
 
 } // namespace lagoonferry
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -7,6 +7,7 @@
 #include "journal/log_item.h"
 #include "journal/partition_image.h"
 #include "journal/segment_set.h"
+#include "util/wake_time.h"
 
 #include <cstdint>
 #include <deque>
@@ -89,7 +90,7 @@
 
     std::vector<kv_call> take_calls() { return m_outbox.take(); }
 
-    std::optional<timestamp> next_wake() const;
+    void add_wakes(wake_time& wakes) const;
 
     journal_phase phase() const { return m_phase; }
 
@@ -166,6 +167,7 @@
 
     journal_phase m_phase = journal_phase::idle;
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_read_epoch = 0; ///< epoch that the takeover found
     partition_image m_image;
     std::vector<text_ref> m_loaded_texts;
     std::size_t m_next_load = 0; ///< 0: the snapshot; n: segment n - 1
--- /dev/null
+++ b/src/program/budget_account.cpp
@@ -0,0 +1,75 @@
+#include "program/budget_account.h"
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+budget divide(const budget& amount, std::uint32_t parts)
+{
+    return {amount.tokens / parts, amount.calls / parts, amount.money / parts};
+}
+
+} // namespace
+
+budget_account::budget_account(const budget& limits, std::uint32_t mark_chunks)
+    : m_limits(limits), m_mark_chunks(std::max<std::uint32_t>(mark_chunks, 1))
+{
+}
+
+void budget_account::restore(const budget& marked, const budget& children)
+{
+    m_marked = marked;
+    m_spent = marked;
+    m_children = children;
+}
+
+bool budget_account::reserve(const budget& amount)
+{
+    if (!fits(committed() + amount, m_limits)) {
+        return false;
+    }
+    m_reserved = m_reserved + amount;
+    return true;
+}
+
+void budget_account::settle(const budget& reserved, const budget& used)
+{
+    m_reserved = m_reserved - reserved;
+    m_spent = m_spent + used;
+}
+
+std::optional<budget> budget_account::next_mark() const
+{
+    const budget needed = m_spent + m_reserved;
+    if (fits(needed, m_marked)) {
+        return std::nullopt;
+    }
+    const budget chunk = largest(needed, m_marked + divide(m_limits, m_mark_chunks));
+    return smallest(chunk, m_limits - m_children);
+}
+
+std::optional<budget> budget_account::mark_for_child(const budget& share) const
+{
+    if (fits(m_marked + m_children + share, m_limits)) {
+        return std::nullopt;
+    }
+    return smallest(m_marked, m_limits - m_children - share);
+}
+
+bool budget_account::open_child(const budget& share)
+{
+    if (!fits(committed() + share, m_limits)) {
+        return false;
+    }
+    m_children = m_children + share;
+    return true;
+}
+
+void budget_account::end_child(const budget& share, const budget& spent)
+{
+    m_children = m_children - (share - spent);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/history.cpp
@@ -0,0 +1,104 @@
+#include "program/history.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+/// Returns whether the caller's list continues at `position` with exactly this turn.
+bool matches(const turn_text& turn, std::span<const std::string> messages, std::size_t position)
+{
+    if (messages.size() < position + turn.messages.size() + 1) {
+        return false;
+    }
+    turn_text given{turn.program, turn.number, turn.previous, {}, messages[position + turn.messages.size()], {}};
+    const auto part = messages.subspan(position, turn.messages.size());
+    given.messages.assign(part.begin(), part.end());
+    return chain_digest(given) == turn.digest;
+}
+
+/// Returns where each leading turn that the list repeats begins, and where the rest of the list begins.
+std::vector<std::size_t> match_turns(std::span<const std::string> messages, std::span<const text_ref> history)
+{
+    std::vector<std::size_t> begins{0};
+    for (const text_ref& it : history) {
+        const turn_text& turn = as_turn(it);
+        if (!matches(turn, messages, begins.back())) {
+            break;
+        }
+        begins.push_back(begins.back() + turn.messages.size() + 1);
+    }
+    return begins;
+}
+
+} // namespace
+
+std::optional<std::string> canonical_message(std::string_view text)
+{
+    json value = json::parse(text, nullptr, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    for (auto it = value.begin(); it != value.end();) {
+        it = it->is_null() ? value.erase(it) : std::next(it);
+    }
+    try {
+        return value.dump();
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string valid_utf8(std::string_view text)
+{
+    const std::string quoted = json(std::string(text)).dump(-1, ' ', false, json::error_handler_t::replace);
+    return json::parse(quoted).get<std::string>();
+}
+
+std::optional<turn_request> split_full_history(std::vector<std::string> messages, std::span<const text_ref> history,
+                                               std::uint64_t number, failure& reason)
+{
+    const std::vector<std::size_t> begins = match_turns(messages, history);
+    const std::uint64_t matched = begins.size() - 1;
+    if (number == 0) {
+        number = std::max<std::uint64_t>(matched + 1, history.size());
+    }
+    if (number > matched + 1) {
+        reason = {result_code::turn_conflict,
+                  "the list of messages differs from the stored history at turn " + std::to_string(matched + 1)};
+        return std::nullopt;
+    }
+    const std::size_t begin = begins.at(number - 1);
+    if (begin >= messages.size()) {
+        reason = {result_code::malformed, "the list has no new message behind the stored history"};
+        return std::nullopt;
+    }
+    messages.erase(messages.begin(), messages.begin() + static_cast<std::ptrdiff_t>(begin));
+    return turn_request{number, std::move(messages)};
+}
+
+std::vector<std::string> build_prompt(std::span<const text_ref> history, std::span<const std::string> messages)
+{
+    std::vector<std::string> prompt;
+    for (const text_ref& it : history) {
+        const turn_text& turn = as_turn(it);
+        std::ranges::copy(turn.messages, std::back_inserter(prompt));
+        prompt.push_back(turn.answer);
+    }
+    std::ranges::copy(messages, std::back_inserter(prompt));
+    return prompt;
+}
+
+const turn_text& as_turn(const text_ref& text)
+{
+    return std::get<turn_text>(*text);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/owner_core.cpp
@@ -0,0 +1,422 @@
+#include "program/owner_core.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace lagoonferry {
+
+namespace {
+
+/// Rounds of one `settle`: each round can append entries that the next one sends. Three suffice for a takeover of an
+/// empty partition; the bound only guards against a loop that feeds itself.
+constexpr int max_rounds = 16;
+
+constexpr int clean_up_fraction = 8;
+
+} // namespace
+
+partition_owner::core::core(owner_settings settings)
+    : m_settings(std::move(settings)),
+      m_journal(m_settings.partition, m_settings.self, m_settings.writer, m_settings.journal), m_backups(m_settings)
+{
+}
+
+std::vector<action> partition_owner::core::handle(const event& input, timestamp now)
+{
+    m_now = std::max(m_now, now);
+    std::visit([this](const auto& it) { on(it); }, input);
+    settle();
+    return std::exchange(m_actions, {});
+}
+
+std::optional<timestamp> partition_owner::core::next_wake() const
+{
+    wake_time wakes(m_now);
+    m_journal.add_wakes(wakes);
+    m_backups.add_wakes(m_journal, wakes);
+    if (m_recovery) {
+        m_recovery->add_wakes(wakes);
+    }
+    for (const auto& [id, call] : m_calls) {
+        wakes.add(call.step == call_step::running ? call.deadline : call.step_deadline);
+        wakes.add(call.not_before);
+    }
+    for (const waiting_answer& it : m_waiting) {
+        wakes.add(it.deadline);
+    }
+    wakes.add(m_phase == owner_phase::idle ? std::nullopt : std::optional{m_next_clean_up});
+    return wakes.earliest();
+}
+
+void partition_owner::core::on(const kv_reply& it)
+{
+    m_journal.handle(it, m_now);
+}
+
+void partition_owner::core::on(const replicate_reply& it)
+{
+    if (it.partition == m_settings.partition && !m_backups.handle(it, m_now)) {
+        m_journal.stop();
+    }
+}
+
+void partition_owner::core::on(const fetch_reply& it)
+{
+    if (it.partition == m_settings.partition && m_recovery && !m_recovery->handle(it)) {
+        m_journal.stop();
+    }
+}
+
+void partition_owner::core::on(const membership_changed& it)
+{
+    m_peers = it.peers;
+    m_backups.set_peers(it.peers);
+    if (m_recovery) {
+        m_recovery->set_peers(m_peers);
+    }
+}
+
+void partition_owner::core::on(const timer_fired& /*it*/) {}
+
+void partition_owner::core::on(const start_takeover& /*it*/)
+{
+    if (m_phase == owner_phase::idle) {
+        m_phase = owner_phase::taking_over;
+        m_journal.start_takeover();
+    }
+}
+
+void partition_owner::core::on(const start_handover& it)
+{
+    if (m_phase == owner_phase::ready) {
+        m_phase = owner_phase::handing_over;
+        m_successor = it.successor;
+        m_journal.start_handover(it.successor);
+    }
+}
+
+void partition_owner::core::settle()
+{
+    for (int round = 0; round < max_rounds; ++round) {
+        const auto before = std::tuple{m_journal.phase(), m_journal.last(), m_journal.durable(), m_stored,
+                                       m_calls.size(),    m_phase,          m_actions.size()};
+        advance();
+        const auto after = std::tuple{m_journal.phase(), m_journal.last(), m_journal.durable(), m_stored,
+                                      m_calls.size(),    m_phase,          m_actions.size()};
+        if (before == after) {
+            return;
+        }
+    }
+}
+
+void partition_owner::core::advance()
+{
+    m_journal.poll(m_now);
+    advance_takeover();
+    if (m_phase == owner_phase::ready || m_phase == owner_phase::handing_over) {
+        m_stored = m_backups.stored(m_journal, m_now);
+        answer_waiting();
+        advance_calls();
+        clean_up();
+        advance_handover();
+        m_backups.poll(m_journal, m_now, m_actions);
+        m_journal.poll(m_now);
+    }
+    for (kv_call& it : m_journal.take_calls()) {
+        emit(std::move(it));
+    }
+    if (m_phase == owner_phase::idle) {
+        return;
+    }
+    if (m_journal.phase() == journal_phase::lost) {
+        const bool known = m_journal.head().epoch > m_journal.epoch() && m_journal.head().owner != m_settings.self;
+        lose(loss_reason::replaced, known ? std::optional{m_journal.head().owner} : std::nullopt);
+    }
+    else if (m_journal.phase() == journal_phase::handed_over) {
+        m_backups.discard_copies(m_journal.head().epoch, m_journal.last(), m_actions);
+        lose(loss_reason::handed_over, m_journal.head().owner);
+    }
+}
+
+void partition_owner::core::advance_takeover()
+{
+    if (m_phase != owner_phase::taking_over) {
+        return;
+    }
+    if (m_journal.phase() == journal_phase::recovering) {
+        if (!m_recovery) {
+            m_recovery = std::make_unique<recovery>(m_journal.head(), m_settings);
+            if (!m_peers.empty()) {
+                m_recovery->set_peers(m_peers);
+            }
+        }
+        m_recovery->poll(m_now, m_actions);
+        if (m_recovery->complete(m_now)) {
+            finish_takeover();
+        }
+    }
+    if (m_journal.phase() == journal_phase::ready) {
+        become_ready();
+    }
+}
+
+void partition_owner::core::finish_takeover()
+{
+    recovered_partition recovered = m_recovery->merge(m_journal.image(), m_journal.loaded_texts());
+    m_recovery.reset();
+    m_counters.digest_mismatches += recovered.digest_mismatches;
+    m_counters.unavailable_programs += recovered.unavailable.size();
+    restore_programs(recovered);
+    m_journal.finish_takeover(std::move(recovered.items), m_backups.choose({}), m_now);
+    m_journal.poll(m_now);
+}
+
+void partition_owner::core::restore_programs(const recovered_partition& recovered)
+{
+    m_programs.clear();
+    m_history_bytes = 0;
+    for (const auto& [id, record] : recovered.image.programs()) {
+        program_state program = restore_program(id, record, recovered);
+        for (const text_ref& it : program.turns) {
+            m_history_bytes += text_bytes(*it);
+        }
+        m_programs.emplace(id, std::move(program));
+    }
+}
+
+program_state partition_owner::core::restore_program(const std::string& id, const program_record& record,
+                                                     const recovered_partition& recovered) const
+{
+    program_state program;
+    program.opened = record.opened;
+    program.recorded_turns = record.turns;
+    program.context_tokens = record.context_tokens;
+    program.account = budget_account(record.opened.limits, record.opened.mark_chunks);
+    program.account.restore(record.marked, record.children);
+    program.unavailable = recovered.unavailable.contains(id);
+    if (const auto history = recovered.histories.find(id); history != recovered.histories.end()) {
+        program.turns = history->second;
+    }
+    if (record.ended) {
+        program.ended = end_entry{id, record.reason, record.marked};
+        program.ended_at = m_now;
+    }
+    for (const auto& [key, call] : record.calls) {
+        if (m_settings.faults.forget_intents && !call.finished) {
+            continue;
+        }
+        key_state state{call.call, call.tool, call.arguments_digest, key_status::unknown, call.result, nullptr,
+                        0,         m_now};
+        // An intent without outcome may have been sent by the former owner; it is never sent again.
+        state.status = call.finished && call.known ? key_status::known : key_status::unknown;
+        state.status = call.expired ? key_status::expired : state.status;
+        if (const auto text = recovered.results.find(call.call); text != recovered.results.end()) {
+            state.result_text = text->second;
+        }
+        if (state.status == key_status::known && !call.result_digest.empty() && !state.result_text) {
+            state.status = key_status::expired;
+        }
+        program.keys.emplace(key, std::move(state));
+    }
+    return program;
+}
+
+void partition_owner::core::become_ready()
+{
+    m_phase = owner_phase::ready;
+    m_released = false;
+    m_present_owner.reset();
+    m_stored = m_journal.durable();
+    m_next_clean_up = m_now + m_settings.retention / clean_up_fraction;
+    ++m_counters.takeovers;
+    m_backups.start(m_journal.epoch(), m_journal.head().backups, m_journal.flushed());
+    emit(partition_ready{m_journal.epoch()});
+    for (const auto& [id, program] : m_programs) {
+        if (program.ended) {
+            emit(release_engine_memory{id, program.opened.service, {}});
+        }
+    }
+}
+
+void partition_owner::core::advance_handover()
+{
+    if (m_phase != owner_phase::handing_over || m_journal.phase() != journal_phase::handing_over) {
+        return;
+    }
+    const bool idle =
+        m_waiting.empty() && std::ranges::all_of(m_calls, [](const auto& it) { return it.second.answered; });
+    if (idle) {
+        if (!m_released) {
+            append_final_marks();
+            m_released = true;
+        }
+        m_journal.finish_handover();
+    }
+}
+
+void partition_owner::core::append_final_marks()
+{
+    for (auto& [id, program] : m_programs) {
+        const budget spent = program.account.spent();
+        if (!program.ended && program.account.marked() != spent) {
+            program.account.set_mark(spent);
+            append(mark_entry{id, spent});
+        }
+    }
+}
+
+void partition_owner::core::lose(loss_reason reason, std::optional<instance_ref> owner)
+{
+    m_present_owner = owner;
+    m_phase = owner_phase::idle;
+    m_recovery.reset();
+    m_backups.stop();
+    refuse_everything(loss_refusal());
+    m_calls.clear();
+    m_waiting.clear();
+    m_programs.clear();
+    m_history_bytes = 0;
+    emit(partition_lost{reason, std::move(owner)});
+}
+
+void partition_owner::core::refuse_everything(const refusal& reason)
+{
+    for (const auto& [id, call] : m_calls) {
+        if (call.kind == call_kind::turn && call.step == call_step::running) {
+            emit(cancel_engine_call{id});
+        }
+        if (call.answered) {
+            continue;
+        }
+        refusal refused = reason;
+        refused.run =
+            call.step == call_step::running || call.attempt > 1 ? run_state::outcome_unknown : run_state::not_run;
+        refuse(call.request, std::move(refused));
+    }
+    for (waiting_answer& it : m_waiting) {
+        refusal refused = reason;
+        refused.run = it.otherwise.run;
+        refuse(it.request, std::move(refused));
+    }
+}
+
+refusal partition_owner::core::loss_refusal() const
+{
+    if (m_present_owner) {
+        return {result_code::moved, run_state::not_run, "another instance owns the partition", retry_soon_ms,
+                m_present_owner->address};
+    }
+    return {result_code::program_unavailable,
+            run_state::not_run,
+            "this instance does not own the partition",
+            retry_soon_ms,
+            {}};
+}
+
+void partition_owner::core::answer_waiting()
+{
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const bool stored = is_stored(it->sequence) || m_settings.faults.answer_before_stored;
+        if (!stored && m_now < it->deadline) {
+            ++it;
+            continue;
+        }
+        waiting_answer done = std::move(*it);
+        it = m_waiting.erase(it);
+        if (stored) {
+            emit(answer_request{done.request, std::move(done.result)});
+            continue;
+        }
+        refuse(done.request, std::move(done.otherwise));
+        if (!done.end_on_timeout.empty()) {
+            end_with_children(done.end_on_timeout, "the opening was refused");
+        }
+    }
+}
+
+void partition_owner::core::advance_calls()
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, call] : m_calls) {
+        ids.push_back(id);
+    }
+    for (const std::string& id : ids) {
+        const auto it = m_calls.find(id);
+        if (it != m_calls.end()) {
+            advance_call(it->second);
+        }
+    }
+}
+
+void partition_owner::core::clean_up()
+{
+    if (m_now < m_next_clean_up) {
+        return;
+    }
+    m_next_clean_up = m_now + m_settings.retention / clean_up_fraction;
+    for (auto it = m_programs.begin(); it != m_programs.end();) {
+        program_state& program = it->second;
+        expire_results(it->first, program);
+        const bool old = program.ended && m_journal.durable() >= program.end_sequence && !has_calls(it->first) &&
+                         m_now >= program.ended_at + m_settings.retention;
+        if (!old) {
+            ++it;
+            continue;
+        }
+        m_journal.forget(it->first);
+        it = m_programs.erase(it);
+    }
+}
+
+bool partition_owner::core::has_calls(const std::string& program) const
+{
+    return std::ranges::any_of(m_calls, [&program](const auto& it) { return it.second.program == program; });
+}
+
+void partition_owner::core::expire_results(const std::string& id, program_state& program)
+{
+    for (auto& [key, state] : program.keys) {
+        const bool old = state.status == key_status::known && state.finished && m_journal.durable() >= state.sequence &&
+                         m_now >= *state.finished + m_settings.retention;
+        if (old) {
+            state.status = key_status::expired;
+            state.result.clear();
+            state.result_text.reset();
+            m_journal.expire_result(id, key, state.call);
+        }
+    }
+}
+
+std::uint64_t partition_owner::core::append(entry content, text_ref text, durability wanted)
+{
+    return m_journal.append(std::move(content), std::move(text), wanted, m_now);
+}
+
+program_state* partition_owner::core::find_program(std::string_view id)
+{
+    const auto it = m_programs.find(id);
+    return it == m_programs.end() ? nullptr : &it->second;
+}
+
+const program_state* partition_owner::core::find_program(std::string_view id) const
+{
+    const auto it = m_programs.find(id);
+    return it == m_programs.end() ? nullptr : &it->second;
+}
+
+void partition_owner::core::answer(request_id request, success result)
+{
+    emit(answer_request{request, std::move(result)});
+}
+
+void partition_owner::core::refuse(request_id request, refusal reason)
+{
+    emit(answer_request{request, std::move(reason)});
+}
+
+void partition_owner::core::answer_when_stored(waiting_answer answer)
+{
+    m_waiting.push_back(std::move(answer));
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/owner_core.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "journal/journal.h"
+#include "program/backup_set.h"
+#include "program/history.h"
+#include "program/partition_owner.h"
+#include "program/program_state.h"
+#include "program/recovery.h"
+#include "util/failure.h"
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Implementation of `partition_owner`: handlers of the events, and rules that advance running calls and waiting
+/// answers whenever the stored or the confirmed part of the log grows or a time limit passes.
+class partition_owner::core {
+public:
+    explicit core(owner_settings settings);
+
+    std::vector<action> handle(const event& input, timestamp now);
+    std::optional<timestamp> next_wake() const;
+
+    owner_phase phase() const { return m_phase; }
+    std::uint64_t epoch() const { return m_phase == owner_phase::idle ? 0 : m_journal.epoch(); }
+    const owner_counters& counters() const { return m_counters; }
+
+private:
+    enum class call_kind { turn, idempotent, irreversible };
+
+    enum class call_step {
+        storing_mark, ///< waits until the mark that covers the reservation is stored
+        confirming,   ///< an irreversible call waits for its intent
+        running,      ///< an engine or a tool has it
+    };
+
+    /// A turn or a tool call from its acceptance until its result is known.
+    struct running_call {
+        call_kind kind = call_kind::turn;
+        call_step step = call_step::storing_mark;
+        std::string id;
+        std::string program;
+        request_id request = 0;
+        bool answered = false;  ///< the caller was told "outcome unknown"; a late result is still recorded
+        std::uint64_t wait = 0; ///< the sequence that the step waits for
+        timestamp step_deadline{0};
+        timestamp deadline{0};
+        timestamp not_before{0}; ///< of a repeated idempotent call
+        budget reserved;
+        begin_turn turn; ///< for turns; messages are canonical and new
+        begin_call call; ///< for tool calls
+        std::uint32_t attempt = 1;
+    };
+
+    /// An answer that is sent once the log is stored up to `sequence`, or replaced by `otherwise` after the deadline.
+    struct waiting_answer {
+        request_id request = 0;
+        std::uint64_t sequence = 0;
+        timestamp deadline{0};
+        std::variant<success, refusal> result;
+        refusal otherwise;
+        std::string end_on_timeout; ///< a program that nobody will use if its opening is refused
+    };
+
+    using call_map = std::map<std::string, running_call, std::less<>>;
+    using program_map = std::map<std::string, program_state, std::less<>>;
+
+    // owner_core.cpp: ownership and time
+    void on(const kv_reply& it);
+    void on(const replicate_reply& it);
+    void on(const fetch_reply& it);
+    void on(const membership_changed& it);
+    void on(const timer_fired& it);
+    void on(const start_takeover& it);
+    void on(const start_handover& it);
+    void settle();
+    void advance();
+    void advance_takeover();
+    void finish_takeover();
+    void restore_programs(const recovered_partition& recovered);
+    program_state restore_program(const std::string& id, const program_record& record,
+                                  const recovered_partition& recovered) const;
+    void become_ready();
+    void advance_handover();
+    void append_final_marks();
+    void lose(loss_reason reason, std::optional<instance_ref> owner);
+    void refuse_everything(const refusal& reason);
+    refusal loss_refusal() const;
+    void answer_waiting();
+    void advance_calls();
+    void clean_up();
+    void expire_results(const std::string& id, program_state& program);
+
+    // owner_programs.cpp: programs and checks that all requests share
+    void on(const open_program& it);
+    void on(const end_program& it);
+    void on(const query_program& it);
+    std::optional<refusal> check_open(const open_program& it) const;
+    std::optional<refusal> check_owned() const;
+    std::optional<refusal> check_capacity() const;
+    std::optional<refusal> check_new_work() const;
+    std::optional<refusal> check_program(const std::string& program, const std::string& account) const;
+    void end_with_children(const std::string& id, const std::string& reason);
+    void end_one(program_state& program, const std::string& reason);
+    void stop_call(const std::string& id);
+    std::uint64_t stored_turns(const program_state& program) const;
+
+    // owner_turns.cpp: turns
+    void on(const begin_turn& it);
+    void on(const engine_completed& it);
+    void on(const engine_failed& it);
+    std::optional<turn_request> read_turn(const begin_turn& it, const program_state& program, failure& reason) const;
+    void repeat_turn(const begin_turn& it, const program_state& program, const turn_request& request);
+    void start_turn(const begin_turn& it, program_state& program, turn_request request);
+    void send_turn(running_call& call);
+    void store_turn(running_call& call, std::string answer, const token_usage& usage);
+
+    // owner_calls.cpp: tool calls
+    void on(const begin_call& it);
+    void on(const call_finished& it);
+    void on(const query_call& it);
+    std::optional<refusal> check_call(const begin_call& it) const;
+    void answer_from_key(request_id request, const key_state& key);
+    void start_call(const begin_call& it, program_state& program);
+    void append_intent(running_call& call);
+    void send_call(running_call& call);
+    void call_completed(running_call& call, const call_finished& it);
+    void call_not_sent(running_call& call, const call_finished& it);
+    void call_unknown(running_call& call, const std::string& text);
+    bool retry_call(running_call& call);
+    std::uint64_t record_outcome(const running_call& call, bool known, const std::string& result);
+    void abandon(const running_call& call);
+
+    // owner_calls.cpp: steps of running calls; each may remove the call
+    void advance_call(running_call& call);
+    void after_mark(running_call& call);
+    void refuse_before_sending(running_call& call);
+    void after_confirmation(running_call& call);
+    void while_running(running_call& call);
+    bool has_calls(const std::string& program) const;
+    bool reserve_for(program_state& program, running_call& call);
+    void settle_call(running_call& call, const budget& used);
+    running_call* find_running(const std::string& id, std::uint64_t epoch);
+    void remove_call(const std::string& id);
+    std::string new_call_id(const std::string& program);
+
+    // helpers
+    std::uint64_t append(entry content, text_ref text = nullptr, durability wanted = durability::lazy);
+    program_state* find_program(std::string_view id);
+    const program_state* find_program(std::string_view id) const;
+    void answer(request_id request, success result);
+    void refuse(request_id request, refusal reason);
+    void answer_when_stored(waiting_answer answer);
+    void emit(action it) { m_actions.push_back(std::move(it)); }
+    bool is_stored(std::uint64_t sequence) const { return sequence <= m_stored; }
+
+    owner_settings m_settings;
+    journal m_journal;
+    backup_set m_backups;
+    std::unique_ptr<recovery> m_recovery;
+    std::vector<peer_state> m_peers;
+
+    owner_phase m_phase = owner_phase::idle;
+    std::optional<instance_ref> m_present_owner; ///< another instance, if known
+    instance_ref m_successor;
+    bool m_released = false; ///< the final write of a handover was allowed; nothing may be appended
+    timestamp m_now{0};
+    std::uint64_t m_stored = 0;
+    std::uint64_t m_last_call = 0;
+    timestamp m_next_clean_up{0};
+    std::size_t m_history_bytes = 0;
+    owner_counters m_counters;
+
+    program_map m_programs;
+    call_map m_calls;
+    std::list<waiting_answer> m_waiting;
+    std::vector<action> m_actions;
+};
+
+/// Pauses that refusals ask callers to make, in milliseconds.
+constexpr std::uint64_t retry_soon_ms = 200;
+constexpr std::uint64_t retry_later_ms = 1000;
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/owner_programs.cpp
@@ -0,0 +1,272 @@
+#include "program/history.h"
+#include "program/owner_core.h"
+#include "program/valid_name.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_name_bytes = 128;
+constexpr std::size_t max_program_bytes = 64;
+
+refusal refused(result_code code, std::string text, std::uint64_t retry_after_ms = 0)
+{
+    return {code, run_state::not_run, std::move(text), retry_after_ms, {}};
+}
+
+json budget_json(const budget& it)
+{
+    return {{"tokens", it.tokens}, {"calls", it.calls}, {"money", it.money}};
+}
+
+} // namespace
+
+std::optional<refusal> partition_owner::core::check_owned() const
+{
+    if (m_phase == owner_phase::taking_over) {
+        return refused(result_code::program_unavailable, "the partition is being taken over", retry_soon_ms);
+    }
+    if (m_phase == owner_phase::idle) {
+        return loss_refusal();
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> partition_owner::core::check_capacity() const
+{
+    if (m_journal.unflushed_bytes() > m_settings.max_unflushed_bytes) {
+        return refused(result_code::platform_unavailable, "too much waits for the key-value service", retry_later_ms);
+    }
+    const auto& log = m_journal.log();
+    const auto oldest =
+        std::ranges::upper_bound(log, m_stored, {}, [](const logged_item& it) { return it.item.sequence; });
+    if (oldest != log.end() && m_now >= oldest->appended + m_settings.store_timeout) {
+        return refused(result_code::not_stored, "no backup acknowledges", retry_later_ms);
+    }
+    const bool full = m_calls.size() >= m_settings.max_running_calls ||
+                      m_journal.image().bytes() > m_settings.max_record_bytes ||
+                      m_history_bytes > m_settings.max_history_bytes;
+    if (full) {
+        return refused(result_code::overloaded, "the partition is full", retry_later_ms);
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> partition_owner::core::check_new_work() const
+{
+    if (auto reason = check_owned()) {
+        return reason;
+    }
+    if (m_phase == owner_phase::handing_over) {
+        return refused(result_code::stopping, "the partition is being handed over", retry_soon_ms);
+    }
+    return check_capacity();
+}
+
+std::optional<refusal> partition_owner::core::check_program(const std::string& program,
+                                                            const std::string& account) const
+{
+    const program_state* found = find_program(program);
+    if (found == nullptr) {
+        return refused(result_code::unknown_program, "program " + valid_utf8(program) + " does not exist");
+    }
+    if (found->opened.account != account) {
+        return refused(result_code::unauthorized, "the program belongs to another account");
+    }
+    return std::nullopt;
+}
+
+std::optional<refusal> partition_owner::core::check_open(const open_program& it) const
+{
+    const std::string prefix = std::to_string(m_settings.partition) + "-";
+    if (!it.program.starts_with(prefix) || !valid_name(it.program, max_program_bytes)) {
+        return refused(result_code::malformed, "the program id does not belong to this partition");
+    }
+    if (!valid_name(it.account, max_name_bytes) || !valid_name(it.service, max_name_bytes)) {
+        return refused(result_code::malformed, "account or service is not a valid name");
+    }
+    if (auto reason = check_new_work()) {
+        return reason;
+    }
+    const program_state* present = find_program(it.program);
+    const bool repeated = present != nullptr && !present->ended && present->opened.account == it.account &&
+                          present->opened.parent == it.parent && present->opened.limits == it.limits;
+    if (present != nullptr && !repeated) {
+        return refused(result_code::malformed, "the program id is already in use");
+    }
+    if (it.parent.empty()) {
+        return std::nullopt;
+    }
+    if (auto reason = check_program(it.parent, it.account)) {
+        return reason;
+    }
+    if (find_program(it.parent)->ended) {
+        return refused(result_code::program_ended, "the parent program has ended");
+    }
+    return std::nullopt;
+}
+
+void partition_owner::core::on(const open_program& it)
+{
+    if (auto reason = check_open(it)) {
+        refuse(it.request, std::move(*reason));
+        return;
+    }
+    program_state* parent = it.parent.empty() ? nullptr : find_program(it.parent);
+    const auto [place, added] = m_programs.try_emplace(it.program);
+    program_state& program = place->second;
+    if (added) {
+        if (parent != nullptr) {
+            const auto lowered = parent->account.mark_for_child(it.limits);
+            if (!parent->account.open_child(it.limits)) {
+                m_programs.erase(place);
+                refuse(it.request, refused(result_code::budget_exhausted, "the parent's budget is too small"));
+                return;
+            }
+            if (lowered) {
+                parent->account.set_mark(*lowered);
+                parent->mark_sequence = append(mark_entry{it.parent, *lowered});
+            }
+        }
+        program.opened = {it.program, it.account, it.service, it.parent, it.limits, it.mark_chunks};
+        program.account = budget_account(it.limits, it.mark_chunks);
+        program.open_sequence = append(program.opened);
+    }
+    refusal late = refused(result_code::not_stored, "no backup has acknowledged the program", retry_later_ms);
+    answer_when_stored({it.request, program.open_sequence, m_now + m_settings.store_timeout,
+                        success{json{{"program", it.program}}.dump(), 0}, std::move(late), it.program});
+}
+
+void partition_owner::core::on(const end_program& it)
+{
+    auto reason = check_owned();
+    if (!reason && m_phase == owner_phase::handing_over) {
+        reason = refused(result_code::stopping, "the partition is being handed over", retry_soon_ms);
+    }
+    if (!reason) {
+        reason = check_program(it.program, it.account);
+    }
+    if (!reason && !valid_name(it.reason, max_name_bytes)) {
+        reason = refused(result_code::malformed, "the reason is not a valid text");
+    }
+    if (reason) {
+        refuse(it.request, std::move(*reason));
+        return;
+    }
+    end_with_children(it.program, it.reason);
+    const program_state& program = *find_program(it.program);
+    refusal late{
+        result_code::not_stored, run_state::outcome_unknown, "no backup has acknowledged the end", retry_later_ms, {}};
+    const json payload{{"program", it.program}, {"ended", program.ended->reason}};
+    answer_when_stored({it.request,
+                        program.end_sequence,
+                        m_now + m_settings.store_timeout,
+                        success{payload.dump(), 0},
+                        std::move(late),
+                        {}});
+}
+
+void partition_owner::core::end_with_children(const std::string& id, const std::string& reason)
+{
+    program_state* program = find_program(id);
+    if (program == nullptr || program->ended) {
+        return;
+    }
+    std::vector<std::string> children;
+    for (const auto& [child, state] : m_programs) {
+        if (state.opened.parent == id && !state.ended) {
+            children.push_back(child);
+        }
+    }
+    std::ranges::for_each(children, [&](const std::string& it) { end_with_children(it, "the parent has ended"); });
+    end_one(*program, reason);
+}
+
+void partition_owner::core::end_one(program_state& program, const std::string& reason)
+{
+    const std::string& id = program.opened.program;
+    std::vector<std::string> calls;
+    for (const auto& [call_id, call] : m_calls) {
+        if (call.program == id) {
+            calls.push_back(call_id);
+        }
+    }
+    std::ranges::for_each(calls, [this](const std::string& it) { stop_call(it); });
+    program.ended = end_entry{id, reason, program.account.committed()};
+    program.ended_at = m_now;
+    program.end_sequence = append(*program.ended);
+    if (program_state* parent = find_program(program.opened.parent)) {
+        parent->account.end_child(program.opened.limits, program.ended->spent);
+    }
+    for (const text_ref& it : program.turns) {
+        m_history_bytes -= std::min(m_history_bytes, text_bytes(*it));
+    }
+    program.recorded_turns = std::max<std::uint64_t>(program.recorded_turns, program.turns.size());
+    program.turns.clear();
+    emit(release_engine_memory{id, program.opened.service, {program.targets.begin(), program.targets.end()}});
+}
+
+void partition_owner::core::stop_call(const std::string& id)
+{
+    running_call& call = m_calls.find(id)->second;
+    if (call.step == call_step::running && call.kind == call_kind::irreversible) {
+        // Its outcome is still recorded and answered when it arrives.
+        return;
+    }
+    refusal reason = refused(result_code::program_ended, "the program has ended");
+    if (call.step == call_step::running || call.attempt > 1) {
+        reason.run = run_state::outcome_unknown;
+    }
+    if (call.step == call_step::running && call.kind == call_kind::turn) {
+        emit(cancel_engine_call{id});
+    }
+    if (call.step == call_step::confirming) {
+        abandon(call);
+    }
+    // What a running call may have used stays reserved, so that the end records it as spent.
+    if (call.step != call_step::running) {
+        settle_call(call, {});
+    }
+    if (!call.answered) {
+        refuse(call.request, std::move(reason));
+    }
+    remove_call(id);
+}
+
+std::uint64_t partition_owner::core::stored_turns(const program_state& program) const
+{
+    const std::uint64_t turns = std::max<std::uint64_t>(program.recorded_turns, program.turns.size());
+    return is_stored(program.turn_sequence) ? turns : turns - 1;
+}
+
+void partition_owner::core::on(const query_program& it)
+{
+    auto reason = check_owned();
+    if (!reason) {
+        reason = check_program(it.program, it.account);
+    }
+    if (reason) {
+        refuse(it.request, std::move(*reason));
+        return;
+    }
+    const program_state& program = *find_program(it.program);
+    const auto running = std::ranges::count_if(
+        m_calls, [&it](const auto& pair) { return pair.second.program == it.program && !pair.second.answered; });
+    const bool history = !program.turns.empty() && is_stored(program.turn_sequence);
+    json payload{{"program", it.program},
+                 {"state", program.ended ? "ended" : (program.unavailable ? "unavailable" : "open")},
+                 {"turns", stored_turns(program)},
+                 {"digest", history ? as_turn(program.turns.back()).digest : std::string()},
+                 {"limits", budget_json(program.opened.limits)},
+                 {"spent", budget_json(program.ended ? program.ended->spent : program.account.committed())},
+                 {"running", running}};
+    answer(it.request, success{payload.dump(), 0});
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/program_state.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "journal/entry.h"
+#include "journal/stored_text.h"
+#include "program/budget_account.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+enum class key_status {
+    running, ///< in progress in this process
+    known,   ///< the result is recorded
+    unknown, ///< it was or may have been sent; the outcome is unknown
+    expired, ///< the result was dropped after its retention time
+};
+
+/// What the owner knows about one idempotency key.
+struct key_state {
+    std::string call;
+    std::string tool;
+    std::string arguments_digest;
+    key_status status = key_status::running;
+    std::string result;
+    text_ref result_text;       ///< set instead of `result` for a long result
+    std::uint64_t sequence = 0; ///< of the outcome's entry
+    std::optional<timestamp> finished;
+};
+
+/// One program of the partition as its owner sees it, ahead of what is stored.
+struct program_state {
+    open_entry opened;
+    std::uint64_t open_sequence = 0;
+    std::vector<text_ref> turns;
+    std::uint64_t turn_sequence = 0;  ///< of the last turn's entry
+    std::uint64_t recorded_turns = 0; ///< larger than `turns.size()` only if the history is unavailable
+    std::uint64_t context_tokens = 0; ///< tokens of the whole history
+    budget_account account;
+    std::uint64_t mark_sequence = 0;
+    std::string running_turn; ///< call id, or empty
+    std::map<std::string, key_state, std::less<>> keys;
+    std::set<std::string> targets; ///< engines that may hold memory for the program
+    bool unavailable = false;      ///< the recorded history is longer than what could be recovered
+    std::optional<end_entry> ended;
+    std::uint64_t end_sequence = 0;
+    timestamp ended_at{0};
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/recovery.cpp
@@ -0,0 +1,232 @@
+#include "program/recovery.h"
+
+#include "program/history.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace lagoonferry {
+
+namespace {
+
+/// The instance list lags in both directions: an instance that left it may still answer.
+constexpr timestamp gone_wait{std::chrono::milliseconds{500}};
+
+const std::string& digest_of(const stored_text& text)
+{
+    return std::visit([](const auto& it) -> const std::string& { return it.digest; }, text);
+}
+
+/// Texts of one program by turn; a number may occur more than once after a repeated write.
+using turn_table = std::map<std::uint64_t, std::vector<text_ref>>;
+
+/// Returns the verified chain up to `last` with the recorded digest, or nothing if a part of it is missing.
+std::optional<std::vector<text_ref>> build_chain(const turn_table& turns, std::uint64_t last, const std::string& digest)
+{
+    std::vector<text_ref> chain;
+    std::string previous;
+    for (std::uint64_t number = 1; number <= last; ++number) {
+        const auto found = turns.find(number);
+        if (found == turns.end()) {
+            return std::nullopt;
+        }
+        const auto it = std::ranges::find_if(
+            found->second, [&previous](const text_ref& text) { return as_turn(text).previous == previous; });
+        if (it == found->second.end()) {
+            return std::nullopt;
+        }
+        chain.push_back(*it);
+        previous = as_turn(*it).digest;
+    }
+    return previous == digest ? std::optional{std::move(chain)} : std::nullopt;
+}
+
+/// Returns whether the item's text is what its entry names.
+bool consistent(const log_item& item)
+{
+    if (!item.text) {
+        return true;
+    }
+    const auto* turn = std::get_if<turn_entry>(&item.content);
+    const auto* outcome = std::get_if<outcome_entry>(&item.content);
+    const bool named = (turn != nullptr && turn->digest == digest_of(*item.text)) ||
+                       (outcome != nullptr && outcome->result_digest == digest_of(*item.text));
+    return named && verified(*item.text);
+}
+
+} // namespace
+
+recovery::recovery(const head_record& sealed, const owner_settings& settings)
+    : m_settings(&settings), m_epoch(sealed.epoch), m_ready_epoch(sealed.ready_epoch), m_sequence(sealed.sequence)
+{
+    if (settings.faults.skip_fencing) {
+        return;
+    }
+    std::ranges::transform(sealed.backups, std::back_inserter(m_sources), [](const backup_ref& it) {
+        source added;
+        added.backup = it;
+        return added;
+    });
+}
+
+void recovery::set_peers(const std::vector<peer_state>& peers)
+{
+    for (source& it : m_sources) {
+        const auto peer = std::ranges::find_if(
+            peers, [&it](const peer_state& candidate) { return candidate.instance.id == it.backup.id; });
+        it.gone = peer == peers.end() || !peer->listed;
+    }
+}
+
+void recovery::poll(timestamp now, std::vector<action>& out)
+{
+    for (source& it : m_sources) {
+        if (it.done || now < it.next_send) {
+            continue;
+        }
+        it.first_send = it.first_send.value_or(now);
+        it.next_send = now + m_settings->resend_after;
+        out.emplace_back(send_fetch{{it.backup.id, it.backup.address}, {m_settings->partition, m_epoch, it.after}});
+    }
+}
+
+bool recovery::handle(const fetch_reply& reply)
+{
+    const auto it = std::ranges::find_if(
+        m_sources, [&reply](const source& candidate) { return candidate.backup.id == reply.backup; });
+    if (it == m_sources.end() || reply.epoch != m_epoch || it->done || reply.after != it->after) {
+        return true;
+    }
+    if (reply.refused) {
+        return false;
+    }
+    // A restarted backup has lost its copy, and a copy of another epoch was merged by an earlier takeover.
+    if (reply.incarnation != it->backup.incarnation || reply.data_epoch != m_ready_epoch) {
+        it->done = true;
+        return true;
+    }
+    for (const log_item& item : reply.items) {
+        m_items[item.sequence].push_back(item);
+        it->after = std::max(it->after, item.sequence);
+    }
+    it->done = reply.items.empty() || it->after >= reply.last;
+    it->next_send = timestamp{0};
+    return true;
+}
+
+bool recovery::complete(timestamp now) const
+{
+    return std::ranges::all_of(m_sources, [now](const source& it) { return finished(it, now); });
+}
+
+bool recovery::finished(const source& it, timestamp now)
+{
+    return it.done || (it.gone && it.first_send && now >= *it.first_send + gone_wait);
+}
+
+recovered_partition recovery::merge(const partition_image& image, const std::vector<text_ref>& texts) const
+{
+    recovered_partition out;
+    out.image = image;
+    merge_entries(out);
+    std::vector<text_ref> all;
+    for (const text_ref& it : texts) {
+        if (verified(*it)) {
+            all.push_back(it);
+        }
+        else {
+            ++out.digest_mismatches;
+        }
+    }
+    add_unflushed(all, out);
+    for (const log_item& it : out.items) {
+        if (it.text) {
+            all.push_back(it.text);
+        }
+    }
+    build_histories(all, out);
+    return out;
+}
+
+void recovery::merge_entries(recovered_partition& out) const
+{
+    for (std::uint64_t sequence = m_sequence + 1;; ++sequence) {
+        const log_item* item = pick(sequence, out);
+        if (item == nullptr) {
+            return;
+        }
+        out.image.apply(item->content);
+        out.items.push_back(*item);
+        if (!consistent(*item)) {
+            // The entry stands, so that the program is reported as unavailable instead of continuing without the turn.
+            out.items.back().text = nullptr;
+        }
+    }
+}
+
+const log_item* recovery::pick(std::uint64_t sequence, recovered_partition& out) const
+{
+    const auto found = m_items.find(sequence);
+    if (found == m_items.end()) {
+        return nullptr;
+    }
+    const std::vector<log_item>& copies = found->second;
+    out.digest_mismatches +=
+        static_cast<std::uint64_t>(std::ranges::count_if(copies, [](const log_item& it) { return !consistent(it); }));
+    const auto it = std::ranges::find_if(copies, consistent);
+    return it == copies.end() ? &copies.front() : &*it;
+}
+
+void recovery::add_unflushed(const std::vector<text_ref>& texts, recovered_partition& out) const
+{
+    std::set<std::string_view> flushed;
+    for (const text_ref& it : texts) {
+        flushed.insert(digest_of(*it));
+    }
+    std::vector<log_item> earlier;
+    for (auto it = m_items.begin(); it != m_items.end() && it->first <= m_sequence; ++it) {
+        const log_item* item = pick(it->first, out);
+        if (item->text && consistent(*item) && !flushed.contains(digest_of(*item->text))) {
+            earlier.push_back(*item);
+        }
+    }
+    out.items.insert(out.items.begin(), std::make_move_iterator(earlier.begin()),
+                     std::make_move_iterator(earlier.end()));
+}
+
+void recovery::build_histories(const std::vector<text_ref>& texts, recovered_partition& out)
+{
+    std::map<std::string, turn_table, std::less<>> turns;
+    for (const text_ref& it : texts) {
+        if (const auto* turn = std::get_if<turn_text>(it.get())) {
+            turns[turn->program][turn->number].push_back(it);
+        }
+        else {
+            out.results[std::get<result_text>(*it).call] = it;
+        }
+    }
+    for (const auto& [id, program] : out.image.programs()) {
+        if (program.ended) {
+            continue;
+        }
+        auto chain = build_chain(turns[id], program.turns, program.digest);
+        if (chain) {
+            out.histories[id] = std::move(*chain);
+        }
+        else {
+            out.unavailable.insert(id);
+        }
+    }
+}
+
+void recovery::add_wakes(wake_time& wakes) const
+{
+    for (const source& it : m_sources) {
+        if (!it.done) {
+            wakes.add(it.next_send);
+            wakes.add(it.gone && it.first_send ? std::optional{*it.first_send + gone_wait} : std::nullopt);
+        }
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/program/valid_name.cpp
@@ -0,0 +1,15 @@
+#include "program/valid_name.h"
+
+#include "program/history.h"
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+bool valid_name(std::string_view text, std::size_t limit)
+{
+    const auto printable = [](unsigned char c) { return c >= 0x20 && c != 0x7f; };
+    return text.size() <= limit && std::ranges::all_of(text, printable) && valid_utf8(text) == text;
+}
+
+} // namespace lagoonferry
