--- a/bench/empty.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace lagoonferry::bench {
-}
--- /dev/null
+++ b/bench/fake_engine.cpp
@@ -0,0 +1,281 @@
+#include "fake_engine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+constexpr std::uint32_t prefill_chunk = 256; // prompt tokens computed in one step
+
+} // namespace
+
+fake_engine::fake_engine(virtual_clock& clock, engine_spec spec, listener on_event)
+    : m_clock(clock), m_spec(std::move(spec)), m_listener(std::move(on_event))
+{
+}
+
+void fake_engine::submit(const engine_call& call)
+{
+    if (m_failed) {
+        return;
+    }
+    const auto place = std::ranges::upper_bound(m_waiting, call.priority, {}, &engine_call::priority);
+    m_waiting.insert(place, call);
+    advance();
+}
+
+std::uint32_t fake_engine::cancel(std::uint64_t call)
+{
+    std::erase_if(m_waiting, [call](const engine_call& c) { return c.id == call; });
+    if (find(call) == nullptr) {
+        return 0;
+    }
+    finish_steps(whole_steps());
+    auto* running = find(call);
+    if (running == nullptr) {
+        plan();
+        return 0;
+    }
+    const auto generated = running->generated;
+    end_call(static_cast<std::size_t>(running - m_running.data()));
+    plan();
+    return generated;
+}
+
+void fake_engine::drop_prefix(std::uint64_t prefix)
+{
+    erase_prefix(prefix);
+}
+
+void fake_engine::fail()
+{
+    m_failed = true;
+    m_waiting.clear();
+    m_running.clear();
+    m_recent.clear();
+    m_cache.clear();
+    m_cache_tokens = 0;
+    m_running_tokens = 0;
+    m_steps = 0;
+    ++m_plan;
+}
+
+void fake_engine::set_slowdown(double factor)
+{
+    finish_steps(whole_steps());
+    m_slowdown = factor;
+    plan();
+}
+
+std::uint32_t fake_engine::generated(std::uint64_t call) const
+{
+    const auto* running = find(call);
+    if (running == nullptr) {
+        return 0;
+    }
+    const auto steps = running->prefill_left > 0 ? 0 : whole_steps();
+    return running->generated + static_cast<std::uint32_t>(steps);
+}
+
+std::uint32_t fake_engine::cached(std::uint64_t call) const
+{
+    const auto* running = find(call);
+    return running == nullptr ? 0 : running->cached;
+}
+
+std::uint32_t fake_engine::cached_prefix(std::uint64_t prefix) const
+{
+    const auto it = m_cache.find(prefix);
+    return it == m_cache.end() ? 0 : it->second.tokens;
+}
+
+std::uint64_t fake_engine::whole_steps() const
+{
+    if (m_steps == 0) {
+        return 0;
+    }
+    const auto steps = static_cast<std::uint64_t>((m_clock.now() - m_plan_start) / m_step);
+    return std::min(steps, m_steps);
+}
+
+/// Interrupts the plan after the step that is running now, so that new calls join the batch there.
+void fake_engine::advance()
+{
+    if (m_steps == 0) {
+        plan();
+        return;
+    }
+    const auto done = whole_steps();
+    if (done + 1 >= m_steps) {
+        return;
+    }
+    m_steps = done + 1;
+    const auto number = ++m_plan;
+    m_clock.at(m_plan_start + m_step * static_cast<std::int64_t>(m_steps), [this, number] {
+        if (number == m_plan) {
+            finish_steps(m_steps);
+            plan();
+        }
+    });
+}
+
+/// Starts as many equal steps as there are until a call ends or a prompt is computed.
+void fake_engine::plan()
+{
+    const auto number = ++m_plan;
+    m_steps = 0;
+    admit();
+    if (m_running.empty()) {
+        return;
+    }
+    const auto prefilling = std::ranges::find_if(m_running, [](const auto& r) { return r.prefill_left > 0; });
+    m_prefilling = static_cast<std::size_t>(prefilling - m_running.begin());
+    std::uint64_t steps = std::numeric_limits<std::uint64_t>::max();
+    double decoding = 0;
+    for (const auto& r : m_running) {
+        if (r.prefill_left == 0) {
+            steps = std::min<std::uint64_t>(steps, r.call.output - r.generated);
+            decoding += 1;
+        }
+    }
+    double us = m_spec.step_base_us + m_spec.step_per_call_us * decoding;
+    if (prefilling != m_running.end()) {
+        steps = 1;
+        us += m_spec.prefill_us * std::min(prefilling->prefill_left, prefill_chunk);
+    }
+    m_steps = steps;
+    m_step = timestamp{static_cast<std::int64_t>(us * m_slowdown / m_spec.speed)};
+    m_plan_start = m_clock.now();
+    m_clock.at(m_plan_start + m_step * static_cast<std::int64_t>(m_steps), [this, number] {
+        if (number == m_plan) {
+            finish_steps(m_steps);
+            plan();
+        }
+    });
+}
+
+void fake_engine::finish_steps(std::uint64_t steps)
+{
+    if (steps == 0 || m_steps == 0) {
+        return;
+    }
+    double decoding = 0;
+    std::vector<std::pair<engine_event, std::uint64_t>> events;
+    for (std::size_t n = 0; n < m_running.size(); ++n) {
+        auto& r = m_running[n];
+        if (n == m_prefilling) {
+            r.prefill_left -= std::min(r.prefill_left, prefill_chunk);
+            if (r.prefill_left == 0) {
+                r.generated = std::max(r.generated, 1U);
+                events.emplace_back(engine_event::first_token, r.call.id);
+                ++m_running_tokens;
+            }
+        }
+        else if (r.prefill_left == 0) {
+            r.generated += static_cast<std::uint32_t>(steps);
+            m_running_tokens += steps;
+            decoding += 1;
+        }
+    }
+    if (m_gaps != nullptr) {
+        m_gaps->add(static_cast<double>(m_step.count()), decoding * static_cast<double>(steps));
+    }
+    for (const auto& r : m_running) {
+        if (r.prefill_left == 0 && r.generated >= r.call.output) {
+            events.emplace_back(engine_event::done, r.call.id);
+        }
+    }
+    m_steps = 0;
+    ++m_plan;
+    for (const auto& [event, call] : events) {
+        m_listener(event, call);
+        if (event == engine_event::done) {
+            end_call(static_cast<std::size_t>(find(call) - m_running.data()));
+        }
+    }
+    make_room(0, 0);
+}
+
+void fake_engine::admit()
+{
+    while (!m_waiting.empty() && m_running.size() < m_spec.batch) {
+        const auto call = m_waiting.front();
+        const auto cached = std::min(cached_prefix(call.prefix), call.prompt);
+        // The memory of the cached part moves from the cache to the call.
+        const bool fits = make_room(call.prompt - cached, call.prefix);
+        if (!fits && !m_running.empty()) {
+            return;
+        }
+        erase_prefix(call.prefix, false);
+        m_waiting.erase(m_waiting.begin());
+        // The last prompt token is always computed, since it gives the first token.
+        const auto left = std::max(call.prompt - cached, 1U);
+        m_running.push_back({call, cached, left, 0});
+        m_running_tokens += call.prompt;
+        m_listener(engine_event::started, call.id);
+    }
+}
+
+bool fake_engine::make_room(std::uint32_t tokens, std::uint64_t keep)
+{
+    auto it = m_recent.end();
+    while (m_cache_tokens + m_running_tokens + tokens > m_spec.memory_tokens && it != m_recent.begin()) {
+        --it;
+        const auto prefix = *it;
+        if (prefix == keep) {
+            continue;
+        }
+        ++it;
+        erase_prefix(prefix);
+    }
+    return m_cache_tokens + m_running_tokens + tokens <= m_spec.memory_tokens;
+}
+
+void fake_engine::store(std::uint64_t prefix, std::uint32_t tokens)
+{
+    erase_prefix(prefix, false);
+    m_recent.push_front(prefix);
+    m_cache[prefix] = {tokens, m_recent.begin()};
+    m_cache_tokens += tokens;
+    if (on_cache) {
+        on_cache(prefix, tokens);
+    }
+}
+
+void fake_engine::erase_prefix(std::uint64_t prefix, bool notify)
+{
+    const auto it = m_cache.find(prefix);
+    if (it == m_cache.end()) {
+        return;
+    }
+    m_cache_tokens -= it->second.tokens;
+    m_recent.erase(it->second.recent);
+    m_cache.erase(it);
+    if (on_cache && notify) {
+        on_cache(prefix, 0);
+    }
+}
+
+void fake_engine::end_call(std::size_t index)
+{
+    const auto r = m_running.at(index);
+    m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(index));
+    m_running_tokens -= r.call.prompt + r.generated;
+    const auto computed = r.call.prompt - std::min(r.prefill_left, r.call.prompt);
+    store(r.call.prefix, computed + r.generated);
+}
+
+fake_engine::running_call* fake_engine::find(std::uint64_t call)
+{
+    const auto it = std::ranges::find_if(m_running, [call](const auto& r) { return r.call.id == call; });
+    return it == m_running.end() ? nullptr : &*it;
+}
+
+const fake_engine::running_call* fake_engine::find(std::uint64_t call) const
+{
+    return const_cast<fake_engine*>(this)->find(call);
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/fleet.cpp
@@ -0,0 +1,169 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr timestamp tick_interval = milliseconds(50);
+constexpr timestamp report_interval = seconds(1);
+constexpr timestamp same_domain_latency{150};
+constexpr double cache_event_loss = 0.1;
+constexpr timestamp cache_event_lag = seconds(1);
+const std::string dispatcher_domain = "fd-1";
+
+} // namespace
+
+fleet::fleet(virtual_clock& clock, const workload& w, scenario s, std::uint64_t seed, fake_engine::listener on_event,
+             deliver to_entry)
+    : m_clock(clock), m_workload(w), m_scenario(s), m_seed(seed), m_random(seed ^ 0x5eed),
+      m_to_entry(std::move(to_entry))
+{
+    for (const auto& spec : w.engines) {
+        const auto index = m_engines.size();
+        m_index[spec.id] = index;
+        auto& engine = m_engines.emplace_back(clock, spec, on_event);
+        engine.set_histogram(&m_gaps);
+        engine.on_cache = [this, index](std::uint64_t prefix, std::uint32_t tokens) {
+            forward_cache_event(index, prefix, tokens);
+        };
+    }
+}
+
+void fleet::start(const policy_row& policy, const run_truth& truth)
+{
+    for (const auto& model : {m_workload.first_model, m_workload.second_model}) {
+        auto parts = policy.make(truth);
+        auto& g =
+            m_groups.emplace_back(group{model, slot_dispatcher(parts.settings, std::move(parts.choice),
+                                                               std::move(parts.order), 1, m_seed, m_clock.now())});
+        for (const auto& e : m_engines) {
+            if (e.spec().model == model) {
+                g.dispatcher.set_target({e.spec().id, model, e.spec().failure_domain, e.spec().batch}, m_clock.now());
+            }
+        }
+    }
+    tick();
+    report_loads();
+    change_slowed();
+}
+
+void fleet::send(const std::string& model, std::uint32_t entry, slot_message message)
+{
+    const auto delay = delay_between(domain_of(entry), dispatcher_domain);
+    m_clock.after(delay, [this, &g = group_of(model), message = std::move(message)] {
+        deliver_all(g.dispatcher.handle(message, m_clock.now()));
+    });
+}
+
+timestamp fleet::delay(std::uint32_t entry, const fake_engine& engine) const
+{
+    return delay_between(domain_of(entry), engine.spec().failure_domain);
+}
+
+dispatch_counters fleet::counters() const
+{
+    dispatch_counters sum;
+    for (const auto& g : m_groups) {
+        const auto c = g.dispatcher.counters();
+        sum.granted += c.granted;
+        sum.preempted_urgent += c.preempted_urgent;
+        sum.preempted_slow += c.preempted_slow;
+    }
+    return sum;
+}
+
+void fleet::tick()
+{
+    if (m_stopped) {
+        return;
+    }
+    for (auto& g : m_groups) {
+        deliver_all(g.dispatcher.tick(m_clock.now()));
+    }
+    m_clock.after(tick_interval, [this] { tick(); });
+}
+
+void fleet::report_loads()
+{
+    if (m_stopped) {
+        return;
+    }
+    for (const auto& e : m_engines) {
+        load_report report{e.spec().id, e.running(), e.waiting()};
+        m_clock.after(m_workload.load_report_lag, [this, &g = group_of(e.spec().model), report = std::move(report)] {
+            g.dispatcher.report_load(report);
+        });
+    }
+    m_clock.after(report_interval, [this] { report_loads(); });
+}
+
+/// Slows a fifth of the engines of each model, spread over the fleet; moves on to others after the workload's period.
+void fleet::change_slowed()
+{
+    if (m_stopped || m_scenario != scenario::slowed) {
+        return;
+    }
+    const bool slow = is_slowed(m_scenario, m_clock.now());
+    for (const auto& g : m_groups) {
+        std::vector<fake_engine*> members;
+        for (auto& e : m_engines) {
+            if (e.spec().model == g.model) {
+                members.push_back(&e);
+            }
+        }
+        const auto count = static_cast<std::size_t>(std::ceil(slowed_share * static_cast<double>(members.size())));
+        for (std::size_t n = 0; n < members.size(); ++n) {
+            const auto place = (n * count + m_first_slowed) % members.size();
+            const bool chosen = slow && place < count;
+            const double factor = chosen ? slowdown : 1;
+            if (members[n]->slowdown() != factor) {
+                members[n]->set_slowdown(factor);
+            }
+        }
+    }
+    const bool moves = m_workload.slow_period.count() > 0 && slow;
+    m_first_slowed += moves ? 1 : 0;
+    m_clock.after(moves ? m_workload.slow_period : seconds(1), [this] { change_slowed(); });
+}
+
+void fleet::deliver_all(std::vector<outgoing_slot_message> messages)
+{
+    for (auto& m : messages) {
+        const auto entry = static_cast<std::uint32_t>(std::stoul(m.to.substr(m.to.find('-') + 1)));
+        m_clock.after(delay_between(domain_of(entry), dispatcher_domain), [this, m = std::move(m)] { m_to_entry(m); });
+    }
+}
+
+void fleet::forward_cache_event(std::size_t engine, std::uint64_t prefix, std::uint32_t tokens)
+{
+    if (m_random.uniform() < cache_event_loss || m_groups.empty()) {
+        return;
+    }
+    const auto& spec = m_engines.at(engine).spec();
+    m_clock.after(cache_event_lag, [this, &g = group_of(spec.model), event = cache_event{spec.id, prefix, tokens}] {
+        g.dispatcher.report_cache(event);
+    });
+}
+
+fleet::group& fleet::group_of(const std::string& model)
+{
+    return model == m_groups.front().model ? m_groups.front() : m_groups.back();
+}
+
+std::string fleet::domain_of(std::uint32_t entry) const
+{
+    return "fd-" + std::to_string(entry % m_workload.failure_domains + 1);
+}
+
+timestamp fleet::delay_between(const std::string& a, const std::string& b) const
+{
+    return a == b ? same_domain_latency : same_domain_latency + m_workload.domain_latency;
+}
+
+} // namespace lagoonferry::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,36 @@
-int main()
+#include "policy_command.h"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+struct subcommand {
+    std::string_view name;
+    int (*run)(const std::vector<std::string>& arguments);
+};
+
+constexpr std::array subcommands{
+    subcommand{"policy", lagoonferry::bench::policy_command},
+};
+
+} // namespace
+
+/// Without arguments, runs the deterministic part with its bounds.
+int main(int argc, char** argv)
 {
-    return 0;
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (arguments.empty()) {
+        arguments.emplace_back("policy");
+    }
+    const auto* it = std::ranges::find(subcommands, arguments.front(), &subcommand::name);
+    if (it == subcommands.end()) {
+        std::cerr << "Usage: lagoonferry_bench [policy] [options]\n";
+        return 2;
+    }
+    return it->run(arguments);
 }
--- /dev/null
+++ b/bench/policies.cpp
@@ -0,0 +1,132 @@
+#include "policies.h"
+
+#include "baseline_choices.h"
+#include "dispatch/affinity_choice.h"
+#include "dispatch/least_service_order.h"
+#include "oracle.h"
+
+#include <array>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+policy_parts shipped_with(const dispatch_settings& settings)
+{
+    return {settings, std::make_unique<affinity_choice>(), std::make_unique<least_service_order>(settings)};
+}
+
+policy_parts shipped(const run_truth& /*truth*/)
+{
+    return shipped_with({});
+}
+
+/// Baselines have none of the mechanisms; the engines queue and honour the priorities of the calls.
+dispatch_settings plain_settings()
+{
+    dispatch_settings settings;
+    settings.adaptive_limit = false;
+    settings.detect_slow = false;
+    settings.move_from_slow = false;
+    settings.preempt_bulk = false;
+    settings.refuse_late = false;
+    settings.class_share = {1, 1, 1, 1};
+    return settings;
+}
+
+template <class Choice>
+policy_parts direct(const run_truth& /*truth*/)
+{
+    auto settings = plain_settings();
+    settings.unlimited = true;
+    return {settings, std::make_unique<Choice>(), std::make_unique<arrival_order>()};
+}
+
+policy_parts first_come(const run_truth& /*truth*/)
+{
+    return {plain_settings(), std::make_unique<least_in_flight_choice>(), std::make_unique<arrival_order>()};
+}
+
+policy_parts oracle(const run_truth& truth)
+{
+    return {dispatch_settings{}, std::make_unique<oracle_choice>(truth), std::make_unique<oracle_order>(truth)};
+}
+
+policy_parts without_headroom(const run_truth& /*truth*/)
+{
+    dispatch_settings settings;
+    settings.class_share = {1, 1, 1, 1};
+    return shipped_with(settings);
+}
+
+policy_parts without_least_service(const run_truth& /*truth*/)
+{
+    return {dispatch_settings{}, std::make_unique<affinity_choice>(), std::make_unique<class_arrival_order>()};
+}
+
+policy_parts without_classes(const run_truth& /*truth*/)
+{
+    return {dispatch_settings{}, std::make_unique<affinity_choice>(), std::make_unique<arrival_order>()};
+}
+
+policy_parts without_ageing(const run_truth& /*truth*/)
+{
+    dispatch_settings settings;
+    settings.ageing_tokens_per_s = 0;
+    return shipped_with(settings);
+}
+
+policy_parts without_account_fairness(const run_truth& /*truth*/)
+{
+    dispatch_settings settings;
+    settings.account_weight = 0;
+    return shipped_with(settings);
+}
+
+policy_parts without_affinity(const run_truth& /*truth*/)
+{
+    const dispatch_settings settings;
+    return {settings, std::make_unique<affinity_choice>(false), std::make_unique<least_service_order>(settings)};
+}
+
+/// Switches one mechanism of the shipped policy off.
+template <bool dispatch_settings::*Mechanism>
+policy_parts without(const run_truth& /*truth*/)
+{
+    dispatch_settings settings;
+    settings.*Mechanism = false;
+    return shipped_with(settings);
+}
+
+constexpr auto baseline = policy_role::baseline;
+constexpr auto ablation = policy_role::ablation;
+
+constexpr std::array rows{
+    policy_row{"shipped", policy_role::shipped, bench::shipped},
+    policy_row{"random", baseline, direct<random_choice>},
+    policy_row{"round robin", baseline, direct<round_robin_choice>},
+    policy_row{"least reported load", baseline, direct<least_reported_choice>},
+    policy_row{"two random choices", baseline, direct<two_random_choice>},
+    policy_row{"first come first served", baseline, first_come},
+    policy_row{"oracle", policy_role::oracle, bench::oracle},
+    policy_row{"without classes", ablation, without_classes},
+    policy_row{"without headroom", ablation, without_headroom},
+    policy_row{"without least service", ablation, without_least_service},
+    policy_row{"without ageing", ablation, without_ageing},
+    policy_row{"without account fairness", ablation, without_account_fairness},
+    policy_row{"without prefix affinity", ablation, without_affinity},
+    policy_row{"without adaptive limit", ablation, without<&dispatch_settings::adaptive_limit>},
+    policy_row{"without slow detection", ablation, without<&dispatch_settings::detect_slow>},
+    policy_row{"without moves", ablation, without<&dispatch_settings::move_from_slow>},
+    policy_row{"without preemption", ablation, without<&dispatch_settings::preempt_bulk>},
+    policy_row{"without refusals", ablation, without<&dispatch_settings::refuse_late>},
+};
+
+} // namespace
+
+std::span<const policy_row> policy_rows()
+{
+    return rows;
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/policy_command.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+/// Runs the policy comparison. Returns 0 when every bound is met or listed as known red, 1 when one is not, 2 on a
+/// usage error, which docopt reports.
+int policy_command(const std::vector<std::string>& arguments);
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/policy_run.cpp
@@ -0,0 +1,108 @@
+#include "policy_run.h"
+
+#include "callers.h"
+#include "fleet.h"
+#include "run_recorder.h"
+
+#include <cmath>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr timestamp run_end = seconds(3600);
+constexpr timestamp bulk_batch_start = seconds(60); // the weekly drafts of two minutes are requested at once
+constexpr timestamp bulk_batch_end = seconds(180);
+constexpr double largest_demand = 2;
+
+/// Arrivals of one kind of program: a Poisson process whose rate follows the demand. Each kind has its own random
+/// sequence, so every policy sees the same programs at the same times.
+class arrivals {
+public:
+    arrivals(virtual_clock& clock, const workload& w, scenario s, std::size_t kind, double rate, std::uint64_t seed,
+             callers& to)
+        : m_clock(clock), m_workload(w), m_scenario(s), m_kind(kind), m_rate(rate), m_random(seed), m_callers(to)
+    {
+    }
+
+    void start()
+    {
+        if (in_batches()) {
+            const double batch = m_rate * static_cast<double>((bulk_batch_end - bulk_batch_start).count()) / 1e6;
+            m_clock.at(bulk_batch_start, [this, batch] {
+                for (int n = 0; n < std::lround(batch); ++n) {
+                    add();
+                }
+            });
+        }
+        next();
+    }
+
+private:
+    bool in_batches() const
+    {
+        return m_workload.kinds.at(m_kind).priority == request_class::bulk && m_scenario == scenario::day;
+    }
+
+    void next()
+    {
+        const double gap_s = -std::log(1 - m_random.uniform()) / (m_rate * largest_demand);
+        m_clock.after(timestamp{static_cast<std::int64_t>(gap_s * 1e6)}, [this] {
+            if (m_clock.now() >= arrivals_end(m_scenario)) {
+                return;
+            }
+            const bool batched = in_batches() && m_clock.now() >= bulk_batch_start && m_clock.now() < bulk_batch_end;
+            if (m_random.uniform() * largest_demand < demand(m_scenario, m_clock.now()) && !batched) {
+                add();
+            }
+            next();
+        });
+    }
+
+    /// Accounts differ in demand: the first ones ask for several times more than the last ones.
+    void add()
+    {
+        const double u = m_random.uniform();
+        const auto account = static_cast<std::uint32_t>(u * u * m_workload.accounts);
+        m_callers.start_program(make_program(m_workload, m_kind, m_random), account);
+    }
+
+    virtual_clock& m_clock;
+    const workload& m_workload;
+    scenario m_scenario;
+    std::size_t m_kind;
+    double m_rate;
+    random_source m_random;
+    callers& m_callers;
+};
+
+} // namespace
+
+run_figures run_policy(const workload& w, scenario s, const policy_row& policy, std::uint64_t seed)
+{
+    virtual_clock clock;
+    run_recorder recorder(w, s);
+    callers* to_callers = nullptr;
+    fleet engines(
+        clock, w, s, seed, [&](engine_event event, std::uint64_t call) { to_callers->on_engine(event, call); },
+        [&](const outgoing_slot_message& m) { to_callers->on_dispatcher(m); });
+    callers programs(clock, w, engines, recorder);
+    to_callers = &programs;
+    engines.start(policy, programs);
+    programs.start_reports();
+
+    const auto rates = normal_rates(w);
+    std::deque<arrivals> sources;
+    for (std::size_t kind = 0; kind < w.kinds.size(); ++kind) {
+        sources.emplace_back(clock, w, s, kind, rates[kind], seed * 1000 + kind, programs).start();
+    }
+    clock.run_until(run_end, [&] { return clock.now() >= arrivals_end(s) && programs.active() == 0; });
+    programs.end_run();
+    const auto totals = engines.counters();
+    return recorder.figures(engines.gaps(), static_cast<double>(totals.preempted_urgent),
+                            static_cast<double>(totals.preempted_slow), static_cast<double>(totals.granted));
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/report.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "bounds.h"
+#include "comparison.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+/// Writes one table per workload, scenario and group of figures: median over the seeds and in brackets the spread.
+void write_tables(std::ostream& out, const std::vector<comparison>& comparisons);
+
+/// Writes one line per bound; known red ones are marked.
+void write_bounds(std::ostream& out, const std::vector<bound_result>& results);
+
+/// All figures of all runs, and the bounds. Infinite values are null.
+nlohmann::json to_report(const std::vector<comparison>& comparisons, const std::vector<bound_result>& results);
+
+/// Writes data files and the gnuplot script `plot.gp`, which draws SVG files beside them. Returns false when the folder
+/// cannot be written.
+bool write_plots(const std::string& folder, const std::vector<comparison>& comparisons);
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/run_recorder.cpp
@@ -0,0 +1,100 @@
+#include "run_recorder.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+double to_s(timestamp t)
+{
+    return static_cast<double>(t.count()) / 1e6;
+}
+
+double ratio(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
+} // namespace
+
+void run_recorder::program_ended(request_class c, timestamp started, timestamp ended, bool given_up)
+{
+    const auto latency = ended - started;
+    const double seconds = given_up ? std::numeric_limits<double>::infinity() : to_s(latency);
+    (c == request_class::bulk ? m_bulk : m_foreground).push_back(seconds);
+    m_given_up += given_up && c != request_class::bulk ? 1 : 0;
+    if (in_crest(m_scenario, started)) {
+        const bool in_time = !given_up && latency <= m_workload.target.at(index_of(c));
+        m_crest_programs.at(index_of(c)) += 1;
+        m_crest_served.at(index_of(c)) += in_time ? 1 : 0;
+    }
+}
+
+void run_recorder::first_token(request_class c, timestamp waited)
+{
+    if (c != request_class::bulk) {
+        m_first_token.push_back(to_s(waited));
+    }
+}
+
+void run_recorder::short_call_started(timestamp waited, bool behind_long)
+{
+    m_short_wait.push_back(behind_long ? to_s(waited) : 0);
+}
+
+void run_recorder::prompt_started(std::uint32_t prompt, std::uint32_t cached, std::uint32_t known)
+{
+    m_prompt_tokens += prompt;
+    m_recomputed += std::min(known, prompt) - std::min({cached, known, prompt});
+}
+
+void run_recorder::refused(request_class c, timestamp waited)
+{
+    m_refused.at(index_of(c)) += 1;
+    m_refuse_time.push_back(to_s(waited));
+}
+
+run_figures run_recorder::figures(const duration_histogram& gaps, double preempted, double moved, double granted) const
+{
+    run_figures f;
+    f.programs = static_cast<double>(m_foreground.size() + m_bulk.size());
+    f.program_p50_s = percentile(m_foreground, 0.50);
+    f.program_p95_s = percentile(m_foreground, 0.95);
+    f.program_p99_s = percentile(m_foreground, 0.99);
+    f.bulk_p50_s = percentile(m_bulk, 0.50);
+    f.bulk_p95_s = percentile(m_bulk, 0.95);
+    f.given_up_share = ratio(m_given_up, static_cast<double>(m_foreground.size()));
+    f.first_token_p50_s = percentile(m_first_token, 0.50);
+    f.first_token_p95_s = percentile(m_first_token, 0.95);
+    f.first_token_p99_s = percentile(m_first_token, 0.99);
+    f.token_gap_p50_ms = gaps.percentile_ms(0.50);
+    f.token_gap_p95_ms = gaps.percentile_ms(0.95);
+    f.token_gap_p99_ms = gaps.percentile_ms(0.99);
+    f.recomputed_share = ratio(m_recomputed, m_prompt_tokens);
+    f.idle_held_tokens =
+        ratio(std::accumulate(m_idle_held.begin(), m_idle_held.end(), 0.0), static_cast<double>(m_idle_held.size()));
+    f.served_safety = served(request_class::safety);
+    f.served_interactive = served(request_class::interactive);
+    f.served_normal = served(request_class::normal);
+    f.served_bulk = served(request_class::bulk);
+    f.short_wait_p50_s = percentile(m_short_wait, 0.50);
+    f.short_wait_p99_s = percentile(m_short_wait, 0.99);
+    const double acquires = std::accumulate(m_acquires.begin() + 1, m_acquires.end(), 0.0);
+    const double refused = std::accumulate(m_refused.begin() + 1, m_refused.end(), 0.0);
+    f.refused_safety = ratio(m_refused.front(), m_acquires.front());
+    f.refused_other = ratio(refused, acquires);
+    f.refuse_time_p95_s = percentile(m_refuse_time, 0.95);
+    f.preempted = 1000 * ratio(preempted, granted);
+    f.moved = 1000 * ratio(moved, granted);
+    return f;
+}
+
+double run_recorder::served(request_class c) const
+{
+    return ratio(m_crest_served.at(index_of(c)), m_crest_programs.at(index_of(c)));
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/scenario.cpp
@@ -0,0 +1,63 @@
+#include "scenario.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double crest_demand = 2;
+constexpr timestamp ramp_start = seconds(120);
+constexpr timestamp crest_start = seconds(180);
+constexpr timestamp crest_end = seconds(540);
+constexpr timestamp ramp_end = seconds(600);
+constexpr timestamp day_end = seconds(720);
+constexpr timestamp steady_end = seconds(300);
+constexpr timestamp slow_start = seconds(60);
+constexpr timestamp slow_end = seconds(240);
+
+double share_of(timestamp part, timestamp whole)
+{
+    return static_cast<double>(part.count()) / static_cast<double>(whole.count());
+}
+
+} // namespace
+
+std::string_view to_string(scenario s)
+{
+    constexpr std::array<std::string_view, scenario_count> names{"day", "steady", "slowed"};
+    return names.at(static_cast<std::size_t>(s));
+}
+
+double demand(scenario s, timestamp now)
+{
+    if (now >= arrivals_end(s)) {
+        return 0;
+    }
+    if (s != scenario::day || now < ramp_start || now >= ramp_end) {
+        return 1;
+    }
+    const double up = share_of(now - ramp_start, crest_start - ramp_start);
+    const double down = share_of(ramp_end - now, ramp_end - crest_end);
+    return 1 + (crest_demand - 1) * std::min({1.0, up, down});
+}
+
+timestamp arrivals_end(scenario s)
+{
+    return s == scenario::day ? day_end : steady_end;
+}
+
+bool in_crest(scenario s, timestamp now)
+{
+    return s == scenario::day && now >= crest_start && now < crest_end;
+}
+
+bool is_slowed(scenario s, timestamp now)
+{
+    return s == scenario::slowed && now >= slow_start && now < slow_end;
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/scenario.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "util/time.h"
+
+#include <cstdint>
+#include <string_view>
+
+namespace lagoonferry::bench {
+
+/// Course of one run.
+enum class scenario : std::uint8_t {
+    day,    ///< normal demand, twice the normal demand for six minutes (the crest), normal demand
+    steady, ///< normal demand
+    slowed, ///< normal demand while a fifth of the targets takes five times as long
+};
+
+constexpr std::size_t scenario_count = 3;
+
+std::string_view to_string(scenario s);
+
+constexpr double slowdown = 5;
+constexpr double slowed_share = 0.2;
+
+/// Demand at a time, as a multiple of normal demand; 0 after the last arrival.
+double demand(scenario s, timestamp now);
+
+/// Time of the last arrival.
+timestamp arrivals_end(scenario s);
+
+/// Whether a program that arrives now counts for the crest.
+bool in_crest(scenario s, timestamp now);
+
+/// Whether targets are slowed at a time.
+bool is_slowed(scenario s, timestamp now);
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/workload.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "dispatch/random_source.h"
+#include "dispatch/request_class.h"
+#include "fake_engine.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+/// Bounds of a random quantity that is uniform on a logarithmic scale.
+struct range {
+    double low = 0;
+    double high = 0;
+};
+
+/// A kind of program: how many calls, how large, how urgent. No policy sees it.
+struct program_kind {
+    std::string name;
+    request_class priority = request_class::normal;
+    double work_share = 0; ///< of the demand, in engine time
+    range calls;
+    range first_prompt;            ///< tokens
+    range next_prompt;             ///< tokens added by each later call, beside the answer before it
+    range output;                  ///< tokens
+    range pause_ms;                ///< tool time between two calls
+    double second_model_share = 0; ///< of the calls
+    double sub_agent_share = 0;    ///< of the calls that start sub-agents before the next call
+    range sub_agents;
+    double straggler_share = 0; ///< of the programs
+};
+
+/// One call of a program.
+struct call_shape {
+    std::string model;
+    std::uint32_t new_prompt = 0; ///< tokens beyond the history
+    std::uint32_t output = 0;
+    timestamp pause_after{0};
+    std::vector<std::size_t> sub_agents; ///< indices into `program_shape::sub_agents`, run after the call
+};
+
+/// A program as it will run.
+struct program_shape {
+    std::size_t kind = 0;
+    std::vector<call_shape> calls;
+    std::vector<program_shape> sub_agents;
+};
+
+/// Demand and fleet of one service.
+struct workload {
+    std::string name;
+    std::uint32_t failure_domains = 1;
+    timestamp domain_latency{0}; ///< one way between failure domains
+    std::uint32_t entries = 1;
+    std::uint32_t accounts = 1;
+    timestamp load_report_lag{0};
+    std::vector<engine_spec> engines;
+    std::vector<program_kind> kinds;
+    std::string first_model;
+    std::string second_model;
+    per_class<timestamp> target{};   ///< class target: latency of the whole program
+    per_class<timestamp> patience{}; ///< the caller gives up; 0: never
+    timestamp slow_period{0};        ///< another fifth of the targets is slow after this time; 0: always the same
+};
+
+/// Zürich: crew swaps, safety notices and weekly drafts on 18 and 5 engines in 3 failure domains.
+workload zurich();
+
+/// Vallarsa: status screens, lot assessments and broker runs on 9 and 4 engines in 4 failure domains.
+workload vallarsa();
+
+/// Draws one program of a kind.
+program_shape make_program(const workload& w, std::size_t kind, random_source& random);
+
+/// Engine time of a call of speed 1 when `batch` calls share the steps and all of the history is cached.
+double call_work_us(const call_shape& call, const engine_spec& engine, std::uint32_t batch);
+
+/// Programs per second of each kind at normal demand. Normal demand is the arrival rate at which the engines of the
+/// busier model spend six tenths of their time on the work, if all history is cached and all batches are full.
+std::vector<double> normal_rates(const workload& w);
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/src/dispatch/affinity_choice.cpp
@@ -0,0 +1,53 @@
+#include "dispatch/affinity_choice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr double usual_output = 150; // tokens, for a call without an estimate
+constexpr timestamp longest_hold = std::chrono::seconds(2);
+
+} // namespace
+
+double affinity_choice::cost_us(const waiting_call& call, const target_view& target) const
+{
+    const auto& a = call.acquire;
+    const double output = a.expected_output > 0 ? a.expected_output : usual_output;
+    const double others = target.in_flight;
+    const std::uint32_t cached = m_use_prefix ? std::min(target.cached_tokens, a.prompt_tokens) : 0;
+    const double prefill = static_cast<double>(a.prompt_tokens - cached) * target.prefill_us;
+    const double step = target.step_us * (1 + target.step_growth * others);
+    const double delay_of_others = target.step_us * target.step_growth * others;
+    return prefill * (1 + others) + output * (step + delay_of_others);
+}
+
+std::optional<std::size_t> affinity_choice::choose(const waiting_call& call, std::span<const target_view> targets,
+                                                   timestamp now, random_source& /*random*/)
+{
+    const bool may_hold = call.acquire.priority != request_class::safety && now - call.arrived < longest_hold;
+    std::optional<std::size_t> best;
+    double best_cost = std::numeric_limits<double>::max();
+    double best_full = std::numeric_limits<double>::max();
+    for (std::size_t n = 0; n < targets.size(); ++n) {
+        const auto& target = targets[n];
+        if (target.open) {
+            const double cost = cost_us(call, target);
+            if (cost < best_cost) {
+                best = n;
+                best_cost = cost;
+            }
+        }
+        else if (may_hold && m_use_prefix && target.cached_tokens > 0) {
+            best_full = std::min(best_full, cost_us(call, target) + target.release_us);
+        }
+    }
+    if (best_full < best_cost) {
+        return std::nullopt;
+    }
+    return best;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/least_service_order.cpp
@@ -0,0 +1,18 @@
+#include "dispatch/least_service_order.h"
+
+namespace lagoonferry {
+
+least_service_order::least_service_order(const dispatch_settings& settings)
+    : m_ageing_per_us(settings.ageing_tokens_per_s / 1e6), m_account_weight(settings.account_weight)
+{
+}
+
+queue_rank least_service_order::rank(const waiting_call& call, const account_shares& shares, timestamp now) const
+{
+    const double waited = static_cast<double>((now - call.arrived).count()) * m_ageing_per_us;
+    const double account = m_account_weight > 0 ? m_account_weight * shares.of(call.acquire.account, now) : 0;
+    const auto received = static_cast<double>(call.acquire.service_received);
+    return {static_cast<int>(index_of(call.acquire.priority)), received + account - waited};
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/least_service_order.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "dispatch/dispatch_settings.h"
+#include "dispatch/queue_order.h"
+
+namespace lagoonferry {
+
+/// Classes in strict order; inside a class the program with the least service received first. Waiting earns credit, and
+/// an account that used much recently is put back.
+class least_service_order : public queue_order {
+public:
+    explicit least_service_order(const dispatch_settings& settings);
+
+    queue_rank rank(const waiting_call& call, const account_shares& shares, timestamp now) const override;
+
+private:
+    double m_ageing_per_us;
+    double m_account_weight;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -0,0 +1,626 @@
+#include "dispatch/slot_dispatcher.h"
+
+#include "dispatch/slow_detector.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr double first_step_us = 30'000; // assumed before any observation
+constexpr double first_prefill_us = 60;  // assumed before any observation
+constexpr double first_hold_us = 5e6;    // assumed before any observation
+constexpr double usual_output = 150;     // tokens, for a call without an estimate
+constexpr double prompt_service = 0.1;   // of a generated token
+constexpr double hold_weight = 0.1;      // of a new sample in a moving mean
+constexpr double least_left_share = 0.5; // of the tokens so far, assumed to follow when the estimate has run out
+constexpr double move_gain = 2;          // a call moves when staying costs this much more
+constexpr double longest_retry_us = 30e6;
+constexpr double program_queue_share = 0.5; // of a class's queue that calls of new programs may fill
+constexpr std::size_t largest_prefix_table = 100'000;
+constexpr unsigned slot_counter_bits = 40;
+constexpr timestamp unlisted_grace = std::chrono::seconds(2); // a grant may still be on its way
+constexpr timestamp preempt_repeat = std::chrono::seconds(1); // the request may have been lost
+constexpr timestamp least_progress = std::chrono::milliseconds(200);
+
+double to_us(timestamp t)
+{
+    return static_cast<double>(t.count());
+}
+
+void approach(double& value, double sample, double weight)
+{
+    value = value == 0 ? sample : value + weight * (sample - value);
+}
+
+bool is_excluded(const slot_acquire& m, std::string_view target)
+{
+    return std::ranges::find(m.excluded, target) != m.excluded.end();
+}
+
+double output_of(const slot_acquire& m)
+{
+    return m.expected_output > 0 ? m.expected_output : usual_output;
+}
+
+} // namespace
+
+slot_dispatcher::slot_dispatcher(const dispatch_settings& settings, std::unique_ptr<target_choice> choice,
+                                 std::unique_ptr<queue_order> order, std::uint64_t epoch, std::uint64_t seed,
+                                 timestamp now)
+    : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_epoch(epoch), m_random(seed),
+      m_started(now), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
+      m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us), m_typical_hold_us(first_hold_us)
+{
+}
+
+void slot_dispatcher::set_target(const target_info& target, timestamp /*now*/)
+{
+    const auto index = find_target(target.id);
+    if (!index) {
+        if (target.state != target_state::gone) {
+            m_targets.push_back({target, concurrency_limit(target.slots, m_settings.token_goal), {}});
+        }
+        return;
+    }
+    auto& track = m_targets[*index];
+    const bool replaced = track.info.slots != target.slots || track.info.state == target_state::gone;
+    track.info = target;
+    if (replaced) {
+        track.limit = concurrency_limit(target.slots, m_settings.token_goal);
+        track.latency = {};
+    }
+    if (target.state == target_state::gone) {
+        std::vector<std::uint64_t> lost;
+        m_slots.for_each([&](const slot_record& slot) {
+            if (slot.target == *index) {
+                lost.push_back(slot.slot);
+            }
+        });
+        std::ranges::for_each(lost, [&](std::uint64_t slot) { m_slots.remove(slot); });
+        track.in_flight = 0;
+        m_prefixes.forget_target(*index);
+    }
+}
+
+void slot_dispatcher::report_load(const load_report& report)
+{
+    if (const auto index = find_target(report.target)) {
+        m_targets[*index].reported_running = report.running;
+        m_targets[*index].reported_waiting = report.waiting;
+    }
+}
+
+void slot_dispatcher::report_cache(const cache_event& event)
+{
+    if (const auto index = find_target(event.target)) {
+        m_prefixes.set(event.prefix, *index, event.tokens);
+    }
+}
+
+std::vector<outgoing_slot_message> slot_dispatcher::handle(const slot_message& message, timestamp now)
+{
+    output out;
+    std::visit([&](const auto& m) { on(m, now, out); }, message);
+    return out;
+}
+
+std::vector<outgoing_slot_message> slot_dispatcher::tick(timestamp now)
+{
+    output out;
+    expire_slots(now);
+    m_shares.prune(now);
+    update_typical();
+    if (m_settings.detect_slow) {
+        mark_slow_targets(m_targets, m_settings);
+    }
+    if (m_settings.refuse_late) {
+        refuse_late(now, out);
+    }
+    serve(now, out);
+    if (m_settings.preempt_bulk) {
+        preempt_for_urgent(now, out);
+    }
+    if (m_settings.move_from_slow && m_settings.detect_slow) {
+        move_from_slow(now, out);
+    }
+    return out;
+}
+
+dispatch_counters slot_dispatcher::counters() const
+{
+    auto totals = m_counters;
+    totals.slots = m_slots.size();
+    totals.waiting = m_queue.calls().size();
+    return totals;
+}
+
+void slot_dispatcher::on(const slot_acquire& m, timestamp now, output& out)
+{
+    m_slots.heard(m.holder, now);
+    if (repeat_grant(m, out) || m_queue.contains(m.holder, m.request)) {
+        return;
+    }
+    if (const auto why = refusal(m, m.deadline)) {
+        refuse(m, *why, out);
+        return;
+    }
+    const auto deadline = m.deadline.count() > 0 ? now + m.deadline : timestamp{0};
+    m_queue.push({m, now, deadline, m_next_call++});
+    serve(now, out);
+}
+
+void slot_dispatcher::on(const slot_cancel& m, timestamp now, output& out)
+{
+    m_slots.heard(m.holder, now);
+    m_queue.remove(m.holder, m.request);
+    if (auto* slot = m_slots.find_request(m.holder, m.request)) {
+        free_slot(*slot);
+    }
+    out.push_back({m.holder, slot_released{0, m.request}});
+    serve(now, out);
+}
+
+void slot_dispatcher::on(const slot_release& m, timestamp now, output& out)
+{
+    m_slots.heard(m.holder, now);
+    if (auto* slot = m_slots.find(m.slot)) {
+        observe(m, *slot, now);
+        free_slot(*slot);
+    }
+    out.push_back({m.holder, slot_released{m.slot, 0}});
+    serve(now, out);
+}
+
+void slot_dispatcher::on(const slot_progress& m, timestamp now, output& out)
+{
+    m_slots.heard(m.holder, now);
+    bool unknown = false;
+    for (const auto& item : m.slots) {
+        auto* slot = m_slots.find(item.slot);
+        if (slot == nullptr) {
+            unknown = true;
+            continue;
+        }
+        observe_progress(*slot, item.tokens, now);
+    }
+    if (unknown) {
+        out.push_back({m.holder, slot_query{m_epoch}});
+    }
+}
+
+void slot_dispatcher::on(const slot_holding& m, timestamp now, output& out)
+{
+    for (const auto& held : m.slots) {
+        if (m_slots.find(held.slot) == nullptr) {
+            adopt(held, m.holder, now);
+        }
+    }
+    m_slots.heard(m.holder, now);
+    if (m.complete) {
+        drop_unlisted(m, now);
+        serve(now, out);
+    }
+}
+
+void slot_dispatcher::adopt(const held_slot& held, const std::string& holder, timestamp now)
+{
+    const auto index = find_target(held.target);
+    if (!index || m_targets[*index].info.state == target_state::gone) {
+        return;
+    }
+    slot_record record;
+    record.slot = held.slot;
+    record.request = held.request;
+    record.holder = holder;
+    record.target = *index;
+    record.priority = held.priority;
+    record.prefix = held.prefix;
+    record.prompt_tokens = held.prompt_tokens;
+    record.granted = now;
+    m_slots.add(std::move(record));
+    ++m_targets[*index].in_flight;
+    ++m_counters.adopted;
+    m_prefixes.set(held.prefix, *index, held.prompt_tokens);
+}
+
+void slot_dispatcher::drop_unlisted(const slot_holding& m, timestamp now)
+{
+    std::vector<std::uint64_t> lost;
+    m_slots.for_each([&](const slot_record& slot) {
+        const bool listed = std::ranges::find(m.slots, slot.slot, &held_slot::slot) != m.slots.end();
+        if (slot.holder == m.holder && !listed && now - slot.granted > unlisted_grace) {
+            lost.push_back(slot.slot);
+        }
+    });
+    for (const auto id : lost) {
+        free_slot(*m_slots.find(id));
+    }
+}
+
+bool slot_dispatcher::repeat_grant(const slot_acquire& m, output& out)
+{
+    const auto* slot = m_slots.find_request(m.holder, m.request);
+    if (slot == nullptr) {
+        return false;
+    }
+    out.push_back({m.holder, slot_grant{m.request, slot->slot, m_targets[slot->target].info.id, m_epoch}});
+    return true;
+}
+
+std::optional<slot_refuse> slot_dispatcher::refusal(const slot_acquire& m, timestamp left)
+{
+    if (!any_usable(m)) {
+        ++m_counters.refused_no_target;
+        return slot_refuse{m.request, retry_after(0), result_code::no_target};
+    }
+    if (!m_settings.refuse_late) {
+        return std::nullopt;
+    }
+    const double wait = expected_wait_us(m.priority);
+    const double whole = m_settings.queue_per_target.at(index_of(m.priority)) * static_cast<double>(m_targets.size());
+    const double largest = m.service_received > 0 ? whole : whole * program_queue_share;
+    if (m_queue.count(m.priority) >= largest) {
+        ++m_counters.refused_full;
+        return slot_refuse{m.request, retry_after(wait), result_code::overloaded};
+    }
+    if (left.count() > 0 && wait + expected_run_us(m) > to_us(left)) {
+        ++m_counters.refused_deadline;
+        return slot_refuse{m.request, retry_after(wait), result_code::deadline_exceeded};
+    }
+    return std::nullopt;
+}
+
+void slot_dispatcher::refuse(const slot_acquire& m, const slot_refuse& why, output& out)
+{
+    out.push_back({m.holder, why});
+}
+
+std::chrono::milliseconds slot_dispatcher::retry_after(double wait_us)
+{
+    const double least = to_us(m_settings.retry_after);
+    const double jitter = 0.5 + m_random.uniform();
+    const double us = std::clamp(wait_us, least, longest_retry_us) * jitter;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(us / 1000));
+}
+
+bool slot_dispatcher::any_usable(const slot_acquire& m) const
+{
+    return std::ranges::any_of(m_targets, [&](const target_track& target) {
+        return target.info.state == target_state::live && !is_excluded(m, target.info.id);
+    });
+}
+
+double slot_dispatcher::expected_wait_us(request_class c) const
+{
+    double slots = 0;
+    double in_flight = 0;
+    for (const auto& target : m_targets) {
+        if (target.info.state == target_state::live && !target.slow) {
+            slots += target.limit.value() * m_settings.class_share.at(index_of(c));
+            in_flight += target.in_flight;
+        }
+    }
+    double ahead = 0;
+    for (std::size_t n = 0; n <= index_of(c); ++n) {
+        ahead += m_queue.count(static_cast<request_class>(n));
+    }
+    const double missing = in_flight + ahead + 1 - slots;
+    return missing <= 0 ? 0 : missing * m_typical_hold_us / std::max(1.0, slots);
+}
+
+double slot_dispatcher::expected_run_us(const slot_acquire& m) const
+{
+    return output_of(m) * m_typical_step_us;
+}
+
+void slot_dispatcher::serve(timestamp now, output& out)
+{
+    auto open = open_classes(now);
+    const auto can_serve = [&](std::size_t n) { return open[n] && m_queue.count(static_cast<request_class>(n)) > 0; };
+    if (!can_serve(0) && !can_serve(1) && !can_serve(2) && !can_serve(3)) {
+        return;
+    }
+    std::vector<std::size_t> served;
+    for (const auto index : m_queue.sorted(*m_order, m_shares, now)) {
+        const auto& call = m_queue.calls()[index];
+        auto& class_open = open.at(index_of(call.acquire.priority));
+        if (!class_open) {
+            continue;
+        }
+        if (!fill_views(call, now)) {
+            class_open = !call.acquire.excluded.empty();
+            continue;
+        }
+        if (const auto target = m_choice->choose(call, m_views, now, m_random)) {
+            grant(call, *target, now, out);
+            served.push_back(index);
+        }
+    }
+    std::ranges::sort(served, std::greater<>{});
+    std::ranges::for_each(served, [&](std::size_t index) { m_queue.take(index); });
+}
+
+per_class<bool> slot_dispatcher::open_classes(timestamp now) const
+{
+    per_class<bool> open{};
+    for (const auto& target : m_targets) {
+        if (!takes_calls(target, now)) {
+            continue;
+        }
+        for (std::size_t n = 0; n < class_count; ++n) {
+            open.at(n) = open.at(n) || target.in_flight < limit_of(target, static_cast<request_class>(n), now);
+        }
+    }
+    return open;
+}
+
+bool slot_dispatcher::fill_views(const waiting_call& call, timestamp now)
+{
+    m_views.resize(m_targets.size());
+    bool any = false;
+    for (std::size_t n = 0; n < m_targets.size(); ++n) {
+        const auto& target = m_targets[n];
+        auto& view = m_views[n];
+        view.id = target.info.id;
+        view.in_flight = target.in_flight;
+        view.limit = limit_of(target, call.acquire.priority, now);
+        view.open =
+            view.in_flight < view.limit && takes_calls(target, now) && !is_excluded(call.acquire, target.info.id);
+        view.reported_running = target.reported_running;
+        view.reported_waiting = target.reported_waiting;
+        view.cached_tokens = 0;
+        view.step_us = step_us(target);
+        view.step_growth = latency_track::step_growth;
+        view.prefill_us = prefill_us(target);
+        const double hold = target.hold_us > 0 ? target.hold_us : m_typical_hold_us;
+        view.release_us = hold / std::max<double>(1, target.in_flight);
+        any = any || view.open;
+    }
+    for (const auto& holding : m_prefixes.of(call.acquire.prefix)) {
+        m_views[holding.target].cached_tokens = takes_calls(m_targets[holding.target], now) ? holding.tokens : 0;
+    }
+    return any;
+}
+
+void slot_dispatcher::grant(const waiting_call& call, std::size_t index, timestamp now, output& out)
+{
+    auto& target = m_targets[index];
+    const auto& a = call.acquire;
+    ++target.in_flight;
+    if (target.slow) {
+        target.probed = now;
+    }
+    slot_record record;
+    record.slot = (m_epoch << slot_counter_bits) | m_next_slot++;
+    record.request = a.request;
+    record.holder = a.holder;
+    record.account = a.account;
+    record.target = index;
+    record.priority = a.priority;
+    record.prefix = a.prefix;
+    record.prompt_tokens = a.prompt_tokens;
+    record.expected_output = a.expected_output;
+    record.batch = target.in_flight;
+    record.granted = now;
+    out.push_back({a.holder, slot_grant{a.request, record.slot, target.info.id, m_epoch}});
+    m_prefixes.set(a.prefix, index, a.prompt_tokens);
+    m_slots.add(std::move(record));
+    m_slots.heard(a.holder, now);
+    ++m_counters.granted;
+}
+
+void slot_dispatcher::free_slot(slot_record& slot)
+{
+    auto& target = m_targets[slot.target];
+    target.in_flight -= std::min(target.in_flight, 1U);
+    m_slots.remove(slot.slot);
+}
+
+void slot_dispatcher::observe(const slot_release& m, const slot_record& slot, timestamp now)
+{
+    auto& target = m_targets[slot.target];
+    if (m.failed) {
+        m_prefixes.set(slot.prefix, slot.target, 0);
+        return;
+    }
+    const std::uint32_t computed = slot.prompt_tokens - std::min(m.cached_tokens, slot.prompt_tokens);
+    m_shares.add(slot.account, m.tokens + prompt_service * computed, now);
+    if (m.first_token_us > 0) {
+        target.latency.observe_prefill(m.first_token_us, computed);
+    }
+    if (m.per_token_us > 0) {
+        observe_step(target, m.per_token_us, (slot.batch + target.in_flight) / 2.0, now);
+    }
+    if (!m.preempted) {
+        approach(target.hold_us, to_us(now - slot.granted), hold_weight);
+        approach(m_typical_hold_us, to_us(now - slot.granted), hold_weight / 2);
+    }
+    m_prefixes.set(slot.prefix, slot.target, slot.prompt_tokens + m.tokens);
+}
+
+void slot_dispatcher::observe_progress(slot_record& slot, std::uint32_t tokens, timestamp now)
+{
+    const auto elapsed = now - slot.observed;
+    if (slot.observed.count() > 0 && elapsed < least_progress) {
+        return;
+    }
+    if (slot.observed.count() > 0) {
+        const double gained = std::max<double>(1, tokens - std::min(tokens, slot.tokens));
+        auto& target = m_targets[slot.target];
+        observe_step(target, to_us(elapsed) / gained, target.in_flight, now);
+    }
+    if (tokens > 0) {
+        slot.observed = now;
+        slot.tokens = tokens;
+    }
+}
+
+void slot_dispatcher::observe_step(target_track& target, double per_token_us, double batch, timestamp now)
+{
+    target.latency.observe_step(per_token_us, static_cast<std::uint32_t>(batch), now);
+    if (m_settings.adaptive_limit && !target.slow) {
+        const double others = std::max(0.0, batch - 1);
+        const double smoothed = target.latency.recent_step_us() * (1 + latency_track::step_growth * others);
+        target.limit.observe(smoothed, target.in_flight, now);
+    }
+}
+
+void slot_dispatcher::refuse_late(timestamp now, output& out)
+{
+    std::vector<std::size_t> late;
+    for (std::size_t n = 0; n < m_queue.calls().size(); ++n) {
+        const auto& call = m_queue.calls()[n];
+        if (call.deadline.count() > 0 && to_us(call.deadline - now) < expected_run_us(call.acquire)) {
+            late.push_back(n);
+        }
+    }
+    std::ranges::reverse(late);
+    for (const auto n : late) {
+        const auto call = m_queue.take(n);
+        ++m_counters.refused_deadline;
+        refuse(call.acquire,
+               {call.acquire.request, retry_after(expected_wait_us(call.acquire.priority)),
+                result_code::deadline_exceeded},
+               out);
+    }
+}
+
+void slot_dispatcher::expire_slots(timestamp now)
+{
+    for (const auto id : m_slots.silent_since(now - m_settings.holder_timeout)) {
+        free_slot(*m_slots.find(id));
+        ++m_counters.expired;
+    }
+}
+
+void slot_dispatcher::preempt_for_urgent(timestamp now, output& out)
+{
+    std::uint32_t wanted = m_queue.count(request_class::safety) + m_queue.count(request_class::interactive);
+    if (wanted == 0 || open_classes(now)[index_of(request_class::interactive)]) {
+        return;
+    }
+    m_slots.for_each([&](const slot_record& slot) {
+        const bool leaving = slot.preempted.count() > 0 && now - slot.preempted < preempt_repeat;
+        wanted -= leaving && wanted > 0 ? 1 : 0;
+    });
+    for (; wanted > 0; --wanted) {
+        auto* slot = youngest_bulk();
+        if (slot == nullptr) {
+            return;
+        }
+        request_preempt(*slot, preempt_reason::urgent_work, now, out);
+        ++m_counters.preempted_urgent;
+    }
+}
+
+slot_record* slot_dispatcher::youngest_bulk()
+{
+    slot_record* youngest = nullptr;
+    m_slots.for_each([&](slot_record& slot) {
+        const bool candidate = slot.priority == request_class::bulk && slot.preempted.count() == 0;
+        if (candidate && (youngest == nullptr || slot.granted >= youngest->granted)) {
+            youngest = &slot;
+        }
+    });
+    return youngest;
+}
+
+void slot_dispatcher::move_from_slow(timestamp now, output& out)
+{
+    if (std::ranges::none_of(m_targets, &target_track::slow)) {
+        return;
+    }
+    m_slots.for_each([&](slot_record& slot) {
+        const auto& target = m_targets[slot.target];
+        const bool asked = slot.preempted.count() > 0 && now - slot.preempted < preempt_repeat;
+        if (!target.slow || asked || slot.granted == target.probed) {
+            return;
+        }
+        const double expected = slot.expected_output > 0 ? slot.expected_output : usual_output;
+        const double left = std::max(expected - slot.tokens, least_left_share * slot.tokens);
+        const double staying = left * target.latency.recent_step_us() *
+                               (1 + latency_track::step_growth * std::max<double>(0, target.in_flight - 1.0));
+        if (staying > move_gain * best_cost_elsewhere(slot, left, now)) {
+            request_preempt(slot, preempt_reason::slow_target, now, out);
+            ++m_counters.preempted_slow;
+        }
+    });
+}
+
+double slot_dispatcher::best_cost_elsewhere(const slot_record& slot, double output_left, timestamp now) const
+{
+    double best = std::numeric_limits<double>::max();
+    for (const auto& target : m_targets) {
+        if (target.slow || !takes_calls(target, now) || target.in_flight >= limit_of(target, slot.priority, now)) {
+            continue;
+        }
+        const double step = step_us(target) * (1 + latency_track::step_growth * target.in_flight);
+        best = std::min(best, (slot.prompt_tokens + slot.tokens) * prefill_us(target) + output_left * step);
+    }
+    return best;
+}
+
+void slot_dispatcher::request_preempt(slot_record& slot, preempt_reason reason, timestamp now, output& out)
+{
+    slot.preempted = now;
+    out.push_back({slot.holder, slot_preempt{slot.slot, reason}});
+}
+
+bool slot_dispatcher::takes_calls(const target_track& target, timestamp now) const
+{
+    if (target.info.state != target_state::live) {
+        return false;
+    }
+    return !target.slow || now - std::max(target.probed, target.latency.observed()) >= m_settings.probe_interval;
+}
+
+std::uint32_t slot_dispatcher::limit_of(const target_track& target, request_class c, timestamp now) const
+{
+    if (m_settings.unlimited) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const std::uint32_t whole = m_settings.adaptive_limit ? target.limit.value() : target.info.slots;
+    const bool recovering = now < m_started + m_settings.recovery;
+    const double share = m_settings.class_share.at(index_of(c)) * (recovering ? 0.5 : 1.0);
+    return std::max(1U, static_cast<std::uint32_t>(whole * share));
+}
+
+double slot_dispatcher::step_us(const target_track& target) const
+{
+    return target.latency.recent_step_us() > 0 ? target.latency.recent_step_us() : m_typical_step_us;
+}
+
+double slot_dispatcher::prefill_us(const target_track& target) const
+{
+    return target.latency.prefill_us() > 0 ? target.latency.prefill_us() : m_typical_prefill_us;
+}
+
+void slot_dispatcher::update_typical()
+{
+    double step = 0;
+    double prefill = 0;
+    double steps = 0;
+    double prefills = 0;
+    for (const auto& target : m_targets) {
+        step += target.latency.usual_step_us();
+        steps += target.latency.usual_step_us() > 0 ? 1 : 0;
+        prefill += target.latency.prefill_us();
+        prefills += target.latency.prefill_us() > 0 ? 1 : 0;
+    }
+    m_typical_step_us = steps > 0 ? step / steps : m_typical_step_us;
+    m_typical_prefill_us = prefills > 0 ? prefill / prefills : m_typical_prefill_us;
+}
+
+std::optional<std::size_t> slot_dispatcher::find_target(std::string_view id) const
+{
+    const auto it = std::ranges::find_if(m_targets, [&](const target_track& t) { return t.info.id == id; });
+    if (it == m_targets.end()) {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(it - m_targets.begin());
+}
+
+} // namespace lagoonferry
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -14,6 +14,7 @@
 #include "dispatch/waiting_queue.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -69,26 +70,38 @@
     }
 
     bool repeat_grant(const slot_acquire& m, output& out);
-    std::optional<slot_refuse> refusal(const slot_acquire& m, timestamp now);
+    std::optional<slot_refuse> refusal(const slot_acquire& m, timestamp left);
+    void refuse(const slot_acquire& m, const slot_refuse& why, output& out);
     std::chrono::milliseconds retry_after(double wait_us);
+    bool any_usable(const slot_acquire& m) const;
     double expected_wait_us(request_class c) const;
-    double fastest_run_us(const slot_acquire& m) const;
+    double expected_run_us(const slot_acquire& m) const;
 
     void serve(timestamp now, output& out);
-    std::optional<std::size_t> place(const waiting_call& call, timestamp now);
+    per_class<bool> open_classes(timestamp now) const;
     bool fill_views(const waiting_call& call, timestamp now);
-    void grant(const waiting_call& call, std::size_t target, timestamp now, output& out);
-    void free_slot(std::uint64_t slot);
-
-    void refuse_expired(timestamp now, output& out);
+    void grant(const waiting_call& call, std::size_t index, timestamp now, output& out);
+    void free_slot(slot_record& slot);
+    void observe(const slot_release& m, const slot_record& slot, timestamp now);
+    void observe_progress(slot_record& slot, std::uint32_t tokens, timestamp now);
+    void observe_step(target_track& target, double per_token_us, double batch, timestamp now);
+    void adopt(const held_slot& held, const std::string& holder, timestamp now);
+    void drop_unlisted(const slot_holding& m, timestamp now);
+
+    void refuse_late(timestamp now, output& out);
     void expire_slots(timestamp now);
     void preempt_for_urgent(timestamp now, output& out);
+    slot_record* youngest_bulk();
     void move_from_slow(timestamp now, output& out);
+    double best_cost_elsewhere(const slot_record& slot, double output_left, timestamp now) const;
     void request_preempt(slot_record& slot, preempt_reason reason, timestamp now, output& out);
 
+    bool takes_calls(const target_track& target, timestamp now) const;
     std::uint32_t limit_of(const target_track& target, request_class c, timestamp now) const;
+    double step_us(const target_track& target) const;
+    double prefill_us(const target_track& target) const;
+    void update_typical();
     std::optional<std::size_t> find_target(std::string_view id) const;
-    bool recovering(timestamp now) const { return now < m_started + m_settings.recovery; }
 
     dispatch_settings m_settings;
     std::unique_ptr<target_choice> m_choice;
@@ -102,6 +115,11 @@
     prefix_table m_prefixes;
     account_shares m_shares;
     std::vector<target_view> m_views;
+    std::uint64_t m_next_slot = 1;
+    std::uint64_t m_next_call = 1;
+    double m_typical_step_us;    ///< for targets without observations
+    double m_typical_prefill_us; ///< for targets without observations
+    double m_typical_hold_us = 0;
     dispatch_counters m_counters;
 };
 
--- a/src/dispatch/slot_messages.h
+++ b/src/dispatch/slot_messages.h
@@ -26,7 +26,8 @@
     std::string model;
     std::string account;
     request_class priority = request_class::normal;
-    std::uint64_t service_received = 0; ///< tokens (prompt computed and generated) the whole program has used so far
+    /// What the program has received so far: generated tokens plus a tenth of the prompt tokens that were computed.
+    std::uint64_t service_received = 0;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output = 0;     ///< tokens; 0 when the caller gives no estimate
     std::uint64_t prefix = 0;              ///< identifies the program's prompt prefix; 0 when nothing is reusable
@@ -105,7 +106,8 @@
 };
 
 /// All slots a holder has in one group: after a change of dispatcher and on a `slot_query`.
-/// `complete` is false on every part but the last when the report needs several datagrams.
+/// `complete` says that this one message lists all of them, so that unlisted slots are free; it is false when a report
+/// needs several datagrams.
 struct slot_holding {
     std::string holder;
     std::vector<held_slot> slots;
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -12,13 +12,14 @@
 /// What a dispatcher knows of one target.
 struct target_track {
     target_info info;
+    concurrency_limit limit;
+    latency_track latency;
     std::uint32_t in_flight = 0;
     std::uint32_t reported_running = 0;
     std::uint32_t reported_waiting = 0;
-    concurrency_limit limit;
-    latency_track latency;
+    double hold_us = 0; ///< how long slots are held here, moving mean
     bool slow = false;
-    timestamp last_probe{0};
+    timestamp probed{0}; ///< time of the last call sent to it while it was slow
 };
 
 } // namespace lagoonferry
--- a/src/dispatch/waiting_queue.h
+++ b/src/dispatch/waiting_queue.h
@@ -30,14 +30,12 @@
 
     const std::vector<waiting_call>& calls() const { return m_calls; }
     std::uint32_t count(request_class c) const { return m_count[index_of(c)]; }
-    double tokens(request_class c) const { return m_tokens[index_of(c)]; }
 
 private:
     std::vector<waiting_call> m_calls;
     std::vector<queue_rank> m_ranks;
     std::vector<std::size_t> m_sorted;
     per_class<std::uint32_t> m_count{};
-    per_class<double> m_tokens{};
 };
 
 } // namespace lagoonferry
--- /dev/null
+++ b/tests/slot_dispatcher_test.cpp
@@ -0,0 +1,337 @@
+#include "dispatch/make_dispatcher.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr timestamp start = seconds(100);
+constexpr timestamp warm = start + seconds(3);
+
+slot_dispatcher dispatcher_with(std::size_t targets, std::uint32_t slots, const dispatch_settings& settings = {})
+{
+    auto d = make_dispatcher(settings, 1, 7, start);
+    for (std::size_t n = 0; n < targets; ++n) {
+        d.set_target({"engine-" + std::to_string(n), "model", "fd-1", slots}, start);
+    }
+    return d;
+}
+
+slot_acquire call(std::uint64_t request, request_class c = request_class::normal, const std::string& holder = "entry-1")
+{
+    slot_acquire m;
+    m.request = request;
+    m.holder = holder;
+    m.model = "model";
+    m.account = "account";
+    m.priority = c;
+    m.prompt_tokens = 1000;
+    m.expected_output = 100;
+    m.prefix = request;
+    return m;
+}
+
+template <class Message>
+std::vector<Message> only(const std::vector<outgoing_slot_message>& messages)
+{
+    std::vector<Message> found;
+    for (const auto& m : messages) {
+        if (const auto* it = std::get_if<Message>(&m.message)) {
+            found.push_back(*it);
+        }
+    }
+    return found;
+}
+
+std::vector<slot_grant> acquire(slot_dispatcher& d, const slot_acquire& m, timestamp now = warm)
+{
+    return only<slot_grant>(d.handle(m, now));
+}
+
+slot_release release_of(std::uint64_t slot, std::uint32_t per_token_us = 30'000)
+{
+    return {slot, "entry-1", 100'000, per_token_us, 100, 0, false, false};
+}
+
+} // namespace
+
+TEST_CASE("a repeated acquire gets the same grant, so that a lost datagram costs no second slot")
+{
+    auto d = dispatcher_with(1, 10);
+    const auto first = acquire(d, call(1));
+    const auto again = acquire(d, call(1));
+    REQUIRE(first.size() == 1);
+    REQUIRE(again.size() == 1);
+    CHECK(first[0].slot == again[0].slot);
+    CHECK(d.counters().slots == 1);
+}
+
+TEST_CASE("limits hold and a more urgent class is served first when a slot is free again")
+{
+    auto d = dispatcher_with(1, 2);
+    const auto a = acquire(d, call(1, request_class::safety));
+    acquire(d, call(2, request_class::safety));
+    CHECK(acquire(d, call(3, request_class::normal)).empty());
+    CHECK(acquire(d, call(4, request_class::interactive)).empty());
+    CHECK(acquire(d, call(5, request_class::safety)).empty());
+    const auto granted = only<slot_grant>(d.handle(release_of(a.at(0).slot), warm));
+    REQUIRE(granted.size() == 1);
+    CHECK(granted[0].request == 5);
+}
+
+TEST_CASE("headroom: bulk calls never take the slots that urgent calls need")
+{
+    auto d = dispatcher_with(1, 10);
+    std::size_t bulk = 0;
+    for (std::uint64_t n = 1; n <= 10; ++n) {
+        bulk += acquire(d, call(n, request_class::bulk)).size();
+    }
+    CHECK(bulk < 10);
+    CHECK(acquire(d, call(20, request_class::safety)).size() == 1);
+}
+
+TEST_CASE("inside a class the program with the least service goes first, but waiting earns credit")
+{
+    dispatch_settings settings;
+    settings.class_share = {1, 1, 1, 1};
+    settings.ageing_tokens_per_s = 100;
+    auto d = dispatcher_with(1, 2, settings);
+    const auto a = acquire(d, call(1));
+    const auto b = acquire(d, call(2));
+    auto served_much = call(3);
+    served_much.service_received = 500;
+    auto served_little = call(4);
+    served_little.service_received = 100;
+    acquire(d, served_much);
+    acquire(d, served_little);
+    CHECK(only<slot_grant>(d.handle(release_of(a.at(0).slot), warm)).at(0).request == 4);
+    auto fresh = call(5);
+    acquire(d, fresh, warm + seconds(6));
+    CHECK(only<slot_grant>(d.handle(release_of(b.at(0).slot), warm + seconds(6))).at(0).request == 3);
+}
+
+TEST_CASE("an account that used much gives way to another one")
+{
+    dispatch_settings settings;
+    settings.class_share = {1, 1, 1, 1};
+    auto d = dispatcher_with(1, 2, settings);
+    auto heavy = call(1);
+    heavy.account = "heavy";
+    const auto a = acquire(d, heavy);
+    const auto b = acquire(d, call(2));
+    auto more = call(3);
+    more.account = "heavy";
+    auto other = call(4);
+    other.account = "other";
+    acquire(d, more);
+    acquire(d, other);
+    auto release = release_of(a.at(0).slot);
+    release.tokens = 5000;
+    CHECK(only<slot_grant>(d.handle(release, warm)).at(0).request == 4);
+}
+
+TEST_CASE("a program returns to the target that holds its prefix, unless a cache event says that it is gone")
+{
+    auto d = dispatcher_with(4, 10);
+    auto m = call(1);
+    m.prompt_tokens = 20'000;
+    const auto first = acquire(d, m);
+    d.handle(release_of(first.at(0).slot), warm);
+    const auto others = acquire(d, call(50));
+    m.request = 2;
+    const auto second = acquire(d, m);
+    CHECK(second.at(0).target == first.at(0).target);
+    d.handle(release_of(second.at(0).slot), warm);
+    d.report_cache({first.at(0).target, m.prefix, 0});
+    const auto busy = acquire(d, call(51));
+    m.request = 3;
+    for (const auto& t : d.targets()) {
+        if (t.info.id != first.at(0).target) {
+            d.report_cache({t.info.id, m.prefix, 20'000});
+        }
+    }
+    CHECK(acquire(d, m).at(0).target != first.at(0).target);
+}
+
+TEST_CASE("a leaving target gets no new call and a gone one loses its slots")
+{
+    auto d = dispatcher_with(2, 10);
+    d.set_target({"engine-0", "model", "fd-1", 10, target_state::leaving}, warm);
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        CHECK(acquire(d, call(n)).at(0).target == "engine-1");
+    }
+    d.set_target({"engine-1", "model", "fd-1", 10, target_state::gone}, warm);
+    CHECK(d.counters().slots == 0);
+    const auto refused = only<slot_refuse>(d.handle(call(9), warm));
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].reason == result_code::no_target);
+}
+
+TEST_CASE("an excluded target is not tried again")
+{
+    auto d = dispatcher_with(2, 10);
+    auto m = call(1);
+    m.excluded = {"engine-0"};
+    CHECK(acquire(d, m).at(0).target == "engine-1");
+    m.request = 2;
+    m.excluded = {"engine-0", "engine-1"};
+    CHECK(only<slot_refuse>(d.handle(m, warm)).at(0).reason == result_code::no_target);
+}
+
+TEST_CASE("a deadline that cannot be met is refused at once, with different times to come back")
+{
+    auto d = dispatcher_with(1, 2);
+    acquire(d, call(1, request_class::safety));
+    acquire(d, call(2, request_class::safety));
+    std::vector<milliseconds> times;
+    for (std::uint64_t n = 3; n < 6; ++n) {
+        auto m = call(n);
+        m.deadline = milliseconds(500);
+        const auto refused = only<slot_refuse>(d.handle(m, warm));
+        REQUIRE(refused.size() == 1);
+        CHECK(refused[0].reason == result_code::deadline_exceeded);
+        CHECK(refused[0].retry_after.count() > 0);
+        times.push_back(refused[0].retry_after);
+    }
+    CHECK_FALSE((times[0] == times[1] && times[1] == times[2]));
+    CHECK(d.counters().waiting == 0);
+}
+
+TEST_CASE("a full queue refuses, and a new program before one that has begun")
+{
+    dispatch_settings settings;
+    settings.queue_per_target = {4, 4, 4, 4};
+    auto d = dispatcher_with(1, 2, settings);
+    acquire(d, call(1, request_class::safety));
+    acquire(d, call(2, request_class::safety));
+    std::size_t refused = 0;
+    for (std::uint64_t n = 10; n < 16; ++n) {
+        refused += only<slot_refuse>(d.handle(call(n), warm)).size();
+    }
+    CHECK(refused == 4);
+    auto begun = call(30);
+    begun.service_received = 1000;
+    CHECK(only<slot_refuse>(d.handle(begun, warm)).empty());
+}
+
+TEST_CASE("slots of a silent holder are free after 10 s and not before")
+{
+    auto d = dispatcher_with(1, 10);
+    acquire(d, call(1));
+    acquire(d, call(2, request_class::normal, "entry-2"));
+    d.handle(slot_progress{"entry-2", {}}, warm + seconds(5));
+    d.tick(warm + seconds(10));
+    CHECK(d.counters().slots == 2);
+    d.tick(warm + seconds(11));
+    CHECK(d.counters().slots == 1);
+    d.tick(warm + seconds(16));
+    CHECK(d.counters().slots == 0);
+    CHECK(d.targets()[0].in_flight == 0);
+}
+
+TEST_CASE("a cancelled acquire gives its slot back and is confirmed, also when repeated")
+{
+    auto d = dispatcher_with(1, 10);
+    acquire(d, call(1));
+    CHECK(only<slot_released>(d.handle(slot_cancel{1, "entry-1"}, warm)).at(0).request == 1);
+    CHECK(only<slot_released>(d.handle(slot_cancel{1, "entry-1"}, warm)).size() == 1);
+    CHECK(d.counters().slots == 0);
+    CHECK(only<slot_released>(d.handle(release_of(77), warm)).at(0).slot == 77);
+}
+
+TEST_CASE("a dispatcher that starts without memory grants half, then knows what is held, never above the limits")
+{
+    auto d = dispatcher_with(1, 10);
+    std::size_t granted = 0;
+    for (std::uint64_t n = 1; n <= 10; ++n) {
+        granted += acquire(d, call(n, request_class::safety), start + seconds(1)).size();
+    }
+    CHECK(granted == 5);
+    slot_holding report{"entry-2", {}, true};
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        report.slots.push_back({1000 + n, n, "engine-0", request_class::normal, n, 100});
+    }
+    d.handle(report, start + seconds(1));
+    CHECK(d.counters().adopted == 4);
+    const auto after = only<slot_grant>(d.tick(start + seconds(3)));
+    CHECK(after.size() == 1);
+    CHECK(d.targets()[0].in_flight == 10);
+}
+
+TEST_CASE("an unknown slot in a progress report makes the dispatcher ask, and a complete report frees lost slots")
+{
+    auto d = dispatcher_with(1, 10);
+    acquire(d, call(1));
+    CHECK(only<slot_query>(d.handle(slot_progress{"entry-1", {{999, 5}}}, warm)).size() == 1);
+    d.handle(slot_holding{"entry-1", {}, true}, warm + seconds(1));
+    CHECK(d.counters().slots == 1); // the grant may still be on its way
+    d.handle(slot_holding{"entry-1", {}, true}, warm + seconds(3));
+    CHECK(d.counters().slots == 0);
+}
+
+TEST_CASE("bulk calls are asked to give way when urgent work waits")
+{
+    dispatch_settings settings;
+    settings.class_share = {1, 1, 1, 1};
+    auto d = dispatcher_with(1, 2, settings);
+    const auto a = acquire(d, call(1, request_class::bulk));
+    const auto b = acquire(d, call(2, request_class::bulk));
+    acquire(d, call(3, request_class::interactive));
+    const auto asked = only<slot_preempt>(d.tick(warm + milliseconds(50)));
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].reason == preempt_reason::urgent_work);
+    CHECK(only<slot_preempt>(d.tick(warm + milliseconds(100))).empty());
+    auto release = release_of(asked[0].slot);
+    release.preempted = true;
+    CHECK(only<slot_grant>(d.handle(release, warm + milliseconds(120))).at(0).request == 3);
+}
+
+TEST_CASE("a target slower than its peers gets no calls, loses those it has, and is probed until it recovers")
+{
+    auto d = dispatcher_with(4, 10);
+    timestamp now = warm;
+    std::vector<slot_grant> slots;
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        slots.push_back(acquire(d, call(n)).at(0));
+    }
+    std::uint32_t tokens = 0;
+    const auto report = [&](std::uint32_t slow_tokens) {
+        now += seconds(1);
+        tokens += 30;
+        slot_progress m{"entry-1", {}};
+        for (const auto& slot : slots) {
+            m.slots.push_back({slot.slot, slot.target == "engine-0" ? slow_tokens : tokens});
+        }
+        d.handle(m, now);
+        return d.tick(now);
+    };
+    for (int n = 0; n < 10; ++n) {
+        report(tokens + 30);
+    }
+    const auto before = tokens;
+    std::vector<slot_preempt> moved;
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        std::ranges::copy(only<slot_preempt>(report(before + 5 * n)), std::back_inserter(moved));
+    }
+    CHECK(d.targets()[0].slow);
+    CHECK_FALSE(moved.empty());
+    for (std::uint64_t n = 10; n < 20; ++n) {
+        CHECK(acquire(d, call(n), now).at(0).target != "engine-0");
+    }
+    now += seconds(3);
+    d.handle(slot_progress{"entry-1", {}}, now);
+    bool probed = false;
+    for (std::uint64_t n = 30; n < 50; ++n) {
+        auto m = call(n);
+        m.prompt_tokens = 0;
+        m.excluded = {"engine-1", "engine-2", "engine-3"};
+        const auto grants = acquire(d, m, now);
+        probed = probed || (!grants.empty() && grants[0].target == "engine-0");
+    }
+    CHECK(probed);
+}
