Test the platform clients and the stand-ins

Cause: the clients' classification of failed calls decides what callers are told, and nothing checked it; an engine stand-in kept its former speed until its next event after a change of its slowdown.

--- a/standins/engine_core.cpp
+++ b/standins/engine_core.cpp
@@ -85,6 +85,16 @@
     }
 }
 
+void engine_core::set_slow_factor(timestamp now, double factor)
+{
+    advance(now);
+    const double change = factor / m_slow_factor;
+    for (const auto& it : m_running) {
+        it->next_token = now + std::chrono::duration_cast<timestamp>((it->next_token - now) * change);
+    }
+    m_slow_factor = factor;
+}
+
 std::optional<timestamp> engine_core::next_change() const
 {
     const auto expiry = m_cache.next_expiry();
--- a/standins/engine_core.h
+++ b/standins/engine_core.h
@@ -90,8 +90,8 @@
     /// Returns when the state changes next without a further call.
     std::optional<timestamp> next_change() const;
 
-    /// Generates `factor` times slower from the next token on.
-    void set_slow_factor(double factor) { m_slow_factor = factor; }
+    /// Generates `factor` times slower than the limits say from `now` on.
+    void set_slow_factor(timestamp now, double factor);
 
     /// Drops what is cached for a program, now or at the end of its running sequences. Returns the tokens dropped now.
     std::uint64_t release(const std::string& program);
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -39,6 +39,11 @@
         m_stopping = true;
         m_work.notify_all();
     });
+    m_http.faults().on_change([this] {
+        const std::lock_guard lock(m_mutex);
+        update(steady_now());
+        m_work.notify_all();
+    });
     m_thread = std::thread([this] { run(); });
 }
 
@@ -95,8 +100,7 @@
 void engine_server::update(timestamp now)
 {
     const fault standing = m_http.faults().standing();
-    m_core.set_slow_factor(standing.slow_factor);
-    m_core.advance(now);
+    m_core.set_slow_factor(now, standing.slow_factor);
     if (!standing.lose_reports) {
         m_load.set(now, m_core.load());
     }
--- a/standins/fault_plan.cpp
+++ b/standins/fault_plan.cpp
@@ -34,6 +34,9 @@
     out.lag = std::chrono::milliseconds(body.value("lag_ms", 0));
     out.lose_reports = body.value("lose_reports", false);
     out.slow_factor = body.value("slow_factor", 1.0);
+    if (out.slow_factor <= 0) {
+        throw std::invalid_argument("slow_factor must be positive");
+    }
     out.ignore_fence = body.value("ignore_fence", false);
     out.refuse_fence = body.value("refuse_fence", false);
     return out;
@@ -48,19 +51,32 @@
     if (body.contains("count")) {
         added.remaining = body.at("count").get<std::uint32_t>();
     }
-    const std::lock_guard lock(m_mutex);
-    if (!added.remaining) {
-        m_rules.remove_if([&](const rule& it) { return it.method == added.method && it.path == added.path; });
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!added.remaining) {
+            m_rules.remove_if([&](const rule& it) { return it.method == added.method && it.path == added.path; });
+        }
+        m_rules.push_front(std::move(added));
     }
-    m_rules.push_front(std::move(added));
+    notify_change();
 }
 
 void fault_plan::clear()
 {
-    const std::lock_guard lock(m_mutex);
-    m_rules.clear();
-    ++m_clearings;
-    m_changed.notify_all();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_rules.clear();
+        ++m_clearings;
+        m_changed.notify_all();
+    }
+    notify_change();
+}
+
+void fault_plan::notify_change() const
+{
+    if (m_on_change) {
+        m_on_change();
+    }
 }
 
 void fault_plan::stop()
--- a/standins/fault_plan.h
+++ b/standins/fault_plan.h
@@ -6,10 +6,12 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace lagoonferry::standin {
 
@@ -19,12 +21,15 @@
     /// Adds the rule of a `POST /faults` body: the members of `fault` (`slow_ms` and `lag_ms` in milliseconds), and
     /// optionally `method`, `path` (a prefix) and `count` (the next n matching calls). A rule without `count` replaces
     /// older rules for the same method and path. Throws nlohmann::json::exception for a member of a wrong type and
-    /// std::invalid_argument for an unknown one.
+    /// std::invalid_argument for an unknown one or a factor that is not positive.
     void add(const nlohmann::json& body);
 
     /// Removes all rules and lets hanging calls go on.
     void clear();
 
+    /// Sets what is called after each change of the rules. Call before other threads use the object.
+    void on_change(std::function<void()> notify) { m_on_change = std::move(notify); }
+
     /// Lets hanging and delayed calls go on, now and later.
     void stop();
 
@@ -48,8 +53,11 @@
         std::optional<std::uint32_t> remaining;
     };
 
+    void notify_change() const;
+
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
+    std::function<void()> m_on_change;
     std::list<rule> m_rules;
     std::uint64_t m_clearings = 0;
     bool m_stopped = false;
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,140 @@
+#include "child_process.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <cstdlib>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace lagoonferry::test {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+std::vector<char*> pointers_to(std::vector<std::string>& texts)
+{
+    std::vector<char*> out;
+    std::ranges::transform(texts, std::back_inserter(out), [](std::string& it) { return it.data(); });
+    out.push_back(nullptr);
+    return out;
+}
+
+std::vector<std::string> environment_with(const std::vector<std::string>& added)
+{
+    std::vector<std::string> out = added;
+    for (char** it = environ; *it != nullptr; ++it) {
+        out.emplace_back(*it);
+    }
+    return out;
+}
+
+std::string path_of(const std::string& binary)
+{
+    const char* folder = std::getenv("LAGOONFERRY_BIN_DIR");
+    REQUIRE_MESSAGE(folder != nullptr, "LAGOONFERRY_BIN_DIR is not set");
+    return std::string(folder) + "/" + binary;
+}
+
+bool wait_readable(int descriptor, clock::time_point deadline)
+{
+    while (true) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now());
+        pollfd entry{descriptor, POLLIN, 0};
+        const int ready = ::poll(&entry, 1, static_cast<int>(std::max<std::int64_t>(left.count(), 0)));
+        if (ready >= 0 || errno != EINTR) {
+            return ready > 0;
+        }
+    }
+}
+
+} // namespace
+
+child_process::child_process(const std::string& binary, const std::vector<std::string>& arguments,
+                             const std::vector<std::string>& environment)
+{
+    std::vector<std::string> words{path_of(binary)};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<std::string> variables = environment_with(environment);
+    std::array<int, 2> output{};
+    REQUIRE(::pipe2(output.data(), O_CLOEXEC) == 0);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    const int error = ::posix_spawn(&m_pid, words[0].c_str(), &actions, nullptr, pointers_to(words).data(),
+                                    pointers_to(variables).data());
+    posix_spawn_file_actions_destroy(&actions);
+    ::close(output[1]);
+    m_output = output[0];
+    REQUIRE_MESSAGE(error == 0, "cannot start " << words[0]);
+    m_pidfd = static_cast<int>(::syscall(SYS_pidfd_open, m_pid, 0));
+}
+
+child_process::~child_process()
+{
+    if (!m_exit_status) {
+        send_signal(SIGTERM);
+        if (!wait_for_exit(end_wait)) {
+            send_signal(SIGKILL);
+            wait_for_exit(end_wait);
+        }
+    }
+    ::close(m_pidfd);
+    ::close(m_output);
+}
+
+std::optional<std::string> child_process::read_line(std::chrono::milliseconds wait)
+{
+    const auto deadline = clock::now() + wait;
+    std::size_t end = m_buffered.find('\n');
+    while (end == std::string::npos) {
+        std::array<char, 4096> buf{};
+        const ssize_t n = wait_readable(m_output, deadline) ? ::read(m_output, buf.data(), buf.size()) : 0;
+        if (n <= 0) {
+            return std::nullopt;
+        }
+        m_buffered.append(buf.data(), static_cast<std::size_t>(n));
+        end = m_buffered.find('\n');
+    }
+    std::string line = m_buffered.substr(0, end);
+    m_buffered.erase(0, end + 1);
+    return line;
+}
+
+std::optional<std::string> child_process::read_listening(std::chrono::milliseconds wait)
+{
+    constexpr std::string_view prefix = "listening ";
+    const auto deadline = clock::now() + wait;
+    auto line = read_line(wait);
+    while (line && !line->starts_with(prefix)) {
+        line = read_line(std::chrono::ceil<std::chrono::milliseconds>(deadline - clock::now()));
+    }
+    return line ? std::optional(line->substr(prefix.size())) : std::nullopt;
+}
+
+void child_process::send_signal(int signal) const
+{
+    if (!m_exit_status) {
+        ::kill(m_pid, signal);
+    }
+}
+
+std::optional<int> child_process::wait_for_exit(std::chrono::milliseconds wait)
+{
+    if (!m_exit_status && wait_readable(m_pidfd, clock::now() + wait)) {
+        int status = 0;
+        ::waitpid(m_pid, &status, 0);
+        m_exit_status = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+    return m_exit_status;
+}
+
+} // namespace lagoonferry::test
