--- a/src/blackboard/board.h
+++ b/src/blackboard/board.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "blackboard/board_entry.h"
+#include "dispatch/dispatch_counters.h"
 #include "dispatch/group_map.h"
 #include "dispatch/target_info.h"
+#include "dispatch/target_track.h"
 #include "document/document_table.h"
 #include "membership/address_lookup.h"
 #include "membership/member.h"
@@ -68,6 +70,12 @@
     std::vector<std::uint32_t> own; ///< partitions that this process serves now
 };
 
+/// What a dispatcher knows about one group.
+struct group_status {
+    dispatch_counters counters;
+    std::vector<target_track> targets;
+};
+
 /// The state that the controllers of one process share. Each entry names the controller that writes it.
 struct board {
     board_entry<member_view> members;                               ///< membership controller
@@ -78,6 +86,7 @@
     board_entry<target_map> targets;                                ///< membership controller
     board_entry<std::vector<document_version>> announced_documents; ///< document controller
     board_entry<std::vector<owned_partition>> announced_partitions; ///< ownership controller
+    board_entry<std::map<std::string, group_status>> dispatch;      ///< dispatch controller, by group
     board_entry<std::uint32_t> load_percent;                        ///< the HTTP interface
     board_entry<bool> stopping;                                     ///< the process, on a planned stop
 };
--- /dev/null
+++ b/src/entry/control_api.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <caf/actor.hpp>
+
+#include <functional>
+#include <string>
+
+namespace caf {
+class actor_system;
+}
+
+namespace httplib {
+struct Request;
+struct Response;
+class Server;
+} // namespace httplib
+
+namespace lagoonferry {
+
+struct board;
+class call_counts;
+class entry_metrics;
+
+/// What the operators' endpoints need from the process.
+struct control_links {
+    caf::actor_system* actors = nullptr;
+    std::function<caf::actor()> membership; ///< the membership controller, which starts after the routes are added
+    caf::actor documents;
+    const board* shared = nullptr;
+    call_counts* counts = nullptr;
+    std::string platform;     ///< address of the key-value service
+    std::string operator_key; ///< empty: the endpoints refuse every request
+};
+
+/// The HTTP interface for operators, as docs/operators.md describes it. Handlers run on the server's threads.
+class control_api {
+public:
+    explicit control_api(control_links links) : m_links(std::move(links)) {}
+
+    /// Adds the routes. Precondition: the server is not running; it must not outlive this object.
+    void attach(httplib::Server& server);
+
+private:
+    using handler = void (control_api::*)(const httplib::Request&, httplib::Response&) const;
+
+    void guarded(handler member, const httplib::Request& request, httplib::Response& response) const;
+    void put_document(const httplib::Request& request, httplib::Response& response) const;
+    void get_document(const httplib::Request& request, httplib::Response& response) const;
+    void history(const httplib::Request& request, httplib::Response& response) const;
+    void targets(const httplib::Request& request, httplib::Response& response) const;
+    void instances(const httplib::Request& request, httplib::Response& response) const;
+    void programs(const httplib::Request& request, httplib::Response& response) const;
+    void drain(const httplib::Request& request, httplib::Response& response) const;
+
+    control_links m_links;
+};
+
+} // namespace lagoonferry
--- a/src/program/owner_calls.cpp
+++ b/src/program/owner_calls.cpp
@@ -272,7 +272,8 @@
 {
     const program_state& program = *find_program(call.program);
     call.step = call_step::running;
-    emit(send_tool_call{.call = call.id,
+    emit(send_tool_call{.request = call.request,
+                        .call = call.id,
                         .epoch = m_journal.epoch(),
                         .attempt = call.attempt,
                         .program = call.program,
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -160,7 +160,8 @@
 {
     const program_state& program = *find_program(call.program);
     call.step = call_step::running;
-    emit(start_engine_call{.call = call.id,
+    emit(start_engine_call{.request = call.request,
+                           .call = call.id,
                            .epoch = m_journal.epoch(),
                            .program = call.program,
                            .service = program.opened.service,
@@ -168,6 +169,7 @@
                            .turn = call.turn.number,
                            .messages = build_prompt(program.turns, call.turn.messages),
                            .max_completion_tokens = call.turn.max_completion_tokens,
+                           .tokens_spent = program.account.spent().tokens,
                            .deadline = call.deadline});
 }
 
--- /dev/null
+++ b/src/roles/dispatch_role.cpp
@@ -0,0 +1,54 @@
+#include "roles/dispatch_role.h"
+
+#include "roles/dispatch_controller.h"
+#include "roles/load_poller.h"
+#include "roles/role_process.h"
+#include "roles/stop_signal.h"
+#include "settings/role_options.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+#include <caf/send.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace lagoonferry {
+
+namespace {
+
+// Holders hear of the change by heartbeats and turn to the next dispatcher within this time.
+constexpr std::chrono::milliseconds leave_time{2000};
+
+} // namespace
+
+int run_dispatch_role(const std::vector<std::string>& args)
+{
+    const role_start start = read_role_options("dispatch", args, std::cout, std::cerr);
+    if (!start.values) {
+        return start.status;
+    }
+    block_stop_signals();
+    apply_log_settings(start.values->log);
+    role_process process(*start.values, member_role::dispatch);
+    if (!process.bind()) {
+        return exit_refused;
+    }
+    const std::string id = start.values->identity.instance_id.text();
+    const caf::actor dispatch = process.keep(
+        process.actors().spawn(dispatch_controller, id, process.incarnation(), &process.shared(), &process.sender()));
+    if (!process.start({}, dispatch)) {
+        return exit_refused;
+    }
+    process.keep(
+        process.actors().spawn<caf::detached>(load_poller, id, dispatch, &process.shared(), &process.engines()));
+    wait_for_stop_signal();
+    log(log_part::main, log_level::info, "Stopping.", field("id", id));
+    process.shared().stopping.write(true);
+    caf::anon_send(process.membership(), drain_request{});
+    std::this_thread::sleep_for(leave_time);
+    process.stop();
+    return exit_done;
+}
+
+} // namespace lagoonferry
--- a/src/roles/document_fetcher.cpp
+++ b/src/roles/document_fetcher.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds call_timeout{1000};
-constexpr std::chrono::milliseconds watch_timeout{5000};
+constexpr std::chrono::milliseconds watch_timeout{2000};
 constexpr std::chrono::milliseconds idle_interval{1000};
 
 std::vector<member> processes(const board& shared)
--- a/src/roles/document_fetcher.h
+++ b/src/roles/document_fetcher.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "document/document_table.h"
+#include "platform/kv_store.h"
+#include "platform/kv_watch.h"
 #include "roles/messages.h"
 
 #include <caf/behavior.hpp>
@@ -15,8 +17,6 @@
 
 struct board;
 class call_counts;
-class kv_store;
-class kv_watch;
 
 /// Where documents come from.
 struct document_sources {
--- /dev/null
+++ b/src/roles/entry_role.cpp
@@ -0,0 +1,225 @@
+#include "roles/entry_role.h"
+
+#include "entry/caller_api.h"
+#include "entry/control_api.h"
+#include "entry/entry_metrics.h"
+#include "entry/partition_router.h"
+#include "entry/tool_runner.h"
+#include "entry/turn_runner.h"
+#include "platform/http_tool_client.h"
+#include "roles/ask.h"
+#include "roles/ownership_controller.h"
+#include "roles/partition_controller.h"
+#include "roles/peer_controller.h"
+#include "roles/platform_worker.h"
+#include "roles/release_controller.h"
+#include "roles/replica_controller.h"
+#include "roles/role_process.h"
+#include "roles/slot_controller.h"
+#include "roles/stop_signal.h"
+#include "settings/role_options.h"
+#include "util/digest.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+#include <caf/send.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <stdexcept>
+#include <thread>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Calls of different partitions to the key-value service run in parallel up to this number.
+constexpr std::size_t platform_workers = 4;
+constexpr milliseconds platform_timeout{1000};
+constexpr std::size_t tool_connections = 4096;
+constexpr milliseconds stop_poll{100};
+
+// A stop that has not ended by then (a partition without successor, a stream without end) is forced.
+constexpr milliseconds longest_stop{600'000};
+
+/// The parts of one entry process and their connections.
+class entry_role {
+public:
+    explicit entry_role(const settings& values)
+        : m_process(values, member_role::entry), m_id(values.identity.instance_id.text()),
+          m_tools(tool_connections, m_process.counts())
+    {
+    }
+
+    bool start();
+    void stop();
+
+private:
+    void spawn_workers();
+    std::vector<caf::actor> spawn_partitions();
+    owner_settings settings_of(std::uint32_t partition) const;
+    void add_rpc_methods();
+    void add_routes();
+    std::uint64_t hand_over_partitions();
+
+    role_process m_process;
+    std::string m_id;
+    http_tool_client m_tools;
+    entry_metrics m_metrics;
+    caf::actor m_peers;
+    caf::actor m_replicas;
+    caf::actor m_releases;
+    caf::actor m_ownership;
+    caf::actor m_slots;
+    std::vector<caf::actor> m_platform;
+    std::optional<partition_router> m_router;
+    std::unique_ptr<turn_runner> m_turns;
+    std::unique_ptr<tool_runner> m_tool_runner;
+    std::unique_ptr<caller_api> m_callers;
+    std::unique_ptr<control_api> m_control;
+};
+
+bool entry_role::start()
+{
+    if (!m_process.bind()) {
+        return false;
+    }
+    spawn_workers();
+    const std::vector<caf::actor> partitions = spawn_partitions();
+    m_router.emplace(&m_process.shared(), partitions);
+    m_turns = std::make_unique<turn_runner>(&m_process.shared(), m_slots, &m_process.engines(),
+                                            static_cast<std::uint64_t>(steady_now().count()));
+    m_tool_runner = std::make_unique<tool_runner>(&m_process.shared(), &m_tools);
+    m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics);
+    add_rpc_methods();
+    add_routes();
+    if (!m_process.start(m_ownership, m_slots)) {
+        return false;
+    }
+    caf::anon_send(m_ownership, partition_actors{partitions});
+    return true;
+}
+
+void entry_role::spawn_workers()
+{
+    caf::actor_system& actors = m_process.actors();
+    for (std::size_t n = 0; n < platform_workers; ++n) {
+        m_platform.push_back(m_process.keep(actors.spawn<caf::detached>(platform_worker, m_process.platform_address(),
+                                                                        platform_timeout, &m_process.counts())));
+    }
+    m_peers = m_process.keep(actors.spawn(peer_controller, m_process.key().rpc_token()));
+    m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.incarnation()));
+    m_releases =
+        m_process.keep(actors.spawn<caf::detached>(release_controller, &m_process.shared(), &m_process.engines()));
+    m_slots = m_process.keep(actors.spawn(slot_controller, m_id, &m_process.shared(), &m_process.sender()));
+    ownership_options options;
+    options.self = m_id;
+    options.partitions = m_process.values().partitions.count;
+    options.presumed_down = milliseconds(m_process.values().timing.presumed_down_ms);
+    m_ownership = m_process.keep(actors.spawn(ownership_controller, options, m_peers, &m_process.shared()));
+}
+
+owner_settings entry_role::settings_of(std::uint32_t partition) const
+{
+    constexpr std::size_t writer_bytes = 8;
+    const settings& values = m_process.values();
+    owner_settings result;
+    result.partition = partition;
+    result.self = {m_id, advertised_ip(values.http).text + ':' + std::to_string(values.peer.rpc_port.value())};
+    result.failure_domain = values.identity.failure_domain.text();
+    result.writer = random_hex(writer_bytes);
+    result.backup_wait = milliseconds(values.timing.replica_wait_ms);
+    result.confirm_timeout = milliseconds(values.timing.intent_confirmation_ms);
+    return result;
+}
+
+std::vector<caf::actor> entry_role::spawn_partitions()
+{
+    std::vector<caf::actor> partitions;
+    for (std::uint32_t partition = 0; partition < m_process.values().partitions.count; ++partition) {
+        const partition_links links{
+            m_platform[partition % m_platform.size()], m_peers, m_replicas, m_releases, m_ownership, m_id};
+        partitions.push_back(
+            m_process.keep(m_process.actors().spawn(partition_controller, settings_of(partition), links)));
+    }
+    return partitions;
+}
+
+void entry_role::add_rpc_methods()
+{
+    m_process.rpc().add("replicate", [this](const nlohmann::json& parameters) {
+        const replica_request request{parameters.get<replicate_request>()};
+        const auto reply = ask<replicate_reply>(m_process.actors(), m_replicas, request);
+        return reply ? nlohmann::json(*reply) : throw std::invalid_argument("the replica store does not answer");
+    });
+    m_process.rpc().add("fetch", [this](const nlohmann::json& parameters) {
+        const replica_fetch request{parameters.get<fetch_request>()};
+        const auto reply = ask<fetch_reply>(m_process.actors(), m_replicas, request);
+        return reply ? nlohmann::json(*reply) : throw std::invalid_argument("the replica store does not answer");
+    });
+    m_process.rpc().add("take_over", [this](const nlohmann::json& parameters) {
+        caf::anon_send(m_ownership, takeover_request{parameters.at("partition").get<std::uint32_t>()});
+        return nlohmann::json::object();
+    });
+}
+
+void entry_role::add_routes()
+{
+    httplib::Server& server = m_process.http().server();
+    m_callers->attach(server);
+    m_control = std::make_unique<control_api>(control_links{
+        &m_process.actors(), [this] { return m_process.membership(); }, m_process.documents(), &m_process.shared(),
+        &m_process.counts(), m_process.platform_address(), m_process.values().keys.operators.reveal()});
+    m_control->attach(server);
+    server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
+        response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
+    });
+}
+
+std::uint64_t entry_role::hand_over_partitions()
+{
+    return ask<std::uint64_t>(m_process.actors(), m_ownership, stop_atom::value).value_or(0);
+}
+
+void entry_role::stop()
+{
+    log(log_part::main, log_level::info, "Stopping.", field("id", m_id));
+    const timestamp begun = steady_now();
+    m_process.shared().stopping.write(true);
+    caf::anon_send(m_process.membership(), drain_request{});
+    const timestamp cached_until = begun + milliseconds(m_process.values().timing.address_ttl_ms);
+    while (steady_now() < begun + longest_stop) {
+        const std::uint64_t partitions = hand_over_partitions();
+        const bool alone = m_process.shared().members.read()->entries.empty();
+        if (steady_now() >= cached_until && m_callers->active() == 0 && (partitions == 0 || alone)) {
+            break;
+        }
+        std::this_thread::sleep_for(stop_poll);
+    }
+    m_process.stop();
+    log(log_part::main, log_level::info, "Stopped.", field("id", m_id));
+}
+
+} // namespace
+
+int run_entry_role(const std::vector<std::string>& args)
+{
+    const role_start start = read_role_options("entry", args, std::cout, std::cerr);
+    if (!start.values) {
+        return start.status;
+    }
+    block_stop_signals();
+    apply_log_settings(start.values->log);
+    entry_role role(*start.values);
+    if (!role.start()) {
+        return exit_refused;
+    }
+    wait_for_stop_signal();
+    role.stop();
+    return exit_done;
+}
+
+} // namespace lagoonferry
--- a/src/roles/instance_poller.h
+++ b/src/roles/instance_poller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/instance_list.h"
 #include "roles/messages.h"
 
 #include <caf/actor.hpp>
@@ -14,7 +15,6 @@
 
 struct board;
 class call_counts;
-class instance_list;
 
 struct instance_poller_state {
     std::unique_ptr<instance_list> list;
--- /dev/null
+++ b/src/roles/load_poller.cpp
@@ -0,0 +1,52 @@
+#include "roles/load_poller.h"
+
+#include "blackboard/board.h"
+#include "platform/engine_client.h"
+
+#include <caf/event_based_actor.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::chrono::milliseconds poll_interval{1000};
+constexpr std::chrono::milliseconds call_timeout{200};
+
+bool serves(const target_map& map, const std::string& target, const std::string& id)
+{
+    const auto group = map.groups->group_of(target);
+    const auto order = group ? map.groups->dispatchers_of(*group) : std::vector<std::string>{};
+    return !order.empty() && order.front() == id;
+}
+
+target_loads poll(const target_map& map, const std::string& id, engine_client& engines)
+{
+    target_loads message;
+    for (const auto& [target, known] : map.targets) {
+        if (!serves(map, target, id)) {
+            continue;
+        }
+        failure why;
+        if (const auto load = engines.load(known.address, call_timeout, why)) {
+            message.reports.push_back({target, load->running, load->queued});
+        }
+    }
+    return message;
+}
+
+} // namespace
+
+caf::behavior load_poller(caf::stateful_actor<load_poller_state>* self, const std::string& id,
+                          const caf::actor& dispatch, const board* shared, engine_client* engines)
+{
+    self->send(self, tick_atom::value);
+    return {[=](tick_atom) {
+        const auto map = shared->targets.read();
+        if (map->groups) {
+            self->send(dispatch, poll(*map, id, *engines));
+        }
+        self->delayed_send(self, poll_interval, tick_atom::value);
+    }};
+}
+
+} // namespace lagoonferry
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dispatch/slot_holder.h"
+#include "dispatch/target_info.h"
 #include "document/document_record.h"
 #include "document/document_table.h"
 #include "membership/heartbeat.h"
@@ -67,6 +68,11 @@
     slot_message message;
 };
 
+/// Load reports of targets.
+struct target_loads {
+    std::vector<load_report> reports;
+};
+
 /// A heartbeat from another process and the address it came from.
 struct heartbeat_datagram {
     network_address from;
@@ -161,6 +167,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::list_documents)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::listed_documents)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::fetched_document)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::target_loads)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_partitions)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_call)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_actors)
--- a/src/roles/platform_worker.h
+++ b/src/roles/platform_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/kv_store.h"
 #include "roles/messages.h"
 
 #include <caf/behavior.hpp>
@@ -12,7 +13,6 @@
 namespace lagoonferry {
 
 class call_counts;
-class kv_store;
 
 struct platform_worker_state {
     std::unique_ptr<kv_store> store;
