Add membership: heartbeats, member table, placement, address lookup

Cause: processes must learn of leaving targets within 5 s, of documents within 6 s and of silent owners within about 6 s, while a heartbeat goes to only 3 peers. Change: a member table whose updates carry the age of the last sign of life; processes that share partitions contact each other in turn; targets are told in a compact list, with news about leaving first; weighted rendezvous hashing for partitions, duties and caller addresses.

--- a/src/document/document_diff.cpp
+++ b/src/document/document_diff.cpp
@@ -76,18 +76,19 @@
     void compare_members(const std::string& path, const std::map<std::string, const json*>& before,
                          const std::map<std::string, const json*>& after)
     {
+        const auto path_of = [&](const std::string& name) { return std::string(path).append("/").append(name); };
         for (const auto& [name, value] : before) {
             const auto it = after.find(name);
             if (it == after.end()) {
-                m_changes.push_back({change_kind::removed, path + "/" + name, *value, nullptr});
+                m_changes.push_back({change_kind::removed, path_of(name), *value, nullptr});
             }
             else {
-                compare(path + "/" + name, *value, *it->second);
+                compare(path_of(name), *value, *it->second);
             }
         }
         for (const auto& [name, value] : after) {
             if (!before.contains(name)) {
-                m_changes.push_back({change_kind::added, path + "/" + name, nullptr, *value});
+                m_changes.push_back({change_kind::added, path_of(name), nullptr, *value});
             }
         }
     }
--- a/src/document/document_put.cpp
+++ b/src/document/document_put.cpp
@@ -10,6 +10,23 @@
 
 constexpr timestamp retry_pause = std::chrono::milliseconds(100);
 
+void perform(const put_call& call, document_put& put, kv_store& store, const put_clock& clock)
+{
+    if (call.pause.count() > 0) {
+        clock.wait(call.pause);
+    }
+    switch (call.what) {
+    case put_call::kind::get:
+        return put.on_read(store.get(call.key), clock.now());
+    case put_call::kind::list:
+        return put.on_list(store.list(call.key));
+    case put_call::kind::compare_and_swap:
+        return put.on_write(store.compare_and_swap(call.key, call.expected, call.value), clock.now());
+    case put_call::kind::erase:
+        return put.on_write(store.erase(call.key, call.expected), clock.now());
+    }
+}
+
 } // namespace
 
 document_put::document_put(put_request request, timestamp deadline)
@@ -257,26 +274,13 @@
 
 put_result run_put(document_put& put, kv_store& store, const put_clock& clock)
 {
-    while (const auto call = put.next()) {
-        if (call->pause.count() > 0) {
-            clock.wait(call->pause);
-        }
-        switch (call->what) {
-        case put_call::kind::get:
-            put.on_read(store.get(call->key), clock.now());
-            break;
-        case put_call::kind::list:
-            put.on_list(store.list(call->key));
-            break;
-        case put_call::kind::compare_and_swap:
-            put.on_write(store.compare_and_swap(call->key, call->expected, call->value), clock.now());
-            break;
-        case put_call::kind::erase:
-            put.on_write(store.erase(call->key, call->expected), clock.now());
-            break;
+    while (true) {
+        const auto call = put.next();
+        if (!call) {
+            return put.result();
         }
+        perform(*call, put, store, clock);
     }
-    return put.result();
 }
 
 } // namespace lagoonferry
--- a/src/document/json_reader.cpp
+++ b/src/document/json_reader.cpp
@@ -60,7 +60,7 @@
         return;
     }
     result = value->get<double>();
-    if (!(result >= min && result <= max)) {
+    if (result < min || result > max) {
         fault(field, expected.str() + ", found " + value->dump());
     }
 }
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -14,21 +14,32 @@
 namespace lagoonferry {
 
 inline constexpr std::size_t max_heartbeat_updates = 8;
+inline constexpr std::size_t max_heartbeat_targets = 40;
 inline constexpr std::size_t max_heartbeat_documents = 4;
 inline constexpr std::size_t max_heartbeat_partitions = 24;
 
 /// Largest heartbeat in CBOR, bytes. With its envelope it stays below the 1,200 bytes that every path carries whole.
 inline constexpr std::size_t max_heartbeat_bytes = 1'000;
 
-/// What a process tells about a member. `sequence` counts the heartbeats of that member: a higher one proves that it
-/// was alive later.
+/// What a process tells about another process. `sequence` counts the heartbeats of that member and orders the updates
+/// of one incarnation. `age_ms` is the time since the teller's last sign of life of the member.
 struct member_update {
     member about;
     std::uint64_t sequence = 0;
+    std::uint32_t age_ms = 0;
 
     bool operator==(const member_update&) const = default;
 };
 
+/// What a process tells about a target. It is short, because all targets of a failure domain can leave at once.
+struct target_state {
+    std::string id;
+    std::uint64_t incarnation = 0;
+    member_state state = member_state::alive;
+
+    bool operator==(const target_state&) const = default;
+};
+
 /// A partition that the sender owns, with the epoch of its head record.
 struct owned_partition {
     std::uint32_t partition = 0;
@@ -40,8 +51,9 @@
 /// The datagram that processes send each other every 500 ms. Idempotent and unordered.
 struct heartbeat {
     member_update sender;
-    bool wants_answer = false; ///< the receiver answers with a heartbeat without updates
-    std::vector<member_update> updates;
+    bool wants_answer = false;          ///< the receiver answers with a heartbeat without updates
+    std::vector<member_update> updates; ///< about processes
+    std::vector<target_state> targets;
     std::vector<document_version> documents;
     std::vector<owned_partition> partitions;
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -34,8 +34,8 @@
     std::uint64_t incarnation = 0;
     member_state state = member_state::alive;
     member_role role = member_role::entry;
-    member_address address;
-    std::string failure_domain;
+    member_address address{};
+    std::string failure_domain{};
     std::uint32_t load_percent = 0; ///< used part of the capacity
     std::uint32_t capacity = 1;     ///< relative size of the machine, 1 to 100
 
--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,505 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+#include <limits>
+#include <utility>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Up to this number of processes, each is a contact of each.
+constexpr std::size_t small_fleet = 24;
+
+/// Updates in turn when there is little news: few, so that a quiet fleet has little traffic.
+constexpr std::size_t processes_in_turn = 3;
+constexpr std::size_t targets_in_turn = 4;
+
+/// With at most this number of contacts one of the peers of a heartbeat is chosen at random.
+constexpr std::size_t few_contacts = 12;
+
+/// Time after which a heartbeat to a contact is repeated when it was not answered.
+constexpr timestamp repetition_time = std::chrono::seconds(1);
+
+/// Processes per step of the judgement times for members that are not contacts: their news arrives only through
+/// forwarded updates, about 18 a second.
+constexpr std::size_t processes_per_scale_step = 8;
+
+/// A target is gone when this number of answers of the instance list in a row did not have it.
+constexpr std::size_t target_absences = 2;
+
+bool is_process(const member& item)
+{
+    return item.role != member_role::target;
+}
+
+/// Returns whether others profit from hearing of a member that is no news.
+bool is_of_use(const member& item)
+{
+    return is_process(item) ? item.state != member_state::gone && item.incarnation > 0
+                            : item.state != member_state::alive;
+}
+
+template <class T, class Record>
+void drop_surplus(std::vector<T>& items, std::vector<Record*>& records, const heartbeat& message)
+{
+    while (!items.empty() && encoded_bytes(message) > max_heartbeat_bytes) {
+        items.pop_back();
+        records.pop_back();
+    }
+}
+
+} // namespace
+
+member_table::member_table(member self, member_timing timing, std::uint16_t datagram_port, std::uint64_t seed,
+                           timestamp now)
+    : m_timing(timing), m_datagram_port(datagram_port),
+      m_random(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32U)))
+{
+    m_self.known.about = std::move(self);
+    m_self.incarnation_since = now;
+}
+
+bool member_table::receive(const heartbeat& message, timestamp now)
+{
+    if (message.sender.about.id != self().id) {
+        apply(message.sender, now);
+    }
+    for (const member_update& update : message.updates) {
+        apply(update, now);
+    }
+    for (const target_state& target : message.targets) {
+        apply({member{target.id, target.incarnation, target.state, member_role::target}}, now);
+    }
+    return message.wants_answer;
+}
+
+void member_table::heard_from(std::string_view id, timestamp now)
+{
+    record* item = find_record(id);
+    if (item != nullptr) {
+        item->last_heard = now;
+    }
+}
+
+void member_table::merge_instances(std::span<const listed_instance> list, timestamp now)
+{
+    m_list_answered = true;
+    m_listed.clear();
+    for (const listed_instance& row : list) {
+        m_listed.insert(row.id);
+        merge_row(row, now);
+    }
+    for (auto& [id, item] : m_records) {
+        if (!m_listed.contains(id)) {
+            merge_absence(item, now);
+        }
+    }
+    update_contacts(now);
+}
+
+bool member_table::mark_leaving(std::string_view id, timestamp now)
+{
+    record* item = find_record(id);
+    if (item == nullptr || item->known.about.state == member_state::gone) {
+        return false;
+    }
+    raise_state(*item, member_state::leaving, now);
+    return true;
+}
+
+void member_table::set_targets(std::set<std::string, std::less<>> ids, timestamp now)
+{
+    m_targets = std::move(ids);
+    for (const std::string& id : m_targets) {
+        if (find_record(id) == nullptr) {
+            start_incarnation(m_records[id], {member{id, 0, member_state::alive, member_role::target}, 0}, now);
+        }
+    }
+}
+
+void member_table::set_own_load(std::uint32_t percent)
+{
+    m_self.known.about.load_percent = percent;
+}
+
+void member_table::set_contacts(std::set<std::string, std::less<>> ids, timestamp now)
+{
+    m_contacts = std::move(ids);
+    update_contacts(now);
+}
+
+heartbeat member_table::next_heartbeat(std::vector<document_version> documents, std::vector<owned_partition> partitions,
+                                       timestamp now)
+{
+    ++m_self.known.sequence;
+    heartbeat message{m_self.known, true, {}, {}, std::move(documents), std::move(partitions)};
+    std::vector<record*> processes = to_tell(true, max_heartbeat_updates, processes_in_turn, m_last_process_told);
+    std::vector<record*> targets = to_tell(false, max_heartbeat_targets, targets_in_turn, m_last_target_told);
+    std::ranges::transform(targets, std::back_inserter(message.targets), [](const record* item) {
+        const member& about = item->known.about;
+        return target_state{about.id, about.incarnation, about.state};
+    });
+    std::ranges::transform(processes, std::back_inserter(message.updates),
+                           [&](const record* item) { return as_told(*item, now); });
+    drop_surplus(message.updates, processes, message);
+    drop_surplus(message.targets, targets, message);
+    std::ranges::copy(targets, std::back_inserter(processes));
+    for (record* item : processes) {
+        item->tellings_left -= item->tellings_left > 0 ? 1 : 0;
+    }
+    return message;
+}
+
+heartbeat member_table::answer(const heartbeat& message, std::vector<owned_partition> partitions) const
+{
+    heartbeat result{m_self.known, false, {}, {}, {}, std::move(partitions)};
+    const member& sender = message.sender.about;
+    const record* known = find_record(sender.id);
+    if (known != nullptr && known != &m_self &&
+        (known->known.about.state > sender.state || known->known.about.incarnation > sender.incarnation)) {
+        result.updates.push_back(known->known);
+    }
+    return result;
+}
+
+std::vector<member> member_table::next_peers(std::size_t count, timestamp now)
+{
+    std::erase_if(m_records, [&](const auto& pair) { return forgettable(pair.second, now); });
+    update_contacts(now);
+    std::vector<record*> contacts;
+    std::vector<record*> others;
+    for (auto& [id, item] : m_records) {
+        if (contactable(item)) {
+            (item.contact ? contacts : others).push_back(&item);
+        }
+    }
+    std::ranges::shuffle(others, m_random);
+    order_contacts(contacts, now);
+    const std::size_t random_peers = contacts.size() > few_contacts ? 0 : std::min<std::size_t>(1, others.size());
+    const std::size_t from_contacts = std::min(contacts.size(), count - std::min(count, random_peers));
+    std::vector<record*> chosen(contacts.begin(), contacts.begin() + static_cast<std::ptrdiff_t>(from_contacts));
+    std::ranges::copy(others, std::back_inserter(chosen));
+    chosen.resize(std::min(chosen.size(), count));
+    std::vector<member> peers;
+    for (record* item : chosen) {
+        item->last_contacted = now;
+        peers.push_back(addressed(*item));
+    }
+    return peers;
+}
+
+// The longest without contact comes first, after one contact whose answer seems to be lost. More repetitions would keep
+// the live contacts waiting when a whole failure domain is silent.
+void member_table::order_contacts(std::vector<record*>& contacts, timestamp now)
+{
+    std::ranges::shuffle(contacts, m_random);
+    std::ranges::stable_sort(contacts, {},
+                             [](const record* item) { return std::max(item->last_heard, item->last_contacted); });
+    const auto unanswered = [&](const record* item) {
+        return item->last_contacted > item->last_heard && now - item->last_contacted >= repetition_time &&
+               now - item->last_heard < m_timing.presumed_down;
+    };
+    const auto it = std::ranges::find_if(contacts, unanswered);
+    if (it != contacts.end()) {
+        std::rotate(contacts.begin(), it, it + 1);
+    }
+}
+
+member_judgement member_table::judge(std::string_view id, timestamp now) const
+{
+    const record* item = find_record(id);
+    return item == nullptr ? member_judgement::presumed_down : judge(*item, now);
+}
+
+std::optional<member> member_table::find(std::string_view id) const
+{
+    const record* item = find_record(id);
+    return item == nullptr ? std::nullopt : std::optional(item->known.about);
+}
+
+std::vector<member> member_table::members(member_role role) const
+{
+    std::vector<member> result;
+    const auto add_if = [&](const member& item) {
+        if (item.role == role && item.state != member_state::gone) {
+            result.push_back(item);
+        }
+    };
+    add_if(self());
+    for (const auto& [id, item] : m_records) {
+        add_if(item.known.about);
+    }
+    std::ranges::sort(result, {}, &member::id);
+    return result;
+}
+
+std::vector<member> member_table::usable(member_role role, timestamp now) const
+{
+    std::vector<member> result = members(role);
+    std::erase_if(result, [&](const member& item) {
+        return item.state != member_state::alive || judge(item.id, now) == member_judgement::presumed_down;
+    });
+    return result;
+}
+
+bool member_table::excluded(std::string_view target) const
+{
+    const record* item = find_record(target);
+    return item != nullptr && item->known.about.state != member_state::alive;
+}
+
+std::optional<bool> member_table::listed(std::string_view id) const
+{
+    return m_list_answered ? std::optional(m_listed.contains(id)) : std::nullopt;
+}
+
+member_table::record* member_table::find_record(std::string_view id)
+{
+    if (id == self().id) {
+        return &m_self;
+    }
+    const auto it = m_records.find(id);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+const member_table::record* member_table::find_record(std::string_view id) const
+{
+    return const_cast<member_table*>(this)->find_record(id);
+}
+
+void member_table::apply(const member_update& update, timestamp now)
+{
+    if (update.about.id == self().id) {
+        return apply_to_self(update, now);
+    }
+    record* item = find_record(update.about.id);
+    if (item == nullptr) {
+        record& added = m_records[update.about.id];
+        start_incarnation(added, update, now);
+        return tell(added);
+    }
+    if (update.about.incarnation > item->known.about.incarnation) {
+        // The instance list knows no incarnations, so the first one that is heard of is no news.
+        const bool known_from_list = item->known.about.incarnation == 0 && is_process(update.about);
+        start_incarnation(*item, update, now);
+        return known_from_list && update.about.state == member_state::alive ? void() : tell(*item);
+    }
+    if (update.about.incarnation < item->known.about.incarnation) {
+        return;
+    }
+    raise_state(*item, update.about.state, now);
+    item->last_heard = std::max(item->last_heard, now - milliseconds(update.age_ms));
+    if (update.sequence > item->known.sequence) {
+        const member_state state = item->known.about.state;
+        item->known = update;
+        item->known.about.state = state;
+    }
+}
+
+void member_table::apply_to_self(const member_update& update, timestamp now)
+{
+    member& own = m_self.known.about;
+    if (update.about.incarnation > own.incarnation) {
+        m_superseded = true;
+        return;
+    }
+    if (update.about.incarnation < own.incarnation) {
+        return;
+    }
+    if (update.about.state == member_state::leaving) {
+        return raise_state(m_self, member_state::leaving, now);
+    }
+    // Others take this process for gone: a new incarnation overrides that.
+    if (update.about.state == member_state::gone) {
+        ++own.incarnation;
+        tell(m_self);
+    }
+}
+
+void member_table::start_incarnation(record& item, const member_update& update, timestamp now)
+{
+    item.known = update;
+    item.last_heard = now - milliseconds(update.age_ms);
+    item.incarnation_since = now;
+    item.missing = false;
+    item.absences = 0;
+    item.state_since = now;
+}
+
+member_update member_table::as_told(const record& item, timestamp now)
+{
+    constexpr std::int64_t max_age = std::numeric_limits<std::uint32_t>::max();
+    const auto age = std::chrono::duration_cast<milliseconds>(now - item.last_heard).count();
+    member_update update = item.known;
+    update.age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, max_age));
+    return update;
+}
+
+void member_table::raise_state(record& item, member_state state, timestamp now)
+{
+    if (state <= item.known.about.state) {
+        return;
+    }
+    item.known.about.state = state;
+    item.state_since = now;
+    tell(item);
+}
+
+void member_table::merge_row(const listed_instance& row, timestamp now)
+{
+    record* item = find_record(row.id);
+    if (item == nullptr) {
+        member about{row.id, 0, member_state::alive, row.role, row.address, row.failure_domain};
+        item = &m_records[row.id];
+        start_incarnation(*item, {about, 0}, now);
+    }
+    member& about = item->known.about;
+    item->missing = false;
+    item->absences = 0;
+    if (about.role == member_role::target && about.state == member_state::gone && !row.leaving) {
+        member back = about;
+        ++back.incarnation;
+        back.state = member_state::alive;
+        start_incarnation(*item, {back, 0}, now);
+        tell(*item);
+    }
+    if (row.leaving) {
+        merge_leaving(*item, now);
+    }
+    item->listed_leaving = row.leaving;
+    item->was_listed = true;
+}
+
+// The list may still show a former incarnation as leaving. It speaks of the present one if it changed to leaving while
+// the present one was known, or if it still says so after its lag.
+void member_table::merge_leaving(record& item, timestamp now)
+{
+    const bool changed = item.was_listed && !item.listed_leaving;
+    const bool first_of_target = !item.was_listed && !is_process(item.known.about);
+    if (changed || first_of_target || now - item.incarnation_since >= m_timing.list_lag) {
+        raise_state(item, member_state::leaving, now);
+    }
+}
+
+void member_table::merge_absence(record& item, timestamp now)
+{
+    if (item.known.about.state == member_state::gone) {
+        return;
+    }
+    if (!is_process(item.known.about)) {
+        item.absences += item.was_listed ? 1 : 0;
+        if (item.absences >= target_absences) {
+            raise_state(item, member_state::gone, now);
+        }
+        return;
+    }
+    if (!item.was_listed && now - item.incarnation_since < m_timing.list_lag) {
+        return;
+    }
+    const bool silent = item.missing && judge(item, now) != member_judgement::heard;
+    item.missing = true;
+    if (silent) {
+        raise_state(item, member_state::gone, now);
+    }
+}
+
+bool member_table::forgettable(const record& item, timestamp now) const
+{
+    const member& about = item.known.about;
+    const bool old = now - item.state_since >= m_timing.forget_gone;
+    if (about.state == member_state::gone) {
+        return old;
+    }
+    const bool in_use = is_process(about) || item.was_listed || m_targets.contains(about.id);
+    return !in_use && (old || about.state == member_state::alive);
+}
+
+void member_table::tell(record& item)
+{
+    item.tellings_left = static_cast<std::size_t>(std::bit_width(m_process_count + 1));
+}
+
+void member_table::update_contacts(timestamp now)
+{
+    m_process_count = 1 + static_cast<std::size_t>(std::ranges::count_if(m_records, [](const auto& pair) {
+                          const member& about = pair.second.known.about;
+                          return is_process(about) && about.state != member_state::gone;
+                      }));
+    const bool all = m_process_count <= small_fleet;
+    for (auto& [id, item] : m_records) {
+        const bool contact = is_process(item.known.about) && (all || item.missing || m_contacts.contains(id));
+        if (contact && !item.contact) {
+            item.contact_since = now;
+        }
+        item.contact = contact;
+    }
+}
+
+// News come first, above all members that are leaving or gone, then a few others in turn.
+std::vector<member_table::record*> member_table::to_tell(bool processes, std::size_t limit, std::size_t in_turn,
+                                                         std::string& last_told)
+{
+    std::vector<record*> chosen;
+    for (auto& [id, item] : m_records) {
+        if (item.tellings_left > 0 && is_process(item.known.about) == processes) {
+            chosen.push_back(&item);
+        }
+    }
+    std::ranges::shuffle(chosen, m_random);
+    std::ranges::stable_sort(chosen, std::greater{}, [](const record* item) {
+        return std::pair(item->known.about.state, item->tellings_left);
+    });
+    chosen.resize(std::min(chosen.size(), limit));
+    auto it = m_records.upper_bound(last_told);
+    for (std::size_t n = 0; n < m_records.size() && chosen.size() < in_turn; ++n, ++it) {
+        it = it == m_records.end() ? m_records.begin() : it;
+        const bool wanted = is_process(it->second.known.about) == processes && is_of_use(it->second.known.about);
+        if (wanted && std::ranges::find(chosen, &it->second) == chosen.end()) {
+            chosen.push_back(&it->second);
+            last_told = it->first;
+        }
+    }
+    return chosen;
+}
+
+bool member_table::contactable(const record& item) const
+{
+    const member& about = item.known.about;
+    return is_process(about) && about.state != member_state::gone && addressed(item).address.datagram_port != 0;
+}
+
+member member_table::addressed(const record& item) const
+{
+    member result = item.known.about;
+    if (result.address.datagram_port == 0) {
+        result.address.datagram_port = m_datagram_port;
+    }
+    return result;
+}
+
+member_judgement member_table::judge(const record& item, timestamp now) const
+{
+    if (&item == &m_self) {
+        return member_judgement::heard;
+    }
+    if (item.known.about.state == member_state::gone) {
+        return member_judgement::presumed_down;
+    }
+    if (!is_process(item.known.about)) {
+        return member_judgement::heard;
+    }
+    const std::size_t steps = item.contact ? 1 : 1 + m_process_count / processes_per_scale_step;
+    const timestamp silent = now - (item.contact ? std::max(item.last_heard, item.contact_since) : item.last_heard);
+    if (silent >= m_timing.presumed_down * static_cast<std::int64_t>(steps)) {
+        return member_judgement::presumed_down;
+    }
+    return silent >= m_timing.suspicion * static_cast<std::int64_t>(steps) ? member_judgement::suspected
+                                                                           : member_judgement::heard;
+}
+
+} // namespace lagoonferry
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -24,7 +24,7 @@
     timestamp suspicion = std::chrono::seconds(3);
     timestamp presumed_down = std::chrono::seconds(6);
     timestamp forget_gone = std::chrono::minutes(10);
-    timestamp unlisted_grace = std::chrono::minutes(1); ///< lag of the instance list for a member it never listed
+    timestamp list_lag = std::chrono::minutes(1); ///< how long the instance list may show a former incarnation
 };
 
 /// What one process knows about the others and about targets. Decides who hears the next heartbeat and which updates
@@ -33,7 +33,7 @@
 public:
     /// `self` is alive. `datagram_port` is used for members of which only the instance list has told; 0 means that
     /// they are not contacted. `seed` starts the choice of random peers.
-    member_table(member self, member_timing timing, std::uint16_t datagram_port, std::uint64_t seed);
+    member_table(member self, member_timing timing, std::uint16_t datagram_port, std::uint64_t seed, timestamp now);
 
     /// Takes a heartbeat. Returns whether the sender wants an answer.
     bool receive(const heartbeat& message, timestamp now);
@@ -42,41 +42,52 @@
     void heard_from(std::string_view id, timestamp now);
 
     /// Merges one answer of the instance list. It adds members, and marks members as leaving or gone, but never takes
-    /// a leaving or gone incarnation back to alive.
+    /// a leaving incarnation back to alive. A process that is missing in the list is gone when it is silent as well; a
+    /// target when it is missing twice in a row. A target that is back in the list gets a new incarnation.
     void merge_instances(std::span<const listed_instance> list, timestamp now);
 
     /// Marks the present incarnation of a member or target as leaving, for good. Returns false for an unknown id.
     bool mark_leaving(std::string_view id, timestamp now);
 
-    /// Adds targets of documents, so that their leaving can be recorded before the instance list names them.
-    void add_targets(std::span<const listed_instance> targets, timestamp now);
+    /// Sets the targets of the documents in force, so that they are known before the instance list names them.
+    void set_targets(std::set<std::string, std::less<>> ids, timestamp now);
 
+    /// Sets the used part of the capacity of this process in percent.
     void set_own_load(std::uint32_t percent);
 
-    /// Sets the members with which this process shares partitions. They hear from each other within the suspicion
-    /// time at any fleet size; others are judged by forwarded updates, with times that grow with the fleet.
-    void set_contacts(std::vector<std::string> ids);
+    /// Sets the members with which this process shares partitions. They are contacted in turn, so that both sides hear
+    /// from each other within the suspicion time at any fleet size. Others are judged by forwarded updates, with times
+    /// that grow with the fleet. In a small fleet all processes are contacts.
+    void set_contacts(std::set<std::string, std::less<>> ids, timestamp now);
 
-    /// Returns the next heartbeat, without documents and partitions. Each call counts as one round of updates.
-    heartbeat next_heartbeat(timestamp now);
+    /// Returns the next heartbeat with as many updates as fit. Each call starts a round of heartbeats.
+    heartbeat next_heartbeat(std::vector<document_version> documents, std::vector<owned_partition> partitions,
+                             timestamp now);
 
-    /// Returns a heartbeat without updates, as the answer to one that wants an answer.
-    heartbeat answer() const;
+    /// Returns the answer to a heartbeat that wants one. Its only update tells the sender when this process takes it
+    /// for leaving, gone or superseded.
+    heartbeat answer(const heartbeat& message, std::vector<owned_partition> partitions) const;
 
-    /// Returns the members that get the next heartbeat, at most `count`: the contact not heard for longest, the
-    /// others at random.
+    /// Returns at most `count` members that get the next heartbeat, and counts them as contacted. Nothing while no
+    /// member is known: the caller then contacts the seeds of its settings.
     std::vector<member> next_peers(std::size_t count, timestamp now);
 
-    /// Returns the judgement about a member; an unknown or gone one is presumed down, and targets are never judged.
+    /// Returns the judgement about a member. Unknown and gone ones are presumed down; targets and this process are
+    /// always heard.
     member_judgement judge(std::string_view id, timestamp now) const;
 
     const member& self() const { return m_self.known.about; }
+
+    /// Returns whether another process runs with the id of this one and a later start. This one should stop.
+    bool superseded() const { return m_superseded; }
+
+    /// Returns what is known about a member, this process or a target.
     std::optional<member> find(std::string_view id) const;
 
     /// Returns the members of a role that are not gone, ordered by id, with this process if it has the role.
     std::vector<member> members(member_role role) const;
 
-    /// Returns the alive members of a role that are not presumed down.
+    /// Returns the alive members of a role that are not presumed down, with this process if it is alive.
     std::vector<member> usable(member_role role, timestamp now) const;
 
     /// Returns whether a target may get no new work because it is leaving or gone.
@@ -89,25 +100,35 @@
     struct record {
         member_update known;
         timestamp last_heard{};
-        bool ever_heard = false;
-        std::size_t tellings_left = 0;
+        timestamp incarnation_since{};
+        timestamp contact_since{};
+        timestamp last_contacted{};
+        timestamp state_since{};
+        bool contact = false;
         bool was_listed = false;
         bool listed_leaving = false;
+        bool missing = false; ///< in the last answer of the instance list, although it should be there
         std::size_t absences = 0;
-        timestamp gone_since{};
+        std::size_t tellings_left = 0;
     };
 
-    record& add(member_update update, timestamp now);
+    record* find_record(std::string_view id);
+    const record* find_record(std::string_view id) const;
     void apply(const member_update& update, timestamp now);
-    void override_state(record& item, member_state state, timestamp now);
-    void refute(const member_update& update);
+    void apply_to_self(const member_update& update, timestamp now);
+    void start_incarnation(record& item, const member_update& update, timestamp now);
+    static member_update as_told(const record& item, timestamp now);
+    void raise_state(record& item, member_state state, timestamp now);
     void merge_row(const listed_instance& row, timestamp now);
+    void merge_leaving(record& item, timestamp now);
     void merge_absence(record& item, timestamp now);
-    void forget(timestamp now);
+    bool forgettable(const record& item, timestamp now) const;
     void tell(record& item);
-    std::vector<record*> updates_to_tell();
-    timestamp scale() const;
+    void update_contacts(timestamp now);
+    std::vector<record*> to_tell(bool processes, std::size_t limit, std::size_t in_turn, std::string& last_told);
+    void order_contacts(std::vector<record*>& contacts, timestamp now);
     bool contactable(const record& item) const;
+    member addressed(const record& item) const;
     member_judgement judge(const record& item, timestamp now) const;
 
     record m_self;
@@ -116,9 +137,13 @@
     std::minstd_rand m_random;
     std::map<std::string, record, std::less<>> m_records;
     std::set<std::string, std::less<>> m_contacts;
+    std::set<std::string, std::less<>> m_targets;
     std::set<std::string, std::less<>> m_listed;
+    std::size_t m_process_count = 1; ///< processes that were not gone at the last round, with this one
     bool m_list_answered = false;
-    std::string m_next_told;
+    bool m_superseded = false;
+    std::string m_last_process_told;
+    std::string m_last_target_told;
 };
 
 } // namespace lagoonferry
--- a/src/membership/placement.h
+++ b/src/membership/placement.h
@@ -46,6 +46,7 @@
     };
 
     std::vector<const candidate*> ordered(std::uint32_t partition) const;
+    static std::vector<std::string> backups_in(const std::vector<const candidate*>& order, const candidate& owner);
 
     std::vector<candidate> m_candidates;
 };
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,570 @@
+#include "document/document_table.h"
+#include "membership/address_lookup.h"
+#include "membership/duty.h"
+#include "membership/member_table.h"
+#include "membership/partition_owners.h"
+#include "membership/placement.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+member entry_member(std::size_t n, std::size_t domains = 3)
+{
+    const std::string id = "entry-" + std::to_string(n);
+    return {id,
+            1'700'000'000 + n,
+            member_state::alive,
+            member_role::entry,
+            {"10.0." + std::to_string(n / 250) + "." + std::to_string(n % 250 + 1), 8080, 8081, 8082},
+            "domain-" + std::to_string(n % domains)};
+}
+
+std::vector<member> entries(std::size_t count)
+{
+    std::vector<member> result;
+    for (std::size_t n = 0; n < count; ++n) {
+        result.push_back(entry_member(n));
+    }
+    return result;
+}
+
+member_table table_of(std::size_t n)
+{
+    return {entry_member(n), {}, 0, n + 1, {}};
+}
+
+heartbeat heartbeat_of(const member& sender, std::uint64_t sequence, std::vector<member_update> updates = {})
+{
+    return {{sender, sequence}, false, std::move(updates), {}, {}, {}};
+}
+
+listed_instance row_of(const member& item, bool leaving = false)
+{
+    return {item.id, item.role, item.address, item.failure_domain, leaving};
+}
+
+listed_instance target_row(std::string id, bool leaving = false)
+{
+    return {std::move(id), member_role::target, {}, "domain-0", leaving};
+}
+
+/// Processes that exchange heartbeats on virtual time, with lost datagrams.
+class fleet {
+public:
+    fleet(std::size_t count, unsigned loss_percent) : m_loss_percent(loss_percent), m_random(7)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            tables.push_back(
+                std::make_unique<member_table>(entry_member(n, 9), member_timing{}, std::uint16_t{0}, n + 1, now));
+        }
+        std::vector<listed_instance> list;
+        for (std::size_t n = 0; n < count; ++n) {
+            list.push_back(row_of(tables[n]->self()));
+            list.push_back(target_row("target-" + std::to_string(n)));
+        }
+        for (const auto& table : tables) {
+            table->merge_instances(list, now);
+        }
+        documents.resize(count);
+        down.resize(count);
+    }
+
+    void run(timestamp time)
+    {
+        for (const timestamp end = now + time; now < end; now += milliseconds(500)) {
+            for (std::size_t n = 0; n < tables.size(); ++n) {
+                send_round(n);
+            }
+        }
+    }
+
+    /// Returns how long it takes until `condition` holds for every process, at most 60 s.
+    template <class Condition>
+    timestamp time_until_all(Condition condition)
+    {
+        const timestamp start = now;
+        const auto holds = [&](std::size_t n) { return down[n] || condition(n); };
+        while (now - start < seconds(60)) {
+            run(milliseconds(500));
+            bool all = true;
+            for (std::size_t n = 0; n < tables.size(); ++n) {
+                all = all && holds(n);
+            }
+            if (all) {
+                break;
+            }
+        }
+        return now - start;
+    }
+
+    timestamp now = seconds(1'000);
+    std::vector<std::unique_ptr<member_table>> tables;
+    std::vector<document_table> documents;
+    std::vector<bool> down;
+    bool measure_bytes = false;
+    std::size_t bytes = 0;
+
+private:
+    void send_round(std::size_t n)
+    {
+        if (down[n]) {
+            return;
+        }
+        const heartbeat message =
+            tables[n]->next_heartbeat(documents[n].next_heartbeat(max_heartbeat_documents), {}, now);
+        for (const member& peer : tables[n]->next_peers(3, now)) {
+            const std::size_t to = std::stoul(peer.id.substr(6));
+            if (deliver(message, to)) {
+                deliver(tables[to]->answer(message, {}), n);
+            }
+        }
+    }
+
+    bool deliver(const heartbeat& message, std::size_t to)
+    {
+        bytes += measure_bytes ? encoded_bytes(message) : 0;
+        if (down[to] || m_random() % 100 < m_loss_percent) {
+            return false;
+        }
+        documents[to].learn(message.sender.about.id, message.documents);
+        for (const document_fetch& fetch : documents[to].start_fetches(now)) {
+            documents[to].install(documents[std::stoul(fetch.peer.substr(6))].find(fetch.service)->record);
+        }
+        return tables[to]->receive(message, now);
+    }
+
+    unsigned m_loss_percent;
+    std::minstd_rand m_random;
+};
+
+document_record small_record(std::uint64_t version)
+{
+    const nlohmann::json by_class{{"safety", 1}, {"interactive", 1}, {"normal", 1}, {"bulk", 1}};
+    const auto each = [&](const nlohmann::json& value) {
+        nlohmann::json result;
+        for (const auto& [name, unused] : by_class.items()) {
+            result[name] = value;
+        }
+        return result;
+    };
+    const nlohmann::json body{
+        {"service", "s"},
+        {"owner_team", "t"},
+        {"accounts", nlohmann::json::array()},
+        {"models", nlohmann::json::array()},
+        {"tools", nlohmann::json::array()},
+        {"classes", each({{"first_token_ms", 1}, {"between_tokens_ms", 1}, {"program_ms", 1}})},
+        {"priorities", each({{"engine_priority", 0}, {"headroom_percent", 0}})},
+        {"budgets", {{"tokens", 1}, {"calls", 1}, {"money_micro", 0}, {"mark_share_percent", 25}}},
+        {"objectives", each({{"good_percent", 99}, {"window_days", 28}})},
+    };
+    return {"s", version, "w", "a", 0, body};
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat is read back from its encoding, and damaged ones are refused")
+{
+    heartbeat message = heartbeat_of(entry_member(1), 7, {{entry_member(2), 9}});
+    message.wants_answer = true;
+    message.targets = {{"target-1", 1, member_state::leaving}};
+    message.documents = {{"boat-assignment", 12}};
+    message.partitions = {{3, 2}, {31, 900}};
+    const nlohmann::json encoded = to_json(message);
+    CHECK(heartbeat_from_json(encoded) == message);
+    const auto refuses = [&](const char* pointer, const nlohmann::json& value) {
+        nlohmann::json damaged = encoded;
+        damaged[nlohmann::json::json_pointer(pointer)] = value;
+        return !heartbeat_from_json(damaged);
+    };
+    CHECK(refuses("/m", 1));
+    CHECK(refuses("/m/i", std::string(33, 'a')));
+    CHECK(refuses("/m/i", "a b"));
+    CHECK(refuses("/m/p/0", 70'000));
+    CHECK(refuses("/m/r", 2));
+    CHECK(refuses("/u/0/s", 3));
+    CHECK(refuses("/u/0/n", -1));
+    CHECK(refuses("/u/0/c", 0));
+    CHECK(refuses("/t/0/0", "a b"));
+    CHECK(refuses("/t/0/2", 3));
+    CHECK(refuses("/d/0", "boat-assignment"));
+    CHECK(refuses("/o", {1, 2, 3}));
+    CHECK(refuses("/o", {1, "x"}));
+    CHECK(refuses("/u", nlohmann::json(9, encoded["u"][0])));
+    CHECK_FALSE(heartbeat_from_json(nlohmann::json::array()));
+}
+
+TEST_CASE("eight usual updates fit into a datagram, and the longest names still leave room for some")
+{
+    const auto size_with = [](const member& sample, std::size_t& updates) {
+        member_table table(sample, {}, 0, 1, {});
+        for (std::size_t n = 0; n < 30; ++n) {
+            member other = sample;
+            other.id.replace(other.id.size() - 2, 2, std::to_string(n + 10));
+            table.receive(heartbeat_of(other, 1), {});
+        }
+        const heartbeat message =
+            table.next_heartbeat({{std::string(20, 's'), 300}}, {{10, 5}, {20, 5}, {30, 5}}, seconds(1));
+        updates = message.updates.size();
+        return encoded_bytes(message);
+    };
+    std::size_t updates = 0;
+    CHECK(size_with(entry_member(110), updates) <= max_heartbeat_bytes);
+    CHECK(updates == max_heartbeat_updates);
+    member longest = entry_member(110);
+    longest.id = std::string(32, 'i');
+    longest.failure_domain = std::string(16, 'd');
+    longest.address = {"fd00:1111:2222:3333:4444:5555:6666:7777", 65'535, 65'535, 65'535};
+    CHECK(size_with(longest, updates) <= max_heartbeat_bytes);
+    CHECK(updates >= 4);
+}
+
+TEST_CASE("leaving is sticky for an incarnation and overrides the instance list")
+{
+    member_table table = table_of(0);
+    const member other = entry_member(1);
+    table.receive(heartbeat_of(other, 1), seconds(1));
+    CHECK(table.mark_leaving(other.id, seconds(1)));
+    table.receive(heartbeat_of(other, 2), seconds(2));
+    table.merge_instances(std::array{row_of(other)}, seconds(2));
+    CHECK(table.find(other.id)->state == member_state::leaving);
+    CHECK(table.usable(member_role::entry, seconds(2)).size() == 1);
+    member restarted = other;
+    ++restarted.incarnation;
+    table.receive(heartbeat_of(restarted, 1), seconds(3));
+    CHECK(table.find(other.id)->state == member_state::alive);
+    table.receive(heartbeat_of(other, 9), seconds(3));
+    CHECK(table.find(other.id)->incarnation == restarted.incarnation);
+    CHECK_FALSE(table.mark_leaving("unknown", seconds(3)));
+}
+
+TEST_CASE("a lagging instance list does not mark a new incarnation as leaving")
+{
+    member_table table = table_of(0);
+    member other = entry_member(1);
+    table.receive(heartbeat_of(other, 1), seconds(1));
+    table.merge_instances(std::array{row_of(other)}, seconds(2));
+    table.merge_instances(std::array{row_of(other, true)}, seconds(4));
+    CHECK(table.find(other.id)->state == member_state::leaving);
+    ++other.incarnation;
+    table.receive(heartbeat_of(other, 1), seconds(5));
+    table.merge_instances(std::array{row_of(other, true)}, seconds(6));
+    CHECK(table.find(other.id)->state == member_state::alive);
+    table.receive(heartbeat_of(other, 2), seconds(70));
+    table.merge_instances(std::array{row_of(other, true)}, seconds(70));
+    CHECK(table.find(other.id)->state == member_state::leaving);
+}
+
+TEST_CASE("a member that left the instance list is gone only when it is silent as well")
+{
+    member_table table = table_of(0);
+    const member other = entry_member(1);
+    table.receive(heartbeat_of(other, 1), seconds(1));
+    table.merge_instances(std::array{row_of(other)}, seconds(2));
+    CHECK(table.listed(other.id) == true);
+    for (int n = 3; n < 10; ++n) {
+        table.receive(heartbeat_of(other, static_cast<std::uint64_t>(n)), seconds(n));
+        table.merge_instances({}, seconds(n));
+        CHECK(table.find(other.id)->state == member_state::alive);
+    }
+    CHECK(table.listed(other.id) == false);
+    table.merge_instances({}, seconds(13));
+    CHECK(table.find(other.id)->state == member_state::gone);
+    CHECK(table.judge(other.id, seconds(13)) == member_judgement::presumed_down);
+}
+
+TEST_CASE("a process that is wrongly taken for gone hears of it and comes back with a new incarnation")
+{
+    member_table table = table_of(0);
+    member_table wronged = table_of(1);
+    member gone = wronged.self();
+    gone.state = member_state::gone;
+    table.receive(heartbeat_of(entry_member(2), 1, {{gone, 0}}), seconds(1));
+    const heartbeat message = wronged.next_heartbeat({}, {}, seconds(1));
+    table.receive(message, seconds(1));
+    CHECK(table.find(gone.id)->state == member_state::gone);
+    wronged.receive(table.answer(message, {}), seconds(1));
+    CHECK(wronged.self().incarnation == gone.incarnation + 1);
+    table.receive(wronged.next_heartbeat({}, {}, seconds(1)), seconds(2));
+    CHECK(table.find(gone.id)->state == member_state::alive);
+    CHECK_FALSE(wronged.superseded());
+}
+
+TEST_CASE("a process learns that it is leaving or superseded")
+{
+    member_table table = table_of(0);
+    member about = table.self();
+    about.state = member_state::leaving;
+    table.receive(heartbeat_of(entry_member(1), 1, {{about, 0}}), seconds(1));
+    CHECK(table.self().state == member_state::leaving);
+    CHECK_FALSE(table.superseded());
+    ++about.incarnation;
+    table.receive(heartbeat_of(entry_member(1), 2, {{about, 0}}), seconds(1));
+    CHECK(table.superseded());
+}
+
+TEST_CASE("a target is gone after two missing answers and comes back with a new incarnation")
+{
+    member_table table = table_of(0);
+    table.merge_instances(std::array{target_row("t")}, seconds(2));
+    CHECK_FALSE(table.excluded("t"));
+    table.merge_instances({}, seconds(4));
+    CHECK_FALSE(table.excluded("t"));
+    table.merge_instances({}, seconds(6));
+    CHECK(table.excluded("t"));
+    table.merge_instances(std::array{target_row("t")}, seconds(8));
+    CHECK_FALSE(table.excluded("t"));
+    CHECK(table.find("t")->incarnation == 1);
+    table.merge_instances(std::array{target_row("t", true)}, seconds(10));
+    table.merge_instances(std::array{target_row("t")}, seconds(12));
+    CHECK(table.excluded("t"));
+}
+
+TEST_CASE("a leaving target is remembered before the document that names it, and forgotten after it")
+{
+    member_table table = table_of(0);
+    heartbeat message = heartbeat_of(entry_member(1), 1);
+    message.targets = {{"t", 0, member_state::leaving}};
+    table.receive(message, seconds(1));
+    table.next_peers(3, seconds(2));
+    table.set_targets({"t", "u"}, seconds(3));
+    CHECK(table.excluded("t"));
+    CHECK_FALSE(table.excluded("u"));
+    CHECK(table.mark_leaving("u", seconds(3)));
+    table.set_targets({}, seconds(4));
+    table.next_peers(3, seconds(900));
+    CHECK_FALSE(table.find("t"));
+}
+
+TEST_CASE("silence leads to suspicion after 3 s and to presumed down after 6 s")
+{
+    member_table table = table_of(0);
+    const std::string id = entry_member(1).id;
+    table.receive(heartbeat_of(entry_member(1), 5), seconds(10));
+    CHECK(table.judge(id, milliseconds(12'999)) == member_judgement::heard);
+    CHECK(table.judge(id, seconds(13)) == member_judgement::suspected);
+    CHECK(table.judge(id, seconds(16)) == member_judgement::presumed_down);
+    table.receive(heartbeat_of(entry_member(2), 1, {{entry_member(1), 6, 5'000}}), seconds(16));
+    CHECK(table.judge(id, seconds(16)) == member_judgement::suspected);
+    table.receive(heartbeat_of(entry_member(2), 2, {{entry_member(1), 6, 500}}), seconds(16));
+    CHECK(table.judge(id, seconds(16)) == member_judgement::heard);
+    table.heard_from(id, seconds(20));
+    CHECK(table.judge(id, seconds(22)) == member_judgement::heard);
+    table.receive(heartbeat_of(entry_member(1), 9), seconds(21));
+    CHECK(table.judge(id, seconds(23)) == member_judgement::heard);
+    CHECK(table.judge("unknown", seconds(22)) == member_judgement::presumed_down);
+}
+
+TEST_CASE("in a fleet of 16 with 2% loss no live member is presumed down, and a dead one is within 8 s")
+{
+    fleet all(16, 2);
+    all.run(seconds(10));
+    all.measure_bytes = true;
+    for (int n = 0; n < 120; ++n) {
+        all.run(seconds(1));
+        for (const auto& table : all.tables) {
+            REQUIRE(table->usable(member_role::entry, all.now).size() == 16);
+        }
+    }
+    const std::size_t rate = all.bytes / 16 / 120;
+    MESSAGE("heartbeats of a quiet fleet of 16: " << rate << " bytes per second and process");
+    CHECK(rate < 5'000);
+    all.down[5] = true;
+    const timestamp time = all.time_until_all(
+        [&](std::size_t n) { return all.tables[n]->judge("entry-5", all.now) == member_judgement::presumed_down; });
+    MESSAGE("a dead member is presumed down everywhere after " << time.count() / 1000 << " ms");
+    CHECK(time >= seconds(5));
+    CHECK(time <= seconds(8));
+}
+
+TEST_CASE("in a fleet of 340 a leaving target and a new document reach every process within their bounds")
+{
+    fleet all(340, 2);
+    all.run(seconds(10));
+    all.tables[17]->mark_leaving("target-11", all.now);
+    const timestamp target_time =
+        all.time_until_all([&](std::size_t n) { return all.tables[n]->excluded("target-11"); });
+    MESSAGE("a leaving target is known to 340 processes after " << target_time.count() / 1000 << " ms");
+    CHECK(target_time < seconds(5));
+    all.documents[200].install(small_record(1));
+    const timestamp document_time =
+        all.time_until_all([&](std::size_t n) { return all.documents[n].find("s") != nullptr; });
+    MESSAGE("a document is in force in 340 processes after " << document_time.count() / 1000 << " ms");
+    CHECK(document_time < seconds(6));
+    const auto group = [](auto action) {
+        for (int n = 40; n < 80; ++n) {
+            action("target-" + std::to_string(n));
+        }
+    };
+    group([&](const std::string& id) { REQUIRE(all.tables[8]->mark_leaving(id, all.now)); });
+    const timestamp group_time = all.time_until_all([&](std::size_t n) {
+        bool excluded = true;
+        group([&](const std::string& id) { excluded = excluded && all.tables[n]->excluded(id); });
+        return excluded;
+    });
+    MESSAGE("a leaving group of 40 targets is known to 340 processes after " << group_time.count() / 1000 << " ms");
+    CHECK(group_time < seconds(5));
+    all.tables[3]->mark_leaving("entry-100", all.now);
+    const timestamp entry_time = all.time_until_all(
+        [&](std::size_t n) { return all.tables[n]->find("entry-100")->state == member_state::leaving; });
+    CHECK(entry_time < seconds(5));
+}
+
+TEST_CASE("in a fleet of 340 partition contacts hear from each other, and others are not presumed down")
+{
+    fleet all(340, 2);
+    const auto contact = [](std::size_t a, std::size_t b) { return a != b && (a + b) % 14 == 0; };
+    for (std::size_t n = 0; n < 340; ++n) {
+        std::set<std::string, std::less<>> ids;
+        for (std::size_t other = 0; other < 340; ++other) {
+            if (contact(n, other)) {
+                ids.insert(entry_member(other).id);
+            }
+        }
+        all.tables[n]->set_contacts(ids, all.now);
+    }
+    all.run(seconds(8));
+    for (int n = 0; n < 4; ++n) {
+        all.run(seconds(2));
+        for (const auto& table : all.tables) {
+            REQUIRE(table->usable(member_role::entry, all.now).size() == 340);
+        }
+    }
+    all.down[5] = true;
+    const timestamp time = all.time_until_all([&](std::size_t n) {
+        return !contact(n, 5) || all.tables[n]->judge("entry-5", all.now) == member_judgement::presumed_down;
+    });
+    CHECK(time <= seconds(9));
+}
+
+TEST_CASE("partitions are placed by capacity, in different failure domains, and few move with a member")
+{
+    std::vector<member> members = entries(9);
+    members[0].capacity = 3;
+    const placement before(members);
+    std::map<std::string, int> owned;
+    for (std::uint32_t p = 0; p < 4'096; ++p) {
+        const auto placed = *before.of(p);
+        ++owned[placed.owner];
+        const auto domain = [&](const std::string& id) {
+            return std::ranges::find(members, id, &member::id)->failure_domain;
+        };
+        REQUIRE(placed.backups.size() == 2);
+        CHECK(std::set{domain(placed.owner), domain(placed.backups[0]), domain(placed.backups[1])}.size() == 3);
+        CHECK(before.backups_for(p, placed.owner) == placed.backups);
+    }
+    CHECK(owned["entry-0"] == doctest::Approx(4'096 * 3 / 11).epsilon(0.1));
+    CHECK(owned["entry-1"] == doctest::Approx(4'096 / 11).epsilon(0.2));
+    members.erase(members.begin() + 4);
+    const placement after(members);
+    for (std::uint32_t p = 0; p < 4'096; ++p) {
+        CHECK((before.of(p)->owner == "entry-4" || before.of(p)->owner == after.of(p)->owner));
+    }
+    CHECK_FALSE(placement({}).of(1));
+}
+
+TEST_CASE("a backup takes over before a member without the replica")
+{
+    const std::vector<member> members = entries(9);
+    const placement all(members);
+    const auto placed = *all.of(7);
+    std::vector<member> left = members;
+    std::erase_if(left, [&](const member& item) { return item.id == placed.owner; });
+    CHECK(placement(left).successor(7, placed.backups) == placed.backups[0]);
+    std::erase_if(left, [&](const member& item) { return item.id == placed.backups[0]; });
+    CHECK(placement(left).successor(7, placed.backups) == placed.backups[1]);
+    std::erase_if(left, [&](const member& item) { return item.id == placed.backups[1]; });
+    CHECK(placement(left).successor(7, placed.backups) == placement(left).of(7)->owner);
+    CHECK_FALSE(placement({}).successor(7, placed.backups));
+}
+
+TEST_CASE("the owner with the highest epoch is known, and own partitions are told in turn")
+{
+    partition_owners owners("me");
+    owners.learn("a", std::array{owned_partition{1, 5}});
+    owners.learn("b", std::array{owned_partition{1, 4}, owned_partition{2, 1}});
+    CHECK(owners.find(1) == partition_owner{"a", 5});
+    owners.set_own({{1, 6}, {3, 1}, {4, 1}});
+    CHECK(owners.find(1) == partition_owner{"me", 6});
+    CHECK(owners.next_heartbeat(2) == std::vector{owned_partition{1, 6}, owned_partition{3, 1}});
+    CHECK(owners.next_heartbeat(2) == std::vector{owned_partition{4, 1}, owned_partition{1, 6}});
+    CHECK(owners.next_heartbeat(9).size() == 3);
+    owners.set_own({{3, 1}});
+    CHECK_FALSE(owners.find(1));
+    CHECK(owners.find(2) == partition_owner{"b", 1});
+}
+
+TEST_CASE("each failure domain has one holder of a duty, which changes only when the holder goes")
+{
+    std::vector<member> members = entries(12);
+    const auto holders = duty_holders(duty::poll_instances, members);
+    REQUIRE(holders.size() == 3);
+    CHECK(has_duty(duty::poll_instances, members, holders[1]));
+    std::erase_if(members, [&](const member& item) { return item.id == holders[0]; });
+    const auto after = duty_holders(duty::poll_instances, members);
+    CHECK(after[0] != holders[0]);
+    CHECK(after[1] == holders[1]);
+    CHECK(after[2] == holders[2]);
+}
+
+TEST_CASE("addresses are ordered by capacity and load, and a change moves only its own callers")
+{
+    std::vector<member> members = entries(8);
+    members[0].capacity = 2;
+    address_lookup lookup(seconds(10));
+    lookup.update(members);
+    const auto first = [&](int caller) { return lookup.order("club", std::to_string(caller), 3).addresses.at(0); };
+    std::map<int, std::string> before;
+    std::map<std::string, int> share;
+    for (int caller = 0; caller < 3'000; ++caller) {
+        before[caller] = first(caller);
+        ++share[before[caller]];
+    }
+    CHECK(share["10.0.0.1:8080"] == doctest::Approx(3'000 * 2 / 9).epsilon(0.15));
+    members[1].load_percent = 85;
+    members[2].load_percent = 45;
+    members[3].state = member_state::leaving;
+    lookup.update(members);
+    int moved = 0;
+    for (const auto& [caller, address] : before) {
+        const bool changed = first(caller) != address;
+        moved += changed ? 1 : 0;
+        CHECK((!changed || address == "10.0.0.2:8080" || address == "10.0.0.4:8080"));
+    }
+    CHECK(moved == doctest::Approx(share["10.0.0.4:8080"] + 0.6 * share["10.0.0.2:8080"]).epsilon(0.2));
+    const address_answer answer = lookup.order("club", "", 20);
+    CHECK(answer.addresses.size() == 7);
+    CHECK(std::ranges::find(answer.addresses, "10.0.0.4:8080") == answer.addresses.end());
+    CHECK(answer.ttl == seconds(10));
+}
+
+TEST_CASE("a load that swings around the border of a step moves callers only once")
+{
+    std::vector<member> members = entries(4);
+    address_lookup lookup(seconds(10));
+    const auto all_first = [&](std::uint32_t load) {
+        members[0].load_percent = load;
+        lookup.update(members);
+        std::vector<std::string> result;
+        for (int caller = 0; caller < 500; ++caller) {
+            result.push_back(lookup.order("club", std::to_string(caller), 1).addresses.at(0));
+        }
+        return result;
+    };
+    const auto calm = all_first(60);
+    const auto busy = all_first(66);
+    CHECK(busy != calm);
+    CHECK(all_first(61) == busy);
+    CHECK(all_first(66) == busy);
+    CHECK(all_first(59) == calm);
+}
