Add a seeded check of the core protocol with a fake world

Cause: correctness under failure needs more than single cases. Change: a key-value fake, a world of four instances with crashes, pauses, losses and late writes on a virtual clock, and checks of order, history, budget, single execution and truthful answers. Fixes found by it: an entry with a text reaches the head only when a backup or a segment holds the text; marks at a handover include reservations; a derived turn number is refused when the caller's list contains unknown answers.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -69,6 +69,7 @@
     m_release = false;
     m_epoch = 0;
     m_confirm = 0;
+    m_stored = 0;
     m_phase = journal_phase::reading;
     m_chain.load();
 }
@@ -169,7 +170,9 @@
     if (m_phase == journal_phase::loading) {
         load_next(now);
     }
-    const bool at_once = m_phase == journal_phase::publishing || m_phase == journal_phase::handing_over;
+    // Without backups, a confirmed entry has to wait for the segment with the texts before it.
+    const bool blocked = m_confirm > m_durable && writable() < m_confirm;
+    const bool at_once = m_phase == journal_phase::publishing || m_phase == journal_phase::handing_over || blocked;
     m_segments.poll(m_epoch, at_once, now);
     start_snapshot();
     if (m_snapshot) {
@@ -482,6 +485,11 @@
     return m_phase == journal_phase::publishing || (m_phase == journal_phase::handing_over && m_release);
 }
 
+std::uint64_t journal::writable() const
+{
+    return std::min(m_last, std::max(m_stored, m_segments.written(m_last)));
+}
+
 bool journal::has_room() const
 {
     return m_tail_bytes < m_settings->write_limit || (m_snapshot && m_snapshot->version());
@@ -499,7 +507,7 @@
         return true;
     }
     const std::optional<timestamp> due = lazy_due();
-    const bool entries_due = m_confirm > m_durable || (due && now >= *due);
+    const bool entries_due = writable() > m_durable && (m_confirm > m_durable || (due && now >= *due));
     return entries_due && has_room();
 }
 
@@ -526,6 +534,7 @@
 
 void journal::add_entries(head_record& next) const
 {
+    const std::uint64_t limit = writable();
     std::size_t bytes = 0;
     for (const entry& it : next.tail) {
         bytes += entry_bytes(it);
@@ -534,7 +543,7 @@
         if (it.item.sequence <= m_durable) {
             continue;
         }
-        if (bytes >= m_settings->write_limit) {
+        if (bytes >= m_settings->write_limit || it.item.sequence > limit) {
             return;
         }
         bytes += entry_bytes(it.item.content);
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -9,6 +9,7 @@
 #include "journal/segment_set.h"
 #include "util/wake_time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -77,6 +78,10 @@
     /// A backup reported a higher epoch, so another instance owns the partition.
     void stop();
 
+    /// Tells which part of the log backups hold. An entry with a text is written to the head only once its text is
+    /// held by a backup or a segment; otherwise the loss of this process alone would leave a turn without text.
+    void set_stored(std::uint64_t sequence) { m_stored = std::max(m_stored, sequence); }
+
     /// Removes an ended program from later snapshots.
     void forget(std::string_view program);
 
@@ -146,6 +151,7 @@
     void start_snapshot();
     void sweep_orphans();
     bool wants_write(timestamp now) const;
+    std::uint64_t writable() const;
     bool has_room() const;
     bool writes_everything() const;
     bool stopped() const;
@@ -176,6 +182,7 @@
     std::size_t m_log_bytes = 0;
     std::uint64_t m_last = 0;
     std::uint64_t m_durable = 0;
+    std::uint64_t m_stored = 0;
     std::uint64_t m_confirm = 0; ///< the last sequence that should be written without delay
     std::size_t m_tail_bytes = 0;
 
--- a/src/journal/segment_set.cpp
+++ b/src/journal/segment_set.cpp
@@ -173,6 +173,14 @@
     return m_pending.empty() ? last : m_pending.front().sequence - 1;
 }
 
+std::uint64_t segment_set::written(std::uint64_t last) const
+{
+    if (m_write && !m_written) {
+        return m_batch.first - 1;
+    }
+    return m_pending.empty() ? last : m_pending.front().sequence - 1;
+}
+
 std::optional<timestamp> segment_set::next_wake() const
 {
     if (m_write) {
--- a/src/journal/segment_set.h
+++ b/src/journal/segment_set.h
@@ -47,6 +47,9 @@
     /// Returns whether every text is in a segment that `next_keys` names.
     bool complete() const { return m_pending.empty() && (!m_write || m_written); }
 
+    /// Every text up to this sequence is in a segment that `next_keys` names, where `last` is the last sequence in use.
+    std::uint64_t written(std::uint64_t last) const;
+
     /// Every text up to this sequence is in a segment that the head names, where `last` is the last sequence in use.
     std::uint64_t flushed(std::uint64_t last) const;
 
--- a/src/program/budget_account.h
+++ b/src/program/budget_account.h
@@ -41,8 +41,8 @@
     const budget& limits() const { return m_limits; }
     const budget& marked() const { return m_marked; }
 
-    /// Spent by the program itself, without reservations.
-    const budget& spent() const { return m_spent; }
+    /// Spent or reserved by the program itself.
+    budget used() const { return m_spent + m_reserved; }
 
     /// Everything that may have been spent: own spending, reservations, children.
     budget committed() const { return m_spent + m_reserved + m_children; }
--- a/src/program/history.cpp
+++ b/src/program/history.cpp
@@ -23,6 +23,13 @@
     return chain_digest(given) == turn.digest;
 }
 
+bool is_answer(const std::string& message)
+{
+    const json value = json::parse(message, nullptr, false);
+    const auto role = value.find("role");
+    return role != value.end() && *role == "assistant";
+}
+
 /// Returns where each leading turn that the list repeats begins, and where the rest of the list begins.
 std::vector<std::size_t> match_turns(std::span<const std::string> messages, std::span<const text_ref> history)
 {
@@ -67,7 +74,8 @@
 {
     const std::vector<std::size_t> begins = match_turns(messages, history);
     const std::uint64_t matched = begins.size() - 1;
-    if (number == 0) {
+    const bool implied = number == 0;
+    if (implied) {
         number = std::max<std::uint64_t>(matched + 1, history.size());
     }
     if (number > matched + 1) {
@@ -81,6 +89,10 @@
         return std::nullopt;
     }
     messages.erase(messages.begin(), messages.begin() + static_cast<std::ptrdiff_t>(begin));
+    if (implied && std::ranges::any_of(messages, is_answer)) {
+        reason = {result_code::turn_conflict, "the list contains an answer that is not in the stored history"};
+        return std::nullopt;
+    }
     return turn_request{number, std::move(messages)};
 }
 
--- a/src/program/history.h
+++ b/src/program/history.h
@@ -26,7 +26,8 @@
 };
 
 /// Splits a caller's full list of canonical messages at the turns of `history` and compares each part with the digest
-/// chain. `number` 0 stands for the turn that the list implies: the next one, or a repetition of the last one.
+/// chain. `number` 0 stands for the turn that the list implies: the next one, or a repetition of the last one; the new
+/// messages must then not contain answers, because an answer that the history lacks shows that a turn was lost.
 /// Returns nothing, with the reason in `reason`, if the list differs from the history. Thread-safe.
 std::optional<turn_request> split_full_history(std::vector<std::string> messages, std::span<const text_ref> history,
                                                std::uint64_t number, failure& reason);
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -115,6 +115,7 @@
     advance_takeover();
     if (m_phase == owner_phase::ready || m_phase == owner_phase::handing_over) {
         m_stored = m_backups.stored(m_journal, m_now);
+        m_journal.set_stored(m_stored);
         answer_waiting();
         advance_calls();
         clean_up();
@@ -257,7 +258,7 @@
 void partition_owner::core::append_final_marks()
 {
     for (auto& [id, program] : m_programs) {
-        const budget spent = program.account.spent();
+        const budget spent = program.account.used();
         if (!program.ended && program.account.marked() != spent) {
             program.account.set_mark(spent);
             append(mark_entry{id, spent});
--- /dev/null
+++ b/tests/fake_world.cpp
@@ -0,0 +1,1013 @@
+#include "fake_world.h"
+
+#include "journal/segment_set.h"
+#include "program/history.h"
+#include "util/digest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace lagoonferry::test {
+
+namespace {
+
+using nlohmann::json;
+using result = std::variant<success, refusal>;
+
+constexpr std::size_t instance_count = 4;
+constexpr std::uint32_t partition = 0;
+constexpr timestamp presumed_down_after{std::chrono::milliseconds{500}};
+constexpr timestamp unlisted_after{std::chrono::milliseconds{1500}};
+constexpr timestamp quiet_limit{std::chrono::seconds{90}};
+constexpr std::uint64_t max_completion = 40;
+
+/// Events that callers cause; a `kv_reply` has a request number as well, but of another kind.
+template <class T>
+concept caller_event = requires(T it)
+{
+    it.account;
+};
+
+const refusal* refused(const result* it)
+{
+    return it == nullptr ? nullptr : std::get_if<refusal>(it);
+}
+
+std::string message(const std::string& program, const std::string& text)
+{
+    return json{{"role", "user"}, {"content", program + " " + text}}.dump();
+}
+
+} // namespace
+
+fake_world::fake_world(const world_options& options) : m_options(options), m_random(options.seed)
+{
+    m_faults_end = m_now + millis(1500, 4500);
+    m_instances.resize(instance_count);
+    for (std::size_t n = 0; n < instance_count; ++n) {
+        m_instances[n].id = "e" + std::to_string(n);
+        start(n);
+    }
+    publish_membership();
+    drive_ownership();
+    const std::uint64_t faults = 2 + pick(7);
+    for (std::uint64_t n = 0; n < faults; ++n) {
+        at(millis(200, static_cast<std::uint64_t>((m_faults_end - m_now).count() / 1000)), [this] { inject_fault(); });
+    }
+    for (int n = 0; n < 3; ++n) {
+        client it;
+        it.program = std::to_string(partition) + "-p" + std::to_string(n);
+        const bool small = chance(30);
+        it.limits = small ? budget{4000, 12, 300} : budget{1000000, 4000, 400000};
+        client& added = m_clients.emplace(it.program, it).first->second;
+        after(added, millis(1, 100));
+    }
+}
+
+timestamp fake_world::millis(std::uint64_t low, std::uint64_t high)
+{
+    return std::chrono::microseconds{low * 1000 + pick((high - low) * 1000 + 1)};
+}
+
+void fake_world::at(timestamp delay, std::function<void()> run)
+{
+    m_queue.push({m_now + delay, ++m_order, std::make_shared<std::function<void()>>(std::move(run))});
+}
+
+void fake_world::fail(const std::string& what)
+{
+    if (!m_violation) {
+        m_violation = what;
+        trace("VIOLATION " + what);
+    }
+}
+
+void fake_world::trace(const std::string& text) const
+{
+    if (m_options.trace) {
+        std::cerr << m_now.count() << ' ' << text << '\n';
+    }
+}
+
+std::optional<std::string> fake_world::run()
+{
+    bool healed = false;
+    while (!m_queue.empty() && !m_violation) {
+        const scheduled next = m_queue.top();
+        m_queue.pop();
+        m_now = std::max(m_now, next.at);
+        if (quiet() && !healed) {
+            healed = true;
+            for (std::size_t n = 0; n < instance_count; ++n) {
+                m_instances[n].paused_until = timestamp{0};
+                if (!m_instances[n].alive) {
+                    start(n);
+                }
+            }
+            publish_membership();
+        }
+        if (quiet() && (finished() || m_now > m_faults_end + quiet_limit)) {
+            break;
+        }
+        ++m_counts.events;
+        (*next.run)();
+    }
+    if (!m_violation) {
+        check_end();
+    }
+    return m_violation;
+}
+
+// Instances
+
+void fake_world::start(std::size_t n)
+{
+    instance& it = m_instances[n];
+    ++it.incarnation;
+    it.alive = true;
+    it.paused_until = timestamp{0};
+    owner_settings settings;
+    settings.partition = partition;
+    settings.self = {it.id, it.id};
+    settings.failure_domain = "d" + std::to_string(n % 3);
+    settings.writer = it.id + "." + std::to_string(it.incarnation);
+    settings.faults = m_options.faults;
+    settings.journal.read_back = m_options.read_back;
+    settings.journal.tail_limit = 1024;
+    settings.journal.merge_segments_above = 3;
+    it.owner = std::make_unique<partition_owner>(settings);
+    it.store = std::make_unique<replica_store>(it.id, it.incarnation, replica_limits{}, m_options.check_epochs);
+    trace("start " + settings.writer);
+}
+
+void fake_world::crash(std::size_t n)
+{
+    instance& it = m_instances[n];
+    if (!it.alive) {
+        return;
+    }
+    trace("crash " + it.id);
+    it.alive = false;
+    it.stopped_at = m_now;
+    const auto present = head();
+    const bool listed = present && std::ranges::count(present->backups, backup_ref{it.id, it.id, it.incarnation}) > 0;
+    if (listed) {
+        m_lossy_epochs.insert(present->ready_epoch);
+    }
+    it.owner.reset();
+    it.store.reset();
+    const auto requests = std::exchange(it.requests, {});
+    for (const auto& [id, open] : requests) {
+        at(millis(1, 5), [done = open.done] { done(nullptr, 0); });
+    }
+    if (listed && present->epoch != present->ready_epoch) {
+        check_recoverable();
+    }
+    at(millis(100, 2500), [this, n] {
+        if (!m_instances[n].alive) {
+            start(n);
+        }
+    });
+}
+
+void fake_world::pause(std::size_t n)
+{
+    m_instances[n].paused_until = m_now + millis(50, 3000);
+    m_instances[n].stopped_at = m_now;
+    trace("pause " + m_instances[n].id);
+}
+
+void fake_world::inject_fault()
+{
+    const timestamp end = m_now + millis(100, 2500);
+    const std::uint64_t kind = pick(9);
+    trace("fault " + std::to_string(kind));
+    const std::size_t n = pick(instance_count);
+    switch (kind) {
+    case 0:
+    case 1:
+        crash(n);
+        return;
+    case 2:
+        crash(n);
+        crash((n + 1 + pick(instance_count - 1)) % instance_count);
+        return;
+    case 3:
+    case 4:
+        pause(n);
+        return;
+    case 5:
+        m_kv_outage_end = end;
+        return;
+    case 6:
+        m_kv_slow_end = end;
+        return;
+    case 7:
+        m_kv_lossy_end = end;
+        return;
+    default:
+        m_net_lossy_end = end;
+        m_cut_until[{n, pick(instance_count)}] = end;
+        return;
+    }
+}
+
+void fake_world::publish_membership()
+{
+    for (std::size_t to = 0; to < instance_count; ++to) {
+        membership_changed view;
+        for (std::size_t n = 0; n < instance_count; ++n) {
+            const instance& it = m_instances[(to + n) % instance_count];
+            const bool stopped = !it.alive || it.paused_until > m_now;
+            const bool silent = stopped && m_now >= it.stopped_at + presumed_down_after;
+            const bool listed = it.alive || m_now < it.stopped_at + unlisted_after;
+            view.peers.push_back({{it.id, it.id},
+                                  it.incarnation,
+                                  "d" + std::to_string((to + n) % instance_count % 3),
+                                  silent,
+                                  false,
+                                  listed});
+        }
+        deliver(to, view);
+    }
+    at(millis(200, 400), [this] { publish_membership(); });
+}
+
+void fake_world::drive_ownership()
+{
+    const auto active = [](const instance& it) { return it.alive && it.owner->phase() != owner_phase::idle; };
+    const auto working = [&](const instance& it) { return active(it) && it.paused_until <= m_now; };
+    const bool healthy = std::ranges::any_of(m_instances, working);
+    const std::size_t n = pick(instance_count);
+    const bool idle = m_instances[n].alive && m_instances[n].owner->phase() == owner_phase::idle;
+    if (idle && (healthy ? !quiet() && chance(5) : chance(60))) {
+        trace("takeover by " + m_instances[n].id);
+        deliver(n, start_takeover{});
+    }
+    if (!quiet() && chance(6) && m_instances[n].alive && m_instances[n].owner->phase() == owner_phase::ready) {
+        trace("handover by " + m_instances[n].id);
+        const std::string to = "e" + std::to_string((n + 1) % instance_count);
+        deliver(n, start_handover{{to, to}});
+    }
+    at(millis(100, 300), [this] { drive_ownership(); });
+}
+
+void fake_world::deliver(std::size_t to, event input, std::uint64_t incarnation)
+{
+    const std::uint64_t wanted = incarnation == 0 ? m_instances[to].incarnation : incarnation;
+    at(timestamp{0}, [this, to, wanted, input = std::move(input)] { deliver_now(to, input, wanted); });
+}
+
+void fake_world::deliver_now(std::size_t to, const event& input, std::uint64_t incarnation)
+{
+    const instance& it = m_instances[to];
+    if (!it.alive || it.incarnation != incarnation) {
+        return;
+    }
+    if (it.paused_until > m_now) {
+        at(it.paused_until - m_now, [this, to, incarnation, input] { deliver_now(to, input, incarnation); });
+        return;
+    }
+    handle(to, input);
+}
+
+void fake_world::handle(std::size_t to, const event& input)
+{
+    for (const action& it : m_instances[to].owner->handle(input, m_now)) {
+        std::visit([&](const auto& typed) { perform(to, typed); }, it);
+    }
+    set_timer(to);
+}
+
+void fake_world::set_timer(std::size_t to)
+{
+    instance& it = m_instances[to];
+    const auto wake = it.owner->next_wake();
+    const std::uint64_t number = ++it.timer;
+    if (!wake) {
+        return;
+    }
+    at(std::max(*wake - m_now, timestamp{1}), [this, to, number, incarnation = it.incarnation] {
+        if (m_instances[to].timer == number) {
+            deliver_now(to, timer_fired{}, incarnation);
+        }
+    });
+}
+
+// Key-value service
+
+void fake_world::perform(std::size_t from, const kv_call& it)
+{
+    const std::uint64_t incarnation = m_instances[from].incarnation;
+    const auto reply = [this, from, incarnation](timestamp delay, kv_reply answer) {
+        at(delay, [this, from, incarnation, answer] { deliver_now(from, answer, incarnation); });
+    };
+    const auto apply = [this, it] {
+        const auto before = it.key == head_key(partition) ? head() : std::nullopt;
+        kv_reply answer = m_kv.apply(it);
+        const bool head_written = it.key == head_key(partition) && it.operation == kv_operation::compare_and_swap;
+        if (head_written && answer.status == kv_status::ok) {
+            check_head(before);
+        }
+        return answer;
+    };
+    const bool slow = m_now < m_kv_slow_end;
+    const timestamp delay = slow ? millis(100, 2500) : millis(1, 4);
+    kv_reply lost;
+    lost.request = it.request;
+    if (m_now < m_kv_outage_end) {
+        lost.status = chance(50) ? kv_status::unavailable : kv_status::unknown;
+        reply(delay, lost);
+        return;
+    }
+    if (m_now < m_kv_lossy_end && chance(50)) {
+        lost.status = kv_status::unknown;
+        const bool effect_first = chance(50);
+        at(effect_first ? delay : delay + millis(50, 2000), [apply] { apply(); });
+        reply(delay + millis(0, 10), lost);
+        return;
+    }
+    at(delay, [apply, reply, this] { reply(millis(1, 3), apply()); });
+}
+
+std::optional<head_record> fake_world::head() const
+{
+    const auto it = m_kv.entries().find(head_key(partition));
+    return it == m_kv.entries().end() ? std::nullopt : decode_head(it->second.value);
+}
+
+void fake_world::check_head(const std::optional<head_record>& before)
+{
+    const head_record present = *head();
+    const head_record previous = before.value_or(head_record{});
+    const bool append = present.epoch == previous.epoch && present.owner == previous.owner;
+    const bool takeover = present.epoch == previous.epoch + 1;
+    if (!append && !takeover) {
+        fail("two owners committed in one epoch, or an epoch was skipped");
+    }
+    if (present.sequence < previous.sequence || present.ready_epoch < previous.ready_epoch) {
+        fail("the head record went back");
+    }
+    const auto missing = [this](const std::string& key) { return !m_kv.entries().contains(key); };
+    if ((!present.snapshot.empty() && missing(present.snapshot)) || std::ranges::any_of(present.segments, missing)) {
+        fail("the head record names a key that does not exist");
+    }
+    m_counts.list_changes += append && present.backups != previous.backups ? 1 : 0;
+    if (takeover) {
+        check_recoverable();
+    }
+}
+
+// Replication
+
+bool fake_world::reachable(std::size_t a, std::size_t b)
+{
+    return m_cut_until[{a, b}] <= m_now && m_cut_until[{b, a}] <= m_now;
+}
+
+void fake_world::send(std::size_t from, std::size_t to, const std::function<void()>& arrive)
+{
+    const bool lossy = m_now < m_net_lossy_end;
+    if (!reachable(from, to) || (lossy && chance(30))) {
+        return;
+    }
+    const auto delay = [&] { return lossy ? millis(1, 700) : millis(1, 4); };
+    at(delay(), arrive);
+    if (lossy && chance(25)) {
+        at(delay(), arrive);
+    }
+}
+
+void fake_world::perform(std::size_t from, const send_replicate& it)
+{
+    const std::size_t to = std::stoul(it.backup.id.substr(1));
+    const std::uint64_t incarnation = m_instances[from].incarnation;
+    send(from, to, [this, from, to, incarnation, message = it.message] {
+        instance& backup = m_instances[to];
+        if (!backup.alive) {
+            return;
+        }
+        if (backup.paused_until > m_now) {
+            at(backup.paused_until - m_now,
+               [this, from, to, incarnation, message] { perform_late_replicate(from, to, incarnation, message); });
+            return;
+        }
+        perform_late_replicate(from, to, incarnation, message);
+    });
+}
+
+void fake_world::perform_late_replicate(std::size_t from, std::size_t to, std::uint64_t incarnation,
+                                        const replicate_request& message)
+{
+    if (!m_instances[to].alive) {
+        return;
+    }
+    const json wire = m_instances[to].store->replicate(json(message).get<replicate_request>());
+    trace("replicate " + std::to_string(from) + ">" + std::to_string(to) + " epoch " + std::to_string(message.epoch) +
+          " stream " + std::to_string(message.stream) + (message.reset ? " reset" : "") + " after " +
+          std::to_string(message.previous) + " items " + std::to_string(message.items.size()) + ": " + wire.dump());
+    send(to, from,
+         [this, from, incarnation, reply = wire.get<replicate_reply>()] { deliver_now(from, reply, incarnation); });
+}
+
+void fake_world::perform(std::size_t from, const send_fetch& it)
+{
+    const std::size_t to = std::stoul(it.backup.id.substr(1));
+    const std::uint64_t incarnation = m_instances[from].incarnation;
+    send(from, to, [this, from, to, incarnation, message = it.message] {
+        instance& backup = m_instances[to];
+        if (!backup.alive || backup.paused_until > m_now) {
+            return;
+        }
+        const json wire = backup.store->fetch(message);
+        send(to, from,
+             [this, from, incarnation, reply = wire.get<fetch_reply>()] { deliver_now(from, reply, incarnation); });
+    });
+}
+
+std::vector<log_item> fake_world::copies(const head_record& head)
+{
+    std::vector<log_item> items;
+    for (instance& it : m_instances) {
+        const backup_ref self{it.id, it.id, it.incarnation};
+        if (!it.alive || std::ranges::count(head.backups, self) == 0) {
+            continue;
+        }
+        // A fetch with the highest possible epoch of the present changes nothing that a later epoch would notice.
+        const fetch_reply copy = replica_store(*it.store).fetch({partition, head.epoch + 1, 0});
+        if (copy.data_epoch == head.ready_epoch) {
+            items.insert(items.end(), copy.items.begin(), copy.items.end());
+        }
+    }
+    std::ranges::stable_sort(items, {}, &log_item::sequence);
+    return items;
+}
+
+fake_world::recoverable fake_world::find_recoverable(const head_record& head)
+{
+    recoverable out;
+    if (!head.snapshot.empty()) {
+        out.image = *partition_image::decode(m_kv.entries().at(head.snapshot).value);
+    }
+    std::ranges::for_each(head.tail, [&out](const entry& it) { out.image.apply(it); });
+    for (const std::string& key : head.segments) {
+        const auto texts = decode_segment(m_kv.entries().at(key).value);
+        for (const text_ref& it : *texts) {
+            out.texts.insert(std::visit([](const auto& text) { return text.digest; }, *it));
+        }
+    }
+    std::uint64_t next = head.sequence + 1;
+    for (const log_item& it : copies(head)) {
+        if (it.text) {
+            out.texts.insert(std::visit([](const auto& text) { return text.digest; }, *it.text));
+        }
+        if (it.sequence == next) {
+            out.image.apply(it.content);
+            ++next;
+        }
+    }
+    return out;
+}
+
+bool fake_world::excuse(client& it, std::uint64_t epoch)
+{
+    if (!m_lossy_epochs.contains(epoch)) {
+        return false;
+    }
+    it.excused = true;
+    for (client* parent = &it; !parent->parent.empty();) {
+        parent = &m_clients.at(parent->parent);
+        parent->excused = true;
+    }
+    return true;
+}
+
+void fake_world::check_recoverable()
+{
+    const head_record present = *head();
+    const recoverable found = find_recoverable(present);
+    for (auto& [id, it] : m_clients) {
+        if (!it.open || it.excused) {
+            continue;
+        }
+        const program_record* record = found.image.find(id);
+        if (record == nullptr) {
+            if (!excuse(it, it.open_epoch)) {
+                fail("an acknowledged program is lost: " + id);
+            }
+            continue;
+        }
+        if (!fits(it.used, record->marked) && !excuse(it, present.ready_epoch)) {
+            fail("a program has spent more than its mark: " + id);
+        }
+        if (record->ended) {
+            continue;
+        }
+        for (auto& [number, turn] : it.turns) {
+            const bool held = record->turns >= number && found.texts.contains(turn.digest);
+            if (!held && !excuse(it, turn.epoch)) {
+                fail("an acknowledged turn is lost: " + id + " turn " + std::to_string(number));
+            }
+        }
+    }
+}
+
+void fake_world::check_stored(client& it, std::uint64_t number, std::uint64_t epoch)
+{
+    acknowledged_turn& turn = it.turns.at(number);
+    const auto present = head();
+    const auto holds = [&turn](const log_item& item) {
+        const auto* text = item.text ? std::get_if<turn_text>(item.text.get()) : nullptr;
+        return text != nullptr && text->digest == turn.digest;
+    };
+    if (present && present->ready_epoch == epoch && std::ranges::any_of(copies(*present), holds)) {
+        return;
+    }
+    const bool flushed = present && find_recoverable(*present).texts.contains(turn.digest);
+    if (!flushed && !excuse(it, epoch)) {
+        fail("a turn was answered before it was stored: " + it.program + " turn " + std::to_string(number));
+    }
+}
+
+// Engines and tools
+
+void fake_world::mark_executed(std::size_t at, const std::string& program, std::uint64_t turn, const std::string& key)
+{
+    std::vector<open_request*> open;
+    for (auto& [id, it] : m_instances[at].requests) {
+        if (it.program == program && it.turn == turn && it.key == key) {
+            open.push_back(&it);
+        }
+    }
+    // With several open requests for the same turn or key it is not visible from outside which one was run.
+    if (open.size() == 1) {
+        open.front()->executed = true;
+    }
+}
+
+void fake_world::spend(const std::string& program, const budget& amount)
+{
+    client& it = m_clients.at(program);
+    it.used = it.used + amount;
+    for (client* top = &it;; top = &m_clients.at(top->parent)) {
+        check_budget(top->program);
+        if (top->parent.empty()) {
+            return;
+        }
+    }
+}
+
+void fake_world::check_budget(const std::string& program)
+{
+    const client& top = m_clients.at(program);
+    budget total;
+    for (const auto& [id, it] : m_clients) {
+        const bool inside = id == program || it.parent == program;
+        total = inside ? total + it.used : total;
+    }
+    if (!fits(total, top.limits) && !top.excused) {
+        fail("program " + program + " exceeds its budget");
+    }
+}
+
+void fake_world::perform(std::size_t from, const start_engine_call& it)
+{
+    client& owner = m_clients.at(it.program);
+    std::size_t position = 0;
+    for (const auto& [number, turn] : owner.turns) {
+        if (number >= it.turn) {
+            break;
+        }
+        for (const std::string& text : turn.messages) {
+            const bool same = position < it.messages.size() && it.messages[position] == text;
+            ++position;
+            if (!same && !owner.excused) {
+                fail("an acknowledged turn is missing or changed in a later prompt of " + it.program);
+            }
+        }
+        const bool same = position < it.messages.size() && it.messages[position] == turn.answer;
+        ++position;
+        if (!same && !owner.excused) {
+            fail("an acknowledged answer is missing or changed in a later prompt of " + it.program);
+        }
+    }
+    for (const std::string& text : it.messages) {
+        if (text.find(it.program + " ") == std::string::npos) {
+            fail("the history of " + it.program + " contains a message of another program");
+        }
+    }
+    std::uint64_t bytes = 0;
+    for (const std::string& text : it.messages) {
+        bytes += text.size();
+    }
+    const token_usage usage{bytes / 4, pick(std::min(it.max_completion_tokens, max_completion) + 1)};
+    const std::uint64_t incarnation = m_instances[from].incarnation;
+    const std::uint64_t luck = pick(100);
+    if (luck < 3) {
+        at(millis(1, 50), [this, from, incarnation, it] {
+            deliver_now(
+                from,
+                engine_failed{it.call, it.epoch, result_code::no_target, run_state::not_run, "no target", 100, {}},
+                incarnation);
+        });
+        return;
+    }
+    mark_executed(from, it.program, it.turn, {});
+    spend(it.program, {usage.prompt + usage.completion, 1, 5 + usage.completion});
+    if (luck < 5) {
+        return;
+    }
+    if (luck < 10) {
+        at(millis(1, 100), [this, from, incarnation, it] {
+            deliver_now(from, engine_failed{it.call, it.epoch, result_code::answer_cut, run_state::run, "cut", 0, "t"},
+                        incarnation);
+        });
+        return;
+    }
+    const json answer{{"role", "assistant"},
+                      {"content", it.program + " turn " + std::to_string(it.turn) + " " + it.call}};
+    const engine_completed completed{it.call, it.epoch, answer.dump(), usage, "t"};
+    const auto arrive = [this, from, incarnation, completed] { deliver_now(from, completed, incarnation); };
+    at(millis(2, 80), arrive);
+    if (chance(15)) {
+        at(millis(50, 400), arrive);
+    }
+}
+
+void fake_world::perform(std::size_t /*from*/, const cancel_engine_call& /*it*/) {}
+
+void fake_world::perform(std::size_t from, const send_tool_call& it)
+{
+    const std::uint64_t incarnation = m_instances[from].incarnation;
+    const std::uint64_t luck = pick(100);
+    const std::uint64_t money = pick(8);
+    call_finished finished{it.call, it.epoch, it.attempt, call_status::completed, "result of " + it.call, money};
+    if (luck < 6) {
+        finished.status = call_status::not_sent;
+        at(millis(1, 20), [this, from, incarnation, finished] { deliver_now(from, finished, incarnation); });
+        return;
+    }
+    mark_executed(from, it.program, 0, it.key);
+    at(millis(1, 30), [this, from, incarnation, it, finished, luck, money]() mutable {
+        if (luck < 12) {
+            finished.status = call_status::unknown;
+        }
+        else {
+            spend(it.program, {0, 1, money});
+            key_log& log = m_keys[it.program + " " + it.key];
+            ++log.executions;
+            ++m_counts.executions;
+            if (it.irreversible && log.executions > 1) {
+                fail("an irreversible call was executed twice: " + it.program + " " + it.key);
+            }
+            if (log.not_run == log.requests) {
+                fail("a call was executed after all its requests were answered not run: " + it.program + " " + it.key);
+            }
+            finished.status = luck < 20 ? call_status::unknown : call_status::completed;
+        }
+        if (luck < 24 && luck >= 20) {
+            return;
+        }
+        at(millis(1, 60), [this, from, incarnation, finished] { deliver_now(from, finished, incarnation); });
+    });
+}
+
+void fake_world::perform(std::size_t /*from*/, const release_engine_memory& /*it*/) {}
+
+void fake_world::perform(std::size_t from, const partition_ready& it)
+{
+    ++m_counts.takeovers;
+    const std::string writer = m_instances[from].id + "." + std::to_string(m_instances[from].incarnation);
+    trace("ready " + writer + " epoch " + std::to_string(it.epoch));
+    if (!m_epochs.emplace(it.epoch, writer).second) {
+        fail("two owners became ready in epoch " + std::to_string(it.epoch));
+    }
+}
+
+void fake_world::perform(std::size_t from, const partition_lost& it)
+{
+    trace("lost " + m_instances[from].id);
+    if (it.reason == loss_reason::handed_over) {
+        ++m_counts.handovers;
+        const std::size_t to = std::stoul(it.owner->id.substr(1));
+        send(from, to, [this, to] { deliver(to, start_takeover{}); });
+    }
+}
+
+// Callers
+
+void fake_world::perform(std::size_t from, const answer_request& it)
+{
+    instance& owner = m_instances[from];
+    const auto found = owner.requests.find(it.request);
+    if (found == owner.requests.end()) {
+        fail("a request was answered twice, or an answer has an unknown request id");
+        return;
+    }
+    const open_request open = found->second;
+    owner.requests.erase(found);
+    const refusal* reason = std::get_if<refusal>(&it.result);
+    m_counts.refusals += reason != nullptr ? 1 : 0;
+    if (reason != nullptr && reason->run == run_state::not_run && open.executed) {
+        fail("a request was run and answered not run: " + open.program + " " + open.key);
+    }
+    if (reason != nullptr) {
+        trace("refused " + open.program + " turn " + std::to_string(open.turn) + " key " + open.key + " " +
+              std::string(to_string(reason->code)) + " " + reason->text);
+        m_counts.unknown_outcomes += reason->run == run_state::outcome_unknown ? 1 : 0;
+    }
+    if (!open.key.empty()) {
+        key_log& log = m_keys[open.program + " " + open.key];
+        log.not_run += reason != nullptr && reason->run == run_state::not_run ? 1 : 0;
+        if (log.executions > 0 && log.not_run == log.requests) {
+            fail("all requests of an executed call were answered not run: " + open.program + " " + open.key);
+        }
+    }
+    const result answer = it.result;
+    const std::uint64_t epoch = owner.owner->epoch();
+    // The check of the answer happens at once; the caller reacts later.
+    open.done(&answer, epoch);
+}
+
+std::size_t fake_world::choose_instance()
+{
+    std::size_t best = pick(instance_count);
+    if (!quiet() && chance(15)) {
+        return best;
+    }
+    std::uint64_t highest = 0;
+    for (std::size_t n = 0; n < instance_count; ++n) {
+        const instance& it = m_instances[n];
+        if (it.alive && it.owner->phase() == owner_phase::ready && it.owner->epoch() > highest) {
+            highest = it.owner->epoch();
+            best = n;
+        }
+    }
+    return best;
+}
+
+void fake_world::request(event input, open_request record)
+{
+    if (!quiet() && chance(10)) {
+        open_request copy = record;
+        copy.done = [inner = record.done](const result* it, std::uint64_t epoch) {
+            if (it != nullptr) {
+                inner(it, epoch);
+            }
+        };
+        request_at(pick(instance_count), input, std::move(copy));
+    }
+    request_at(choose_instance(), std::move(input), std::move(record));
+}
+
+void fake_world::request_at(std::size_t to, event input, open_request record)
+{
+    const request_id id = ++m_last_request;
+    std::visit(
+        [id](auto& it) {
+            if constexpr (caller_event<std::decay_t<decltype(it)>>) {
+                it.request = id;
+            }
+        },
+        input);
+    if (!record.key.empty()) {
+        ++m_keys[record.program + " " + record.key].requests;
+    }
+    if (!m_instances[to].alive) {
+        at(millis(1, 3), [done = std::move(record.done)] { done(nullptr, 0); });
+        return;
+    }
+    m_instances[to].requests.emplace(id, std::move(record));
+    at(millis(1, 3), [this, to, incarnation = m_instances[to].incarnation, input = std::move(input)] {
+        deliver_now(to, input, incarnation);
+    });
+}
+
+void fake_world::after(client& it, timestamp pause)
+{
+    at(pause, [this, &it] { step(it); });
+}
+
+void fake_world::step(client& it)
+{
+    if (it.dead || it.ended || it.final_turn) {
+        return;
+    }
+    if (!it.open) {
+        open(it);
+        return;
+    }
+    if (quiet()) {
+        if (it.parent.empty()) {
+            turn(it);
+        }
+        else {
+            end(it);
+        }
+        return;
+    }
+    const std::uint64_t luck = pick(100);
+    if (!it.parent.empty() && luck < 15) {
+        end(it);
+        return;
+    }
+    if (luck < 30) {
+        call(it);
+        return;
+    }
+    if (luck < 35 && it.parent.empty()) {
+        client child;
+        child.program = it.program + "c" + std::to_string(it.next_key++);
+        child.parent = it.program;
+        child.limits = {it.limits.tokens / 8, it.limits.calls / 8, it.limits.money / 8};
+        client& added = m_clients.emplace(child.program, child).first->second;
+        after(added, timestamp{0});
+    }
+    turn(it);
+}
+
+void fake_world::open(client& it)
+{
+    open_program input{.request = 0,
+                       .program = it.program,
+                       .parent = it.parent,
+                       .account = "a",
+                       .service = "s",
+                       .limits = it.limits,
+                       .mark_chunks = 16};
+    request(std::move(input), {it.program, 0, {}, false, [this, &it](const result* answer, std::uint64_t epoch) {
+                                   const refusal* reason = refused(answer);
+                                   if (answer != nullptr && reason == nullptr) {
+                                       it.open_epoch = it.open ? it.open_epoch : epoch;
+                                       it.open = true;
+                                   }
+                                   const bool final =
+                                       reason != nullptr && (reason->code == result_code::malformed ||
+                                                             reason->code == result_code::not_stored ||
+                                                             reason->code == result_code::budget_exhausted ||
+                                                             reason->code == result_code::program_ended ||
+                                                             reason->code == result_code::unknown_program);
+                                   it.dead = it.dead || (final && !it.open);
+                                   after(it, millis(1, 200));
+                               }});
+}
+
+void fake_world::turn(client& it)
+{
+    if (it.busy) {
+        return;
+    }
+    it.busy = true;
+    const std::uint64_t number = it.turns.size() + 1;
+    if (it.messages.empty()) {
+        const std::uint64_t n = 1 + pick(2);
+        for (std::uint64_t i = 0; i < n; ++i) {
+            it.messages.push_back(message(it.program, "turn " + std::to_string(number) + " part " + std::to_string(i)));
+        }
+    }
+    begin_turn input{.request = 0,
+                     .program = it.program,
+                     .account = "a",
+                     .number = number,
+                     .full_history = chance(30),
+                     .messages = it.messages,
+                     .max_completion_tokens = max_completion,
+                     .price = {5, 0, 1000},
+                     .deadline = m_now + millis(1500, 4000)};
+    if (input.full_history) {
+        input.messages.clear();
+        for (const auto& [n, done] : it.turns) {
+            std::ranges::copy(done.messages, std::back_inserter(input.messages));
+            input.messages.push_back(done.answer);
+        }
+        std::ranges::copy(it.messages, std::back_inserter(input.messages));
+        input.number = chance(50) ? 0 : number;
+    }
+    auto pending = std::make_shared<bool>(true);
+    request(std::move(input),
+            {it.program,
+             number,
+             {},
+             false,
+             [this, &it, number, messages = it.messages, pending](const result* answer, std::uint64_t epoch) {
+                 on_turn(it, number, messages, answer, epoch);
+                 if (std::exchange(*pending, false)) {
+                     it.busy = false;
+                     after(it, millis(1, 150));
+                 }
+             }});
+}
+
+void fake_world::on_turn(client& it, std::uint64_t number, const std::vector<std::string>& messages,
+                         const result* answer, std::uint64_t epoch)
+{
+    if (answer == nullptr) {
+        return;
+    }
+    if (const refusal* reason = std::get_if<refusal>(answer)) {
+        const bool lost = reason->code == result_code::program_unavailable ||
+                          reason->code == result_code::unknown_program ||
+                          reason->code == result_code::turn_out_of_order || reason->code == result_code::turn_conflict;
+        if (lost && it.excused) {
+            m_counts.lost_programs += it.dead ? 0 : 1;
+            it.dead = true;
+        }
+        it.dead = it.dead || reason->code == result_code::budget_exhausted;
+        return;
+    }
+    const auto& done = std::get<success>(*answer);
+    if (done.turn != number ||
+        done.payload.find(it.program + " turn " + std::to_string(number) + " ") == std::string::npos) {
+        fail("a caller received the answer of another turn: " + it.program + " turn " + std::to_string(number));
+        return;
+    }
+    const auto present = it.turns.find(number);
+    if (present != it.turns.end()) {
+        ++m_counts.repeated_turns;
+        if (present->second.answer != done.payload && !it.excused) {
+            fail("an acknowledged turn changed: " + it.program + " turn " + std::to_string(number));
+        }
+        return;
+    }
+    ++m_counts.turns;
+    turn_text text{it.program, number,       number == 1 ? std::string() : it.turns.at(number - 1).digest,
+                   messages,   done.payload, {}};
+    it.turns[number] = {messages, done.payload, chain_digest(text), epoch};
+    it.messages.clear();
+    it.final_turn = quiet();
+    check_stored(it, number, epoch);
+}
+
+void fake_world::call(client& it)
+{
+    begin_call input{.request = 0,
+                     .program = it.program,
+                     .account = "a",
+                     .irreversible = chance(80),
+                     .key = {},
+                     .tool = "tool",
+                     .arguments = "{}",
+                     .max_money = 8,
+                     .deadline = m_now + millis(300, 3000)};
+    // The first letter of a key tells both kinds of calls apart, so that a key keeps its kind when it is used again.
+    const bool again = it.next_key > 0 && chance(35);
+    const std::uint64_t number = again ? pick(it.next_key) : it.next_key++;
+    input.irreversible = number % 4 != 0;
+    input.key = "k" + std::to_string(number);
+    const std::string key = input.key;
+    request(std::move(input), {it.program, 0, key, false,
+                               [this, &it, key](const result* answer, std::uint64_t) { on_call(it, key, answer); }});
+    after(it, millis(20, 300));
+}
+
+void fake_world::on_call(client& it, const std::string& key, const result* answer)
+{
+    if (answer == nullptr || std::holds_alternative<refusal>(*answer)) {
+        return;
+    }
+    const std::string& text = std::get<success>(*answer).payload;
+    const auto [place, added] = m_results.emplace(it.program + " " + key, text);
+    const bool irreversible = std::stoul(key.substr(1)) % 4 != 0;
+    if (!added && place->second != text && irreversible) {
+        fail("the result of a call changed: " + it.program + " " + key);
+    }
+}
+
+void fake_world::end(client& it)
+{
+    end_program input{.request = 0, .program = it.program, .account = "a", .reason = "done"};
+    request(std::move(input), {it.program, 0, {}, false, [this, &it](const result* answer, std::uint64_t) {
+                                   const refusal* reason = refused(answer);
+                                   it.ended = it.ended || (answer != nullptr && reason == nullptr);
+                                   const bool gone = reason != nullptr && reason->code == result_code::unknown_program;
+                                   it.dead = it.dead || (gone && it.excused);
+                                   after(it, millis(10, 200));
+                               }});
+}
+
+bool fake_world::finished() const
+{
+    const bool clients = std::ranges::all_of(m_clients, [](const auto& pair) {
+        const client& it = pair.second;
+        return it.dead || it.ended || it.final_turn;
+    });
+    return clients && std::ranges::all_of(m_instances, [](const instance& it) { return it.requests.empty(); });
+}
+
+void fake_world::check_end()
+{
+    for (const instance& it : m_instances) {
+        if (!it.requests.empty()) {
+            fail("a request was never answered at " + it.id + ": " + it.requests.begin()->second.program);
+        }
+    }
+    for (const auto& [id, it] : m_clients) {
+        if (!it.dead && !it.ended && !it.final_turn) {
+            fail("program " + id + " does not continue after the failures stopped");
+        }
+    }
+}
+
+} // namespace lagoonferry::test
--- /dev/null
+++ b/tests/fake_world.h
@@ -0,0 +1,205 @@
+#pragma once
+
+#include "fake_kv.h"
+#include "journal/partition_image.h"
+#include "program/partition_owner.h"
+#include "program/replica_store.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::test {
+
+/// What one random failure schedule did, so that a test can show that the schedules reach the interesting states.
+struct world_counts {
+    std::uint64_t turns = 0;
+    std::uint64_t repeated_turns = 0;
+    std::uint64_t executions = 0;
+    std::uint64_t takeovers = 0;
+    std::uint64_t handovers = 0;
+    std::uint64_t refusals = 0;
+    std::uint64_t lost_programs = 0; ///< by the loss of the owner and of every copy
+    std::uint64_t list_changes = 0;
+    std::uint64_t unknown_outcomes = 0;
+    std::uint64_t events = 0;
+};
+
+struct world_options {
+    std::uint64_t seed = 0;
+    fault_injection faults;
+    bool read_back = true;
+    bool check_epochs = true;
+    bool trace = false;
+};
+
+/// A few instances, each with a partition owner and a replica store, a key-value service, engines, a tool and callers
+/// on a virtual clock. One seed decides every delay, loss, crash and pause. Faults stop after a while; then everything
+/// must come to an end.
+class fake_world {
+public:
+    explicit fake_world(const world_options& options);
+
+    /// Runs the schedule. Returns the violated invariant, or nothing.
+    std::optional<std::string> run();
+
+    const world_counts& counts() const { return m_counts; }
+
+private:
+    struct open_request {
+        std::string program;
+        std::uint64_t turn = 0;
+        std::string key;
+        bool executed = false;
+        /// Called with null if the instance died, and with the epoch of the instance that answered.
+        std::function<void(const std::variant<success, refusal>*, std::uint64_t)> done;
+    };
+
+    struct instance {
+        std::string id;
+        std::uint64_t incarnation = 0;
+        bool alive = false;
+        timestamp paused_until{0};
+        timestamp stopped_at{0}; ///< when it died or was paused last
+        bool listed = true;
+        std::unique_ptr<partition_owner> owner;
+        std::unique_ptr<replica_store> store;
+        std::map<request_id, open_request> requests;
+        std::uint64_t timer = 0;
+    };
+
+    struct acknowledged_turn {
+        std::vector<std::string> messages;
+        std::string answer;
+        std::string digest;
+        std::uint64_t epoch = 0; ///< of the owner that answered
+    };
+
+    /// What a successor could recover at this moment.
+    struct recoverable {
+        partition_image image;
+        std::set<std::string> texts; ///< digests
+    };
+
+    struct client {
+        std::string program;
+        std::string parent;
+        budget limits;
+        budget used; ///< by engines and tools, without children
+        bool open = false;
+        std::uint64_t open_epoch = 0;
+        bool ended = false;
+        bool dead = false;    ///< lost with every copy, out of budget, or its opening was refused
+        bool excused = false; ///< a part of it was lost with the owner and a listed backup
+        bool final_turn = false;
+        bool busy = false;
+        std::uint64_t next_key = 0;
+        std::vector<std::string> messages; ///< of the next turn
+        std::map<std::uint64_t, acknowledged_turn> turns;
+    };
+
+    struct key_log {
+        std::uint64_t requests = 0;
+        std::uint64_t not_run = 0;
+        std::uint64_t executions = 0;
+    };
+
+    struct scheduled {
+        timestamp at{0};
+        std::uint64_t order = 0;
+        std::shared_ptr<std::function<void()>> run;
+        bool operator<(const scheduled& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+    };
+
+    std::uint64_t pick(std::uint64_t n) { return m_random() % n; }
+    bool chance(std::uint64_t percent) { return pick(100) < percent; }
+    timestamp millis(std::uint64_t low, std::uint64_t high);
+    void at(timestamp delay, std::function<void()> run);
+    void fail(const std::string& what);
+    void trace(const std::string& text) const;
+    bool quiet() const { return m_now >= m_faults_end; }
+
+    void start(std::size_t n);
+    void crash(std::size_t n);
+    void pause(std::size_t n);
+    void inject_fault();
+    void drive_ownership();
+    void publish_membership();
+    void deliver(std::size_t to, event input, std::uint64_t incarnation = 0);
+    void deliver_now(std::size_t to, const event& input, std::uint64_t incarnation);
+    void handle(std::size_t to, const event& input);
+    void set_timer(std::size_t to);
+
+    void perform(std::size_t from, const kv_call& it);
+    void perform(std::size_t from, const send_replicate& it);
+    void perform_late_replicate(std::size_t from, std::size_t to, std::uint64_t incarnation,
+                                const replicate_request& message);
+    void perform(std::size_t from, const send_fetch& it);
+    void perform(std::size_t from, const start_engine_call& it);
+    void perform(std::size_t from, const cancel_engine_call& it);
+    void perform(std::size_t from, const send_tool_call& it);
+    void perform(std::size_t from, const answer_request& it);
+    void perform(std::size_t from, const release_engine_memory& it);
+    void perform(std::size_t from, const partition_ready& it);
+    void perform(std::size_t from, const partition_lost& it);
+
+    bool reachable(std::size_t a, std::size_t b);
+    void send(std::size_t from, std::size_t to, const std::function<void()>& arrive);
+    std::optional<head_record> head() const;
+    std::vector<log_item> copies(const head_record& head);
+    recoverable find_recoverable(const head_record& head);
+    void check_recoverable();
+    void check_stored(client& it, std::uint64_t number, std::uint64_t epoch);
+    bool excuse(client& it, std::uint64_t epoch);
+    void check_head(const std::optional<head_record>& before);
+    void mark_executed(std::size_t at, const std::string& program, std::uint64_t turn, const std::string& key);
+    void spend(const std::string& program, const budget& amount);
+    void check_budget(const std::string& program);
+
+    std::size_t choose_instance();
+    void request(event input, open_request record);
+    void request_at(std::size_t to, event input, open_request record);
+    void step(client& it);
+    void open(client& it);
+    void turn(client& it);
+    void call(client& it);
+    void end(client& it);
+    void after(client& it, timestamp pause);
+    void on_turn(client& it, std::uint64_t number, const std::vector<std::string>& messages,
+                 const std::variant<success, refusal>* result, std::uint64_t epoch);
+    void on_call(client& it, const std::string& key, const std::variant<success, refusal>* result);
+    bool finished() const;
+    void check_end();
+
+    world_options m_options;
+    std::mt19937_64 m_random;
+    timestamp m_now{std::chrono::seconds{1}};
+    timestamp m_faults_end{0};
+    std::uint64_t m_order = 0;
+    std::priority_queue<scheduled> m_queue;
+    std::optional<std::string> m_violation;
+    world_counts m_counts;
+
+    fake_kv m_kv;
+    timestamp m_kv_outage_end{0};
+    timestamp m_kv_slow_end{0};
+    timestamp m_kv_lossy_end{0};
+    timestamp m_net_lossy_end{0};
+    std::map<std::pair<std::size_t, std::size_t>, timestamp> m_cut_until;
+
+    std::vector<instance> m_instances;
+    request_id m_last_request = 0;
+    std::map<std::string, client> m_clients;
+    std::map<std::string, key_log> m_keys;
+    std::map<std::string, std::string> m_results;
+    std::set<std::uint64_t> m_lossy_epochs;        ///< a listed backup died while this epoch was the ready one
+    std::map<std::uint64_t, std::string> m_epochs; ///< writer that became ready in an epoch
+};
+
+} // namespace lagoonferry::test
