Serve one program end to end through separate processes

Cause: entry, dispatch and stand-ins had not been run together. Every stored entry waited for the lazy write (1.0 s), because the instance list did not name the peers and they were therefore not used as backups. Change: membership decides who is gone; takeovers wait for the first answer of the instance list; a request at an instance that does not own the program is redirected; sockets are bound before the partitions start; one rendezvous hash.

--- a/src/blackboard/board.h
+++ b/src/blackboard/board.h
@@ -34,7 +34,6 @@
 struct judged_member {
     member known;
     bool presumed_down = false;
-    bool listed = true; ///< false once the instance list no longer holds it
 };
 
 /// The accounts of a key: a service and the account's name in its document.
@@ -78,9 +77,10 @@
 
 /// The state that the controllers of one process share. Each entry names the controller that writes it.
 struct board {
-    board_entry<member_view> members;                               ///< membership controller
-    board_entry<std::vector<judged_member>> all_entries;            ///< membership controller
-    board_entry<owner_view> owners;                                 ///< membership controller
+    board_entry<member_view> members;                    ///< membership controller
+    board_entry<std::vector<judged_member>> all_entries; ///< membership controller
+    board_entry<bool> instances_known; ///< membership controller: the instance list has answered since the start
+    board_entry<owner_view> owners;    ///< membership controller
     board_entry<std::shared_ptr<const address_lookup>> addresses;   ///< membership controller
     board_entry<document_view> documents;                           ///< document controller
     board_entry<target_map> targets;                                ///< membership controller
--- a/src/dispatch/group_map.cpp
+++ b/src/dispatch/group_map.cpp
@@ -1,6 +1,6 @@
 #include "dispatch/group_map.h"
 
-#include "dispatch/rendezvous.h"
+#include "util/rendezvous.h"
 
 #include <algorithm>
 #include <bit>
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -358,7 +358,9 @@
         return;
     }
     refusal value = std::get<refusal>(answer.result);
-    if (value.code == result_code::moved) {
+    const bool elsewhere = value.code == result_code::program_unavailable && m_router.owner_address(partition);
+    if (value.code == result_code::moved || elsewhere) {
+        value.code = result_code::moved;
         send_moved(request, partition, std::move(value), response);
         return;
     }
--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <thread>
 
 namespace lagoonferry {
 
@@ -121,7 +122,8 @@
     wanted.time_ms = wall_clock_ms();
     document_put put(wanted, steady_now() + put_deadline);
     http_kv_store store(m_links.platform, platform_timeout, *m_links.counts);
-    const put_result result = run_put(put, store, steady_now);
+    const put_result result =
+        run_put(put, store, {steady_now, [](timestamp pause) { std::this_thread::sleep_for(pause); }});
     if (result.record) {
         caf::anon_send(m_links.documents, accepted_document{*result.record});
         send_json(response, summary(*result.record));
--- a/src/entry/turn_runner.cpp
+++ b/src/entry/turn_runner.cpp
@@ -2,10 +2,10 @@
 
 #include "blackboard/board.h"
 #include "entry/slot_ticket.h"
-#include "membership/rendezvous.h"
 #include "platform/engine_client.h"
 #include "roles/messages.h"
 #include "util/log.h"
+#include "util/rendezvous.h"
 
 #include <caf/send.hpp>
 #include <nlohmann/json.hpp>
--- a/src/membership/address_lookup.cpp
+++ b/src/membership/address_lookup.cpp
@@ -1,7 +1,7 @@
 #include "membership/address_lookup.h"
 
-#include "membership/rendezvous.h"
 #include "settings/endpoint.h"
+#include "util/rendezvous.h"
 
 #include <algorithm>
 #include <array>
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -1,6 +1,6 @@
 #include "membership/duty.h"
 
-#include "membership/rendezvous.h"
+#include "util/rendezvous.h"
 
 #include <algorithm>
 #include <array>
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -133,7 +133,7 @@
     return in.valid() ? std::optional(update) : std::nullopt;
 }
 
-std::optional<target_state> decode_target(const json& item)
+std::optional<target_update> decode_target(const json& item)
 {
     const bool valid = item.is_array() && item.size() == 3 && item[0].is_string() && item[1].is_number_unsigned() &&
                        item[2].is_number_unsigned() && item[2].get<std::uint64_t>() <= max_state;
@@ -141,7 +141,7 @@
         return std::nullopt;
     }
     const auto id = label<max_member_id>::from(item[0].get_ref<const std::string&>());
-    return id ? std::optional(target_state{id->text(), item[1], static_cast<member_state>(item[2].get<unsigned>())})
+    return id ? std::optional(target_update{id->text(), item[1], static_cast<member_state>(item[2].get<unsigned>())})
               : std::nullopt;
 }
 
@@ -186,7 +186,7 @@
     for (const member_update& update : message.updates) {
         result["u"].push_back(encode(update));
     }
-    for (const target_state& target : message.targets) {
+    for (const target_update& target : message.targets) {
         result["t"].push_back({target.id, target.incarnation, static_cast<unsigned>(target.state)});
     }
     for (const document_version& document : message.documents) {
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -32,12 +32,12 @@
 };
 
 /// What a process tells about a target. It is short, because all targets of a failure domain can leave at once.
-struct target_state {
+struct target_update {
     std::string id;
     std::uint64_t incarnation = 0;
     member_state state = member_state::alive;
 
-    bool operator==(const target_state&) const = default;
+    bool operator==(const target_update&) const = default;
 };
 
 /// A partition that the sender owns, with the epoch of its head record.
@@ -53,7 +53,7 @@
     member_update sender;
     bool wants_answer = false;          ///< the receiver answers with a heartbeat without updates
     std::vector<member_update> updates; ///< about processes
-    std::vector<target_state> targets;
+    std::vector<target_update> targets;
     std::vector<document_version> documents;
     std::vector<owned_partition> partitions;
 
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -27,8 +27,8 @@
     bool operator==(const member_address&) const = default;
 };
 
-/// A process of the system, or a target. The incarnation is the start time in seconds since 1970 for processes, and
-/// a count of returns to the instance list for targets.
+/// A process of the system, or a target. The incarnation is the start time in milliseconds since 1970 for processes,
+/// and a count of returns to the instance list for targets.
 struct member {
     std::string id;
     std::uint64_t incarnation = 0;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -72,7 +72,7 @@
     for (const member_update& update : message.updates) {
         apply(update, now);
     }
-    for (const target_state& target : message.targets) {
+    for (const target_update& target : message.targets) {
         apply({member{target.id, target.incarnation, target.state, member_role::target}}, now);
     }
     return message.wants_answer;
@@ -142,7 +142,7 @@
     std::vector<record*> targets = to_tell(false, max_heartbeat_targets, targets_in_turn, m_last_target_told);
     std::ranges::transform(targets, std::back_inserter(message.targets), [](const record* item) {
         const member& about = item->known.about;
-        return target_state{about.id, about.incarnation, about.state};
+        return target_update{about.id, about.incarnation, about.state};
     });
     std::ranges::transform(processes, std::back_inserter(message.updates),
                            [&](const record* item) { return as_told(*item, now); });
--- a/src/membership/partition_owners.cpp
+++ b/src/membership/partition_owners.cpp
@@ -16,14 +16,14 @@
 void partition_owners::learn(std::string_view owner, std::span<const owned_partition> partitions)
 {
     for (const owned_partition& owned : partitions) {
-        partition_owner& heard = m_heard[owned.partition];
+        known_owner& heard = m_heard[owned.partition];
         if (owned.epoch >= heard.epoch) {
             heard = {std::string(owner), owned.epoch};
         }
     }
 }
 
-std::optional<partition_owner> partition_owners::find(std::uint32_t partition) const
+std::optional<known_owner> partition_owners::find(std::uint32_t partition) const
 {
     const auto it = m_heard.find(partition);
     return it == m_heard.end() ? std::nullopt : std::optional(it->second);
--- a/src/membership/placement.cpp
+++ b/src/membership/placement.cpp
@@ -1,6 +1,6 @@
 #include "membership/placement.h"
 
-#include "membership/rendezvous.h"
+#include "util/rendezvous.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/peer/http_listener.cpp
+++ b/src/peer/http_listener.cpp
@@ -37,7 +37,7 @@
     stop();
 }
 
-std::optional<network_address> http_listener::start(const network_address& address)
+std::optional<network_address> http_listener::bind(const network_address& address)
 {
     network_address bound = address;
     if (address.port == 0) {
@@ -51,7 +51,20 @@
         return std::nullopt;
     }
     ::listen(m_listen_fd, listen_backlog);
+    return bound;
+}
+
+void http_listener::serve()
+{
     m_thread = std::thread([this] { m_server->listen_after_bind(); });
+}
+
+std::optional<network_address> http_listener::start(const network_address& address)
+{
+    const auto bound = bind(address);
+    if (bound) {
+        serve();
+    }
     return bound;
 }
 
--- a/src/peer/http_listener.h
+++ b/src/peer/http_listener.h
@@ -31,10 +31,17 @@
     /// Stops the server.
     ~http_listener();
 
-    /// The server, to add routes. Precondition: `start` has not been called.
+    /// The server, to add routes. Precondition: `serve` has not been called.
     httplib::Server& server() { return *m_server; }
 
-    /// Binds (port 0 chooses a free port) and serves. Returns the bound address, or nothing if it is in use.
+    /// Binds the address; port 0 chooses a free port. Returns the bound address, or nothing if it is in use.
+    /// Connections wait in the backlog until `serve`.
+    std::optional<network_address> bind(const network_address& address);
+
+    /// Starts to serve. Precondition: `bind` succeeded, and all routes are added.
+    void serve();
+
+    /// Binds and serves.
     std::optional<network_address> start(const network_address& address);
 
     /// Stops accepting, lets running requests finish and joins the thread. May be called twice.
--- a/src/program/action.h
+++ b/src/program/action.h
@@ -39,7 +39,7 @@
     std::uint64_t turn = 0;
     std::vector<std::string> messages;
     std::uint64_t max_completion_tokens = 0;
-    std::uint64_t tokens_spent = 0; ///< by the whole program before this call
+    std::uint64_t tokens_spent = 0; ///< by the whole program, with the reservation of this call
     timestamp deadline{0};
 };
 
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -169,7 +169,7 @@
                            .turn = call.turn.number,
                            .messages = build_prompt(program.turns, call.turn.messages),
                            .max_completion_tokens = call.turn.max_completion_tokens,
-                           .tokens_spent = program.account.spent().tokens,
+                           .tokens_spent = program.account.used().tokens,
                            .deadline = call.deadline});
 }
 
--- a/src/roles/dispatch_role.cpp
+++ b/src/roles/dispatch_role.cpp
@@ -37,9 +37,7 @@
     const std::string id = start.values->identity.instance_id.text();
     const caf::actor dispatch = process.keep(
         process.actors().spawn(dispatch_controller, id, process.incarnation(), &process.shared(), &process.sender()));
-    if (!process.start({}, dispatch)) {
-        return exit_refused;
-    }
+    process.start({}, dispatch);
     process.keep(
         process.actors().spawn<caf::detached>(load_poller, id, dispatch, &process.shared(), &process.engines()));
     wait_for_stop_signal();
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -96,9 +96,7 @@
     m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics);
     add_rpc_methods();
     add_routes();
-    if (!m_process.start(m_ownership, m_slots)) {
-        return false;
-    }
+    m_process.start(m_ownership, m_slots);
     caf::anon_send(m_ownership, partition_actors{partitions});
     return true;
 }
@@ -128,7 +126,8 @@
     const settings& values = m_process.values();
     owner_settings result;
     result.partition = partition;
-    result.self = {m_id, advertised_ip(values.http).text + ':' + std::to_string(values.peer.rpc_port.value())};
+    const member_address& address = m_process.self().address;
+    result.self = {m_id, to_string(network_address{address.ip, address.rpc_port})};
     result.failure_domain = values.identity.failure_domain.text();
     result.writer = random_hex(writer_bytes);
     result.backup_wait = milliseconds(values.timing.replica_wait_ms);
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -20,15 +20,6 @@
     return {item.address.ip, item.address.datagram_port};
 }
 
-listed_instance as_listed(const target& item)
-{
-    listed_instance row{item.id, member_role::target, {}, item.failure_domain, false};
-    if (const auto address = parse_address(item.address)) {
-        row.address = {address->host, address->port, 0, 0};
-    }
-    return row;
-}
-
 } // namespace
 
 void membership_state::start(caf::event_based_actor* self, const membership_options& options, membership_links links,
@@ -39,7 +30,7 @@
     m_options = options;
     m_board = shared;
     m_sender = sender;
-    m_table.emplace(options.self, options.timing, std::uint16_t{0}, options.seed);
+    m_table.emplace(options.self, options.timing, std::uint16_t{0}, options.seed, steady_now());
     m_addresses.emplace(options.address_ttl);
     publish(steady_now());
     self->send(self, tick_atom::value);
@@ -57,13 +48,12 @@
 
 void membership_state::send_heartbeats(timestamp now)
 {
-    heartbeat message = m_table->next_heartbeat(now);
-    message.documents = *m_board->announced_documents.read();
-    message.partitions = *m_board->announced_partitions.read();
+    heartbeat message =
+        m_table->next_heartbeat(*m_board->announced_documents.read(), *m_board->announced_partitions.read(), now);
     std::vector<network_address> peers;
     std::ranges::transform(m_table->next_peers(heartbeat_peers, now), std::back_inserter(peers), datagram_address);
-    if (peers.size() < heartbeat_peers) {
-        peers.insert(peers.end(), m_options.seeds.begin(), m_options.seeds.end());
+    if (peers.empty()) {
+        peers = m_options.seeds;
         message.wants_answer = true;
     }
     const nlohmann::json body = to_json(message);
@@ -77,9 +67,8 @@
     const timestamp now = steady_now();
     const std::string& sender = received.message.sender.about.id;
     if (m_table->receive(received.message, now)) {
-        heartbeat answer = m_table->answer();
+        heartbeat answer = m_table->answer(received.message, *m_board->announced_partitions.read());
         answer.documents = *m_board->announced_documents.read();
-        answer.partitions = *m_board->announced_partitions.read();
         m_sender->send(received.from, datagram_kind::heartbeat, to_json(answer));
     }
     if (m_links.ownership && !received.message.partitions.empty()) {
@@ -117,10 +106,10 @@
         {entries, m_table->usable(member_role::dispatch, now), m_table->members(member_role::target)});
     std::vector<judged_member> judged;
     std::ranges::transform(m_table->members(member_role::entry), std::back_inserter(judged), [&](const member& item) {
-        return judged_member{item, m_table->judge(item.id, now) == member_judgement::presumed_down,
-                             m_table->listed(item.id).value_or(true)};
+        return judged_member{item, m_table->judge(item.id, now) == member_judgement::presumed_down};
     });
     m_board->all_entries.write(std::move(judged));
+    m_board->instances_known.write(m_table->listed(m_options.self.id).has_value());
     m_addresses->update(entries);
     m_board->addresses.write(std::make_shared<const address_lookup>(*m_addresses));
     publish_targets();
@@ -128,16 +117,17 @@
 
 void membership_state::add_document_targets(timestamp now)
 {
-    std::vector<listed_instance> rows;
+    std::set<std::string, std::less<>> ids;
+    const auto add = [&ids](const target& item) { ids.insert(item.id); };
     for (const auto& [service, in_force] : m_board->documents.read()->services) {
         for (const model& item : in_force->document.models) {
-            std::ranges::transform(item.targets, std::back_inserter(rows), as_listed);
+            std::ranges::for_each(item.targets, add);
         }
         for (const tool& item : in_force->document.tools) {
-            std::ranges::transform(item.targets, std::back_inserter(rows), as_listed);
+            std::ranges::for_each(item.targets, add);
         }
     }
-    m_table->add_targets(rows, now);
+    m_table->set_targets(std::move(ids), now);
 }
 
 target_state membership_state::state_of(const std::string& target) const
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -64,6 +64,11 @@
 void ownership_state::on_tick()
 {
     const timestamp now = steady_now();
+    if (!*m_board->instances_known.read()) {
+        // A backup that is missing among the peers counts as gone, so peers must be complete before a takeover.
+        m_self->delayed_send(m_self, tick_interval, tick_atom::value);
+        return;
+    }
     send_membership();
     const auto members = m_board->members.read();
     std::vector<member> alive;
@@ -88,7 +93,6 @@
         }
         peer_state peer = as_peer(item.known);
         peer.presumed_down = item.presumed_down;
-        peer.listed = item.listed;
         peers.push_back(std::move(peer));
     }
     if (std::ranges::equal(peers, m_last_peers, same)) {
--- a/src/roles/role_process.cpp
+++ b/src/roles/role_process.cpp
@@ -45,10 +45,11 @@
     return limits;
 }
 
-std::uint64_t start_seconds()
+// Milliseconds: a process that restarts within a second must not be taken for the former one, whose copies it lacks.
+std::uint64_t start_milliseconds()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(now).count());
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
 std::uint64_t random_seed()
@@ -81,7 +82,7 @@
       m_rpc(m_key.rpc_token()), m_rpc_listener(rpc_limits()), m_http(limits_of(values.http))
 {
     m_self.id = values.identity.instance_id.text();
-    m_self.incarnation = start_seconds();
+    m_self.incarnation = start_milliseconds();
     m_self.role = role;
     m_self.failure_domain = values.identity.failure_domain.text();
     m_self.address.ip = advertised_ip(values.http).text;
@@ -104,31 +105,28 @@
 
 bool role_process::bind()
 {
-    m_socket = datagram_socket::bind({m_settings.http.listen.text, m_settings.peer.datagram_port});
-    if (!m_socket) {
-        log(log_part::main, log_level::error, "Datagram port is in use.",
-            field("port", m_settings.peer.datagram_port.value()));
+    const std::string& ip = m_settings.http.listen.text;
+    m_socket = datagram_socket::bind({ip, m_settings.peer.datagram_port});
+    const auto rpc = m_rpc_listener.bind({ip, m_settings.peer.rpc_port});
+    const auto http = m_http.bind({ip, m_settings.http.port});
+    if (!m_socket || !rpc || !http) {
+        log(log_part::main, log_level::error, "A port is in use.",
+            field("datagram_port", m_settings.peer.datagram_port.value()),
+            field("rpc_port", m_settings.peer.rpc_port.value()), field("http_port", m_settings.http.port.value()));
         return false;
     }
     m_self.address.datagram_port = m_socket->local_address().port;
+    m_self.address.rpc_port = rpc->port;
+    m_self.address.http_port = http->port;
     m_sender = std::make_unique<datagram_sender>(*m_socket, m_key, m_self.id);
     return true;
 }
 
-bool role_process::start(const caf::actor& ownership, const caf::actor& slots)
+void role_process::start(const caf::actor& ownership, const caf::actor& slots)
 {
     add_rpc_methods();
     add_routes();
     m_rpc.attach(m_rpc_listener.server());
-    const auto rpc = m_rpc_listener.start({m_settings.http.listen.text, m_settings.peer.rpc_port});
-    const auto http = m_http.start({m_settings.http.listen.text, m_settings.http.port});
-    if (!rpc || !http) {
-        log(log_part::main, log_level::error, "HTTP or RPC port is in use.",
-            field("http_port", m_settings.http.port.value()), field("rpc_port", m_settings.peer.rpc_port.value()));
-        return false;
-    }
-    m_self.address.rpc_port = rpc->port;
-    m_self.address.http_port = http->port;
     m_membership = keep(m_actors->spawn(membership_controller, options_of(m_settings, m_self),
                                         membership_links{ownership, m_documents}, &m_board, m_sender.get()));
     keep(m_actors->spawn<caf::detached>(document_watcher,
@@ -140,9 +138,13 @@
         keep(m_actors->spawn<caf::detached>(instance_poller, options, m_membership, &m_board, &m_counts));
     }
     m_receiver = std::thread([this, slots] { receive_loop(slots); });
-    std::cout << "listening http " << to_string(*http) << "\nlistening rpc " << to_string(*rpc)
-              << "\nlistening datagram " << to_string(m_socket->local_address()) << std::endl;
-    return true;
+    m_rpc_listener.serve();
+    m_http.serve();
+    const member_address& bound = m_self.address;
+    const std::string& ip = m_settings.http.listen.text;
+    std::cout << "listening http " << to_string(network_address{ip, bound.http_port}) << "\nlistening rpc "
+              << to_string(network_address{ip, bound.rpc_port}) << "\nlistening datagram "
+              << to_string(network_address{ip, bound.datagram_port}) << std::endl;
 }
 
 void role_process::add_rpc_methods()
--- a/src/roles/role_process.h
+++ b/src/roles/role_process.h
@@ -34,12 +34,12 @@
     role_process& operator=(const role_process&) = delete;
     ~role_process();
 
-    /// Binds the datagram socket. Returns false if the address is in use.
+    /// Binds the sockets. Returns false if an address is in use.
     bool bind();
 
-    /// Serves RPC and HTTP, and starts the controllers. `ownership` and `slots` may be empty. Returns false if an
-    /// address is in use. Prints one line `listening <kind> <address>` for each address to standard output.
-    bool start(const caf::actor& ownership, const caf::actor& slots);
+    /// Serves RPC and HTTP, and starts the controllers. `ownership` and `slots` may be empty. Prints one line
+    /// `listening <kind> <address>` for each address to standard output. Precondition: `bind` succeeded.
+    void start(const caf::actor& ownership, const caf::actor& slots);
 
     /// Registers an actor that ends with the process.
     caf::actor keep(caf::actor item);
@@ -56,6 +56,7 @@
     call_counts& counts() { return m_counts; }
     http_engine_client& engines() { return m_engines; }
     const cluster_key& key() const { return m_key; }
+    const member& self() const { return m_self; }
     const caf::actor& membership() const { return m_membership; }
     const caf::actor& documents() const { return m_documents; }
     std::uint64_t incarnation() const { return m_self.incarnation; }
--- a/src/membership/rendezvous.cpp
+++ b/src/util/rendezvous.cpp
@@ -1,4 +1,4 @@
-#include "membership/rendezvous.h"
+#include "util/rendezvous.h"
 
 #include <sodium.h>
 
@@ -39,4 +39,9 @@
     return -weight / std::log(uniform);
 }
 
+std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate)
+{
+    return mix(key ^ stable_hash(candidate));
+}
+
 } // namespace lagoonferry
--- a/src/membership/rendezvous.h
+++ b/src/util/rendezvous.h
@@ -12,4 +12,8 @@
 /// it wins a share of the keys in proportion to its weight. Precondition: weight > 0. Thread-safe.
 double rendezvous_score(std::uint64_t key_hash, std::uint64_t member_hash, double weight);
 
+/// Returns the weight of `candidate` for `key` in rendezvous hashing of equal candidates; the highest weight wins.
+/// Thread-safe.
+std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate);
+
 } // namespace lagoonferry
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -493,15 +493,15 @@
     partition_owners owners("me");
     owners.learn("a", std::array{owned_partition{1, 5}});
     owners.learn("b", std::array{owned_partition{1, 4}, owned_partition{2, 1}});
-    CHECK(owners.find(1) == partition_owner{"a", 5});
+    CHECK(owners.find(1) == known_owner{"a", 5});
     owners.set_own({{1, 6}, {3, 1}, {4, 1}});
-    CHECK(owners.find(1) == partition_owner{"me", 6});
+    CHECK(owners.find(1) == known_owner{"me", 6});
     CHECK(owners.next_heartbeat(2) == std::vector{owned_partition{1, 6}, owned_partition{3, 1}});
     CHECK(owners.next_heartbeat(2) == std::vector{owned_partition{4, 1}, owned_partition{1, 6}});
     CHECK(owners.next_heartbeat(9).size() == 3);
     owners.set_own({{3, 1}});
     CHECK_FALSE(owners.find(1));
-    CHECK(owners.find(2) == partition_owner{"b", 1});
+    CHECK(owners.find(2) == known_owner{"b", 1});
 }
 
 TEST_CASE("each failure domain has one holder of a duty, which changes only when the holder goes")
