Name the incarnation in replication batches

Cause: after a pause, an owner handled an old membership view, took the earlier incarnation of a listed backup for a new candidate and sent it a reset. Change: a batch names the incarnation it is meant for, and any other one refuses it. Entry sizes are estimated instead of serialized.

--- a/src/journal/entry.cpp
+++ b/src/journal/entry.cpp
@@ -110,6 +110,45 @@
     in.at("b").get_to(it.spent);
 }
 
+/// Member names, separators and numbers of one entry.
+constexpr std::size_t entry_overhead_bytes = 48;
+
+std::size_t string_bytes(const open_entry& it)
+{
+    return it.account.size() + it.service.size() + it.parent.size() + 48;
+}
+
+std::size_t string_bytes(const turn_entry& it)
+{
+    return it.digest.size();
+}
+
+std::size_t string_bytes(const intent_entry& it)
+{
+    return it.call.size() + it.tool.size() + it.key.size() + it.arguments_digest.size();
+}
+
+std::size_t string_bytes(const outcome_entry& it)
+{
+    return it.call.size() + it.tool.size() + it.key.size() + it.arguments_digest.size() + it.result.size() +
+           it.result_digest.size();
+}
+
+std::size_t string_bytes(const abandon_entry& it)
+{
+    return it.call.size() + it.key.size();
+}
+
+std::size_t string_bytes(const mark_entry& /*it*/)
+{
+    return 24;
+}
+
+std::size_t string_bytes(const end_entry& it)
+{
+    return it.reason.size() + 24;
+}
+
 /// In the order of the alternatives of `entry`.
 constexpr std::array kind_names{"open", "turn", "intent", "outcome", "abandon", "mark", "end"};
 static_assert(kind_names.size() == std::variant_size_v<entry>);
@@ -137,6 +176,12 @@
     return std::visit([](const auto& it) -> const std::string& { return it.program; }, value);
 }
 
+std::size_t entry_bytes(const entry& value)
+{
+    return std::visit([](const auto& it) { return entry_overhead_bytes + it.program.size() + string_bytes(it); },
+                      value);
+}
+
 json entry_to_json(const entry& value)
 {
     json out = std::visit([](const auto& it) { return write(it); }, value);
--- a/src/journal/entry.h
+++ b/src/journal/entry.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -90,6 +91,9 @@
 /// Returns the program that an entry belongs to. Thread-safe.
 const std::string& program_of(const entry& value);
 
+/// Returns an estimate of an entry's serialized size in bytes, without serializing it. Thread-safe.
+std::size_t entry_bytes(const entry& value);
+
 /// Serialization of an entry as an object with short member names. Thread-safe.
 nlohmann::json entry_to_json(const entry& value);
 
--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -3,8 +3,6 @@
 #include "util/digest.h"
 #include "util/ensure.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <iterator>
 
@@ -12,11 +10,6 @@
 
 namespace {
 
-std::size_t entry_bytes(const entry& value)
-{
-    return entry_to_json(value).dump().size();
-}
-
 std::string snapshot_prefix(std::uint32_t partition)
 {
     return "snapshot/" + std::to_string(partition) + "/";
--- a/src/journal/log_item.cpp
+++ b/src/journal/log_item.cpp
@@ -6,21 +6,16 @@
 
 namespace {
 
-/// Member names, digests and identifiers of one entry.
-constexpr std::size_t entry_overhead_bytes = 256;
-
-std::size_t variable_bytes(const entry& value)
-{
-    const auto* outcome = std::get_if<outcome_entry>(&value);
-    return outcome == nullptr ? 0 : outcome->result.size();
-}
+/// Member names, sequence, and the digests and identifiers of a text.
+constexpr std::size_t item_overhead_bytes = 32;
+constexpr std::size_t text_overhead_bytes = 256;
 
 } // namespace
 
 std::size_t item_bytes(const log_item& item)
 {
-    const std::size_t text = item.text ? entry_overhead_bytes + text_bytes(*item.text) : 0;
-    return entry_overhead_bytes + variable_bytes(item.content) + text;
+    const std::size_t text = item.text ? text_overhead_bytes + text_bytes(*item.text) : 0;
+    return item_overhead_bytes + entry_bytes(item.content) + text;
 }
 
 void to_json(nlohmann::json& out, const log_item& item)
--- a/src/program/backup_set.cpp
+++ b/src/program/backup_set.cpp
@@ -279,6 +279,7 @@
         it.stream = ++m_last_stream;
     }
     replicate_request message{.partition = m_settings->partition,
+                              .incarnation = it.backup.incarnation,
                               .epoch = m_epoch,
                               .stream = it.stream,
                               .reset = !it.started,
@@ -307,6 +308,7 @@
 void backup_set::discard(const stream_state& it, std::uint64_t epoch, std::uint64_t flushed, std::vector<action>& out)
 {
     replicate_request message{.partition = m_settings->partition,
+                              .incarnation = it.backup.incarnation,
                               .epoch = epoch,
                               .stream = ++m_last_stream,
                               .reset = true,
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -113,19 +113,31 @@
 {
     m_journal.poll(m_now);
     advance_takeover();
+    // Nothing may be appended once the journal has stopped, so a loss is handled before and after the rest.
+    handle_loss();
     if (m_phase == owner_phase::ready || m_phase == owner_phase::handing_over) {
-        m_stored = m_backups.stored(m_journal, m_now);
-        m_journal.set_stored(m_stored);
-        answer_waiting();
-        advance_calls();
-        clean_up();
-        advance_handover();
-        m_backups.poll(m_journal, m_now, m_actions);
-        m_journal.poll(m_now);
+        advance_ownership();
     }
     for (kv_call& it : m_journal.take_calls()) {
         emit(std::move(it));
     }
+    handle_loss();
+}
+
+void partition_owner::core::advance_ownership()
+{
+    m_stored = m_backups.stored(m_journal, m_now);
+    m_journal.set_stored(m_stored);
+    answer_waiting();
+    advance_calls();
+    clean_up();
+    advance_handover();
+    m_backups.poll(m_journal, m_now, m_actions);
+    m_journal.poll(m_now);
+}
+
+void partition_owner::core::handle_loss()
+{
     if (m_phase == owner_phase::idle) {
         return;
     }
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -81,6 +81,8 @@
     void on(const start_handover& it);
     void settle();
     void advance();
+    void advance_ownership();
+    void handle_loss();
     void advance_takeover();
     void finish_takeover();
     void restore_programs(const recovered_partition& recovered);
--- a/src/program/replica_messages.cpp
+++ b/src/program/replica_messages.cpp
@@ -13,13 +13,16 @@
 
 void to_json(json& out, const replicate_request& value)
 {
-    out = {{"partition", value.partition}, {"epoch", value.epoch},     {"stream", value.stream}, {"reset", value.reset},
-           {"previous", value.previous},   {"flushed", value.flushed}, {"items", value.items}};
+    out = {{"partition", value.partition}, {"incarnation", value.incarnation},
+           {"epoch", value.epoch},         {"stream", value.stream},
+           {"reset", value.reset},         {"previous", value.previous},
+           {"flushed", value.flushed},     {"items", value.items}};
 }
 
 void from_json(const json& in, replicate_request& value)
 {
     in.at("partition").get_to(value.partition);
+    in.at("incarnation").get_to(value.incarnation);
     in.at("epoch").get_to(value.epoch);
     in.at("stream").get_to(value.stream);
     in.at("reset").get_to(value.reset);
--- a/src/program/replica_messages.h
+++ b/src/program/replica_messages.h
@@ -13,6 +13,7 @@
 /// A batch of an owner's log for one backup. Retransmitted until it is acknowledged; receiving it twice is harmless.
 struct replicate_request {
     std::uint32_t partition = 0;
+    std::uint64_t incarnation = 0; ///< of the backup that the owner means; any other one refuses the batch
     std::uint64_t epoch = 0;
     std::uint64_t stream = 0;   ///< rises whenever the owner starts the backup's copy anew within its epoch
     bool reset = false;         ///< starts the copy anew; everything up to `previous` is in the key-value service
--- a/src/program/replica_store.cpp
+++ b/src/program/replica_store.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-replica_store::replica_store(std::string id, std::uint64_t incarnation, replica_limits limits, bool check_epochs)
-    : m_id(std::move(id)), m_incarnation(incarnation), m_limits(limits), m_check_epochs(check_epochs)
+replica_store::replica_store(std::string id, std::uint64_t incarnation, replica_limits limits, replica_faults faults)
+    : m_id(std::move(id)), m_incarnation(incarnation), m_limits(limits), m_faults(faults)
 {
 }
 
@@ -35,11 +35,16 @@
     if (target == nullptr) {
         return reply;
     }
-    if (m_check_epochs && request.epoch < target->highest_epoch) {
+    if (!m_faults.accept_lower_epochs && request.epoch < target->highest_epoch) {
         reply.status = replicate_status::stale_epoch;
         reply.epoch = target->highest_epoch;
         return reply;
     }
+    if (!m_faults.accept_other_incarnations && request.incarnation != m_incarnation) {
+        // A reset meant for an earlier process start would replace the copy of a stream that is in use.
+        reply.status = replicate_status::gap;
+        return reply;
+    }
     target->highest_epoch = std::max(target->highest_epoch, request.epoch);
     reply.status = store(*target, request);
     const bool same_copy = target->data_epoch == request.epoch && target->stream == request.stream;
--- a/src/program/replica_store.h
+++ b/src/program/replica_store.h
@@ -12,19 +12,26 @@
 /// Bounds of one instance's copies.
 struct replica_limits {
     std::size_t max_bytes = 64 * 1024 * 1024;
-    std::size_t max_copies = 4096;
+    std::size_t max_copies = 4096;        ///< at least the number of partitions
     std::size_t fetch_bytes = 512 * 1024; ///< items in one fetch reply; at least one item is returned
 };
 
+/// Removes single guards so that tests can show that their checks notice. All off in production.
+struct replica_faults {
+    bool accept_lower_epochs = false;
+    bool accept_other_incarnations = false;
+};
+
 /// The copies that this instance keeps for owners of other instances: for each partition the highest epoch seen and
 /// the part of the owner's log that is not yet in the key-value service. Does no I/O; one thread at a time.
 class replica_store {
 public:
     /// `incarnation` identifies this process start and must be the number that heartbeats carry: a successor takes a
     /// copy for complete only if it comes from the incarnation named in the head record.
-    replica_store(std::string id, std::uint64_t incarnation, replica_limits limits = {}, bool check_epochs = true);
+    replica_store(std::string id, std::uint64_t incarnation, replica_limits limits = {}, replica_faults faults = {});
 
-    /// Stores a batch. Refuses lower epochs, batches behind a gap and texts whose digest does not match.
+    /// Stores a batch. Refuses lower epochs, batches for another incarnation or behind a gap, and texts whose digest
+    /// does not match.
     replicate_reply replicate(const replicate_request& request);
 
     /// Returns the copy and refuses lower epochs from now on.
@@ -62,7 +69,7 @@
     std::string m_id;
     std::uint64_t m_incarnation = 0;
     replica_limits m_limits;
-    bool m_check_epochs = true;
+    replica_faults m_faults;
     std::size_t m_bytes = 0;
     std::map<std::uint32_t, copy> m_copies;
 };
