Show that the seeded check notices each removed guard

Cause: a check that never fails proves nothing. Change: test-only flags remove one guard each; a test runs schedules without it and requires a violation. Schedules aim more often at the owner, and restarts are quicker.

--- a/tests/core_invariants_test.cpp
+++ b/tests/core_invariants_test.cpp
@@ -86,3 +86,40 @@
     CHECK(it.takeovers > schedules);
     CHECK(it.executions > schedules);
 }
+
+TEST_CASE("the check notices each removed guard of the protocol")
+{
+    struct removed_guard {
+        std::string name;
+        void (*remove)(world_options&);
+    };
+    const std::vector<removed_guard> guards{
+        {"the intent is confirmed before the call is sent", [](auto& it) { it.faults.send_before_confirmed = true; }},
+        {"an answer waits for a backup", [](auto& it) { it.faults.answer_before_stored = true; }},
+        {"a mark is stored ahead of use", [](auto& it) { it.faults.mark_after_use = true; }},
+        {"an engine's answer matches its call", [](auto& it) { it.faults.ignore_call_epoch = true; }},
+        {"a successor fences the backups", [](auto& it) { it.faults.skip_fencing = true; }},
+        {"a successor keeps intents without outcome", [](auto& it) { it.faults.forget_intents = true; }},
+        {"a list change counts both lists", [](auto& it) { it.faults.single_list_change = true; }},
+        {"a lost reply is read back", [](auto& it) { it.read_back = false; }},
+        {"a backup refuses lower epochs", [](auto& it) { it.replica.accept_lower_epochs = true; }},
+        {"a backup refuses batches for another incarnation",
+         [](auto& it) { it.replica.accept_other_incarnations = true; }},
+    };
+    constexpr std::uint64_t block = 200;
+    constexpr std::uint64_t last = 4000;
+    for (const removed_guard& it : guards) {
+        world_options options;
+        it.remove(options);
+        std::map<std::uint64_t, std::string> violations;
+        for (std::uint64_t first = 1; first < last && violations.empty(); first += block) {
+            violations = run_seeds(first, block, options).violations;
+        }
+        CHECK_MESSAGE(!violations.empty(), "without the guard that ", it.name);
+        if (violations.empty()) {
+            continue;
+        }
+        MESSAGE("without the guard that ", it.name, ": seed ", violations.begin()->first, ": ",
+                violations.begin()->second);
+    }
+}
--- a/tests/fake_world.cpp
+++ b/tests/fake_world.cpp
@@ -165,7 +165,7 @@
     if (listed && present->epoch != present->ready_epoch) {
         check_recoverable();
     }
-    at(millis(100, 2500), [this, n] {
+    at(chance(50) ? millis(20, 300) : millis(300, 2500), [this, n] {
         if (!m_instances[n].alive) {
             start(n);
         }
@@ -184,19 +184,26 @@
     const timestamp end = m_now + millis(100, 2500);
     const std::uint64_t kind = pick(9);
     trace("fault " + std::to_string(kind));
-    const std::size_t n = pick(instance_count);
+    const std::size_t n = chance(40) ? choose_instance() : pick(instance_count);
+    const std::size_t other = (n + 1 + pick(instance_count - 1)) % instance_count;
     switch (kind) {
     case 0:
+        crash(n);
+        return;
     case 1:
         crash(n);
+        crash(other);
         return;
     case 2:
-        crash(n);
-        crash((n + 1 + pick(instance_count - 1)) % instance_count);
+        pause(n);
         return;
     case 3:
+        pause(n);
+        crash(other);
+        return;
     case 4:
         pause(n);
+        at(millis(50, 1500), [this, other] { crash(other); });
         return;
     case 5:
         m_kv_outage_end = end;
@@ -461,7 +468,6 @@
             items.insert(items.end(), copy.items.begin(), copy.items.end());
         }
     }
-    std::ranges::stable_sort(items, {}, &log_item::sequence);
     return items;
 }
 
@@ -479,7 +485,9 @@
         }
     }
     std::uint64_t next = head.sequence + 1;
-    for (const log_item& it : copies(head)) {
+    std::vector<log_item> items = copies(head);
+    std::ranges::stable_sort(items, {}, &log_item::sequence);
+    for (const log_item& it : items) {
         if (it.text) {
             out.texts.insert(std::visit([](const auto& text) { return text.digest; }, *it.text));
         }
@@ -932,7 +940,7 @@
                  on_turn(it, number, messages, answer, epoch);
                  if (std::exchange(*pending, false)) {
                      it.busy = false;
-                     after(it, millis(1, 150));
+                     after(it, refused(answer) == nullptr ? millis(1, 150) : millis(50, 500));
                  }
              }});
 }
