Write the head after a running segment instead of twice

Cause: a lazy head write that became due with a segment was followed by a second one that named the segment. Change: a lazy head write waits for a running segment, up to one more lazy delay.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -465,7 +465,11 @@
         return std::nullopt;
     }
     const logged_item* first = first_pending();
-    return first == nullptr ? std::nullopt : std::optional{first->appended + m_settings->lazy_delay};
+    if (first == nullptr) {
+        return std::nullopt;
+    }
+    // A head that follows a segment names it as well, which saves a write; a slow segment is not waited for.
+    return first->appended + m_settings->lazy_delay * (m_segments.writing() ? 2 : 1);
 }
 
 bool journal::stopped() const
--- a/src/journal/segment_set.h
+++ b/src/journal/segment_set.h
@@ -41,6 +41,9 @@
     /// A head record that names `keys` took effect. Returns keys and versions that are not needed any more.
     std::vector<std::pair<std::string, std::uint64_t>> committed(const std::vector<std::string>& keys);
 
+    /// Returns whether a segment is being written.
+    bool writing() const { return m_write && !m_written; }
+
     /// Returns whether a segment is written and waits for a head record that names it.
     bool waits_for_head() const { return m_written && m_write.has_value(); }
 
--- /dev/null
+++ b/tests/journal_test.cpp
@@ -0,0 +1,365 @@
+#include "fake_kv.h"
+#include "journal/journal.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace lagoonferry;
+using namespace lagoonferry::test;
+
+namespace {
+
+constexpr timestamp ms{std::chrono::milliseconds{1}};
+
+/// One journal whose calls are answered by the test.
+struct chain {
+    journal_settings settings;
+    journal log;
+    timestamp now{std::chrono::seconds{1}};
+
+    explicit chain(const std::string& id) : log(7, {id, id}, id, settings) {}
+
+    /// Answers every call, and the calls that follow from the answers.
+    void settle(fake_kv& kv)
+    {
+        for (auto calls = log.take_calls(); !calls.empty(); calls = log.take_calls()) {
+            for (const kv_call& it : calls) {
+                log.handle(kv.apply(it), now);
+            }
+        }
+    }
+
+    void poll(timestamp by)
+    {
+        now += by;
+        log.poll(now);
+    }
+
+    chain& take_over(fake_kv& kv)
+    {
+        log.start_takeover();
+        log.poll(now);
+        settle(kv);
+        log.finish_takeover({}, {}, now);
+        log.poll(now);
+        settle(kv);
+        log.set_stored(1000000);
+        return *this;
+    }
+
+    std::uint64_t append(const std::string& program, durability wanted = durability::lazy)
+    {
+        return log.append(mark_entry{program, {1, 2, 3}}, nullptr, wanted, now);
+    }
+
+    kv_reply lost(const kv_call& call) const { return {call.request, kv_status::unknown, {}, 0, {}}; }
+};
+
+head_record stored_head(const fake_kv& kv)
+{
+    return *decode_head(kv.entries().at("partition/7").value);
+}
+
+text_ref make_text(const std::string& program, std::size_t bytes)
+{
+    turn_text turn{program, 1, {}, {std::string(bytes, 'x')}, "y", {}};
+    turn.digest = chain_digest(turn);
+    return std::make_shared<const stored_text>(turn);
+}
+
+} // namespace
+
+TEST_CASE("every entry survives its serialization, and other input is refused")
+{
+    const std::vector<entry> entries{open_entry{"7-a", "acc", "svc", "7-b", {1, 2, 3}, 5},
+                                     turn_entry{"7-a", 2, "d", 99},
+                                     intent_entry{"c", "7-a", 2, "pay", "k", "d"},
+                                     outcome_entry{"c", "7-a", "pay", "k", "d", true, "r", "e"},
+                                     abandon_entry{"c", "7-a", "k"},
+                                     mark_entry{"7-a", {4, 5, 6}},
+                                     end_entry{"7-a", "done", {7, 8, 9}}};
+    for (const entry& it : entries) {
+        CHECK(entry_from_json(entry_to_json(it)) == it);
+    }
+    CHECK_THROWS_AS(entry_from_json(nlohmann::json{{"t", "other"}}), nlohmann::json::exception);
+    CHECK_FALSE(decode_head("{}"));
+    CHECK_FALSE(decode_head("not json"));
+}
+
+TEST_CASE("entries that arrive during a write share the next one, so that the write rate stays bounded")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    const std::uint64_t before = kv.writes();
+    it.append("7-a", durability::confirmed);
+    it.poll(ms);
+    const auto first = it.log.take_calls();
+    REQUIRE(first.size() == 1);
+    for (int n = 0; n < 10; ++n) {
+        it.append("7-a", durability::confirmed);
+        it.poll(ms);
+    }
+    CHECK(it.log.take_calls().empty());
+    it.log.handle(kv.apply(first.front()), it.now);
+    it.settle(kv);
+    CHECK(kv.writes() == before + 2);
+    CHECK(it.log.durable() == 11);
+}
+
+TEST_CASE("lazy entries wait for others up to the delay, and a confirmed one takes them along")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.append("7-a");
+    it.poll(999 * ms);
+    CHECK(it.log.take_calls().empty());
+    it.poll(ms);
+    it.settle(kv);
+    CHECK(it.log.durable() == 1);
+    it.append("7-a");
+    it.append("7-a", durability::confirmed);
+    it.poll(ms);
+    it.settle(kv);
+    CHECK(it.log.durable() == 3);
+}
+
+TEST_CASE("a write whose reply was lost after its effect is found by reading back and not repeated")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.append("7-a", durability::confirmed);
+    it.poll(ms);
+    const auto calls = it.log.take_calls();
+    kv.apply(calls.front());
+    it.log.handle(it.lost(calls.front()), it.now);
+    CHECK(it.log.durable() == 0);
+    it.poll(100 * ms);
+    it.settle(kv);
+    CHECK(it.log.durable() == 1);
+    CHECK(stored_head(kv).tail.size() == 1);
+}
+
+TEST_CASE("a write that takes effect after it was read back as lost counts as our own")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.append("7-a", durability::confirmed);
+    it.poll(ms);
+    const kv_call late = it.log.take_calls().front();
+    it.log.handle(it.lost(late), it.now);
+    it.poll(100 * ms);
+    const kv_call read_back = it.log.take_calls().front();
+    it.log.handle(kv.apply(read_back), it.now);
+    it.append("7-b", durability::confirmed);
+    it.poll(100 * ms);
+    const kv_call repeated = it.log.take_calls().front();
+    CHECK(kv.apply(late).status == kv_status::ok);
+    it.log.handle(kv.apply(repeated), it.now);
+    it.settle(kv);
+    CHECK(it.log.phase() == journal_phase::ready);
+    CHECK(it.log.durable() == 2);
+    CHECK(stored_head(kv).tail.size() == 2);
+}
+
+TEST_CASE("a sealed owner notices with its next write and names the new owner")
+{
+    fake_kv kv;
+    chain former("a");
+    former.take_over(kv);
+    chain successor("b");
+    successor.take_over(kv);
+    former.append("7-a", durability::confirmed);
+    former.poll(ms);
+    former.settle(kv);
+    CHECK(former.log.phase() == journal_phase::lost);
+    CHECK(former.log.head().owner.id == "b");
+    CHECK(stored_head(kv).tail.empty());
+}
+
+TEST_CASE("of two candidates for the same epoch one wins, and the other does not seal again")
+{
+    fake_kv kv;
+    chain a("a");
+    chain b("b");
+    for (chain* it : {&a, &b}) {
+        it->log.start_takeover();
+        it->log.poll(it->now);
+        it->log.handle(kv.apply(it->log.take_calls().front()), it->now);
+    }
+    const kv_call seal_a = a.log.take_calls().front();
+    const kv_call seal_b = b.log.take_calls().front();
+    a.log.handle(kv.apply(seal_a), a.now);
+    b.log.handle(kv.apply(seal_b), b.now);
+    b.settle(kv);
+    CHECK(a.log.phase() == journal_phase::recovering);
+    CHECK(b.log.phase() == journal_phase::lost);
+    CHECK(stored_head(kv).epoch == 1);
+}
+
+TEST_CASE("a takeover continues when an append of the present owner moves the head first")
+{
+    fake_kv kv;
+    chain owner("a");
+    owner.take_over(kv);
+    chain successor("b");
+    successor.log.start_takeover();
+    successor.log.poll(successor.now);
+    successor.log.handle(kv.apply(successor.log.take_calls().front()), successor.now);
+    const kv_call seal = successor.log.take_calls().front();
+    owner.append("7-a", durability::confirmed);
+    owner.poll(ms);
+    owner.settle(kv);
+    successor.log.handle(kv.apply(seal), successor.now);
+    successor.settle(kv);
+    CHECK(successor.log.phase() == journal_phase::recovering);
+    CHECK(successor.log.durable() == 1);
+}
+
+TEST_CASE("a long tail moves into a snapshot, the old snapshot is erased, and a successor restores the same state")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.log.append(open_entry{"7-a", "acc", "svc", {}, {9, 9, 9}, 4}, nullptr, durability::lazy, it.now);
+    std::size_t longest = 0;
+    for (int n = 0; n < 300; ++n) {
+        it.append("7-a", durability::confirmed);
+        it.poll(ms);
+        it.settle(kv);
+        longest = std::max(longest, stored_head(kv).tail.size());
+    }
+    CHECK(longest < 100);
+    const auto is_snapshot = [](const auto& pair) { return pair.first.starts_with("snapshot/"); };
+    CHECK(std::ranges::count_if(kv.entries(), is_snapshot) == 1);
+    chain successor("b");
+    successor.take_over(kv);
+    CHECK(successor.log.durable() == 301);
+    CHECK(successor.log.image().find("7-a")->marked == budget{1, 2, 3});
+    CHECK(successor.log.image().encode() == it.log.image().encode());
+}
+
+TEST_CASE("an ended program leaves later snapshots once it is forgotten, so that the record stays bounded")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.log.append(open_entry{"7-a", "acc", "svc", {}, {9, 9, 9}, 4}, nullptr, durability::lazy, it.now);
+    it.log.append(end_entry{"7-a", "done", {}}, nullptr, durability::confirmed, it.now);
+    it.poll(ms);
+    it.settle(kv);
+    const std::size_t bytes = it.log.image().bytes();
+    it.log.forget("7-a");
+    CHECK(it.log.image().programs().empty());
+    CHECK(it.log.image().bytes() < bytes);
+}
+
+TEST_CASE("an entry does not reach the head before a backup or a segment holds its text")
+{
+    fake_kv kv;
+    chain it("a");
+    it.log.start_takeover();
+    it.log.poll(it.now);
+    it.settle(kv);
+    it.log.finish_takeover({}, {}, it.now);
+    it.log.poll(it.now);
+    it.settle(kv);
+    it.log.append(turn_entry{"7-a", 1, "d", 1}, make_text("7-a", 10), durability::lazy, it.now);
+    it.append("7-a", durability::confirmed);
+    it.poll(ms);
+    const auto calls = it.log.take_calls();
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().key == "history/7/1-1");
+    it.log.handle(kv.apply(calls.front()), it.now);
+    it.settle(kv);
+    CHECK(it.log.flushed() == 2);
+    CHECK(stored_head(kv).segments == std::vector<std::string>{"history/7/1-1"});
+}
+
+TEST_CASE("segments are spaced, merged and erased, so that neither writes nor keys grow without bound")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    const std::uint64_t before = kv.writes();
+    for (int n = 0; n < 600; ++n) {
+        const std::string program = "7-" + std::to_string(n / 6);
+        if (n % 6 == 0) {
+            it.log.append(open_entry{program, "acc", "svc", {}, {9, 9, 9}, 4}, nullptr, durability::lazy, it.now);
+        }
+        it.log.append(turn_entry{program, 1, "d", 1}, make_text(program, 2000), durability::lazy, it.now);
+        if (n % 6 == 5 && n > 60) {
+            it.log.append(end_entry{"7-" + std::to_string(n / 6 - 10), "done", {}}, nullptr, durability::lazy, it.now);
+        }
+        it.poll(200 * ms);
+        it.settle(kv);
+    }
+    // 120 s: a head each second, a segment each 2 s, its erasing, and a snapshot with its erasing each 5 s.
+    CHECK(kv.writes() - before < 120 + 60 + 60 + 50);
+    CHECK(stored_head(kv).segments.size() <= it.settings.merge_segments_above + 2);
+    CHECK(kv.entries().size() <= it.settings.merge_segments_above + 5);
+    CHECK(kv.largest_value() < 600 * 1024);
+}
+
+TEST_CASE("a successor erases what an earlier owner wrote and never referenced")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    kv.apply({1, kv_operation::compare_and_swap, "snapshot/7/1-5", 0, "orphan"});
+    kv.apply({1, kv_operation::compare_and_swap, "history/7/1-5", 0, "orphan"});
+    kv.apply({1, kv_operation::compare_and_swap, "history/70/1-5", 0, "of another partition"});
+    chain successor("b");
+    successor.take_over(kv);
+    for (int n = 0; n < 10; ++n) {
+        successor.poll(ms);
+        successor.settle(kv);
+    }
+    CHECK(kv.entries().size() == 2);
+    CHECK(kv.entries().contains("history/70/1-5"));
+}
+
+TEST_CASE("a handover writes everything and names the successor in a higher epoch")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.append("7-a");
+    it.log.start_handover({"b", "b:1"});
+    it.log.append(turn_entry{"7-a", 1, "d", 1}, make_text("7-a", 10), durability::lazy, it.now);
+    it.log.finish_handover();
+    it.poll(ms);
+    it.settle(kv);
+    CHECK(it.log.phase() == journal_phase::handed_over);
+    const head_record head = stored_head(kv);
+    CHECK(head.epoch == 2);
+    CHECK(head.ready_epoch == 2);
+    CHECK(head.owner.id == "b");
+    CHECK(head.backups.empty());
+    CHECK(head.sequence == 2);
+    CHECK(head.segments.size() == 1);
+}
+
+TEST_CASE("a service that is down for a while costs at most one attempt per second")
+{
+    fake_kv kv;
+    chain it("a");
+    it.take_over(kv);
+    it.append("7-a", durability::confirmed);
+    int attempts = 0;
+    for (int n = 0; n < 1000; ++n) {
+        it.poll(10 * ms);
+        for (const kv_call& call : it.log.take_calls()) {
+            ++attempts;
+            it.log.handle({call.request, kv_status::unavailable, {}, 0, {}}, it.now);
+        }
+    }
+    CHECK(attempts <= 14);
+    CHECK(it.log.stalled(it.now, 2000 * ms));
+    it.poll(1000 * ms);
+    it.settle(kv);
+    CHECK(it.log.durable() == 1);
+}
