Reserve the slots that more urgent classes have needed lately; compute urgent prompts first in the fake engine

Late safety notices had no wait for a slot but 7 to 13 s to the first token: the fake engine computed prompts in order of arrival, although engines honour priorities. Change: lower classes leave the recent maximum of the slots of urgent classes free (times 1.2, half-life 10 s); the fake engine computes the prompt of the most urgent call first, for every policy.

--- a/bench/fake_engine.cpp
+++ b/bench/fake_engine.cpp
@@ -121,6 +121,18 @@
     });
 }
 
+/// Returns the most urgent call whose prompt is not computed, the earliest of equal ones.
+std::vector<fake_engine::running_call>::iterator fake_engine::next_prefill()
+{
+    auto best = m_running.end();
+    for (auto it = m_running.begin(); it != m_running.end(); ++it) {
+        if (it->prefill_left > 0 && (best == m_running.end() || it->call.priority < best->call.priority)) {
+            best = it;
+        }
+    }
+    return best;
+}
+
 /// Starts as many equal steps as there are until a call ends or a prompt is computed.
 void fake_engine::plan()
 {
@@ -130,7 +142,7 @@
     if (m_running.empty()) {
         return;
     }
-    const auto prefilling = std::ranges::find_if(m_running, [](const auto& r) { return r.prefill_left > 0; });
+    const auto prefilling = next_prefill();
     m_prefilling = static_cast<std::size_t>(prefilling - m_running.begin());
     std::uint64_t steps = std::numeric_limits<std::uint64_t>::max();
     double decoding = 0;
--- a/bench/fake_engine.h
+++ b/bench/fake_engine.h
@@ -40,7 +40,8 @@
 
 /// Model engine with continuous batching on a virtual clock: each step gives every running call one token, takes longer
 /// for larger batches, and computes up to 256 prompt tokens of one call. Prefixes stay cached until their memory is
-/// needed (least recently used first). Waiting calls start in order of priority, then arrival. Not thread-safe.
+/// needed (least recently used first). Waiting calls start, and prompts are computed, in order of priority, then
+/// arrival. Not thread-safe.
 class fake_engine {
 public:
     using listener = std::function<void(engine_event, std::uint64_t call)>;
@@ -95,6 +96,7 @@
 
     void advance();
     void plan();
+    std::vector<running_call>::iterator next_prefill();
     void finish_steps(std::uint64_t steps);
     void admit();
     bool make_room(std::uint32_t tokens, std::uint64_t keep);
--- a/bench/policies.cpp
+++ b/bench/policies.cpp
@@ -30,6 +30,7 @@
     settings.move_from_slow = false;
     settings.preempt_bulk = false;
     settings.refuse_late = false;
+    settings.reserve_demand = false;
     settings.class_share = {1, 1, 1, 1};
     return settings;
 }
@@ -111,6 +112,7 @@
     policy_row{"oracle", policy_role::oracle, bench::oracle},
     policy_row{"without classes", ablation, without_classes},
     policy_row{"without headroom", ablation, without_headroom},
+    policy_row{"without demand reserve", ablation, without<&dispatch_settings::reserve_demand>},
     policy_row{"without least service", ablation, without_least_service},
     policy_row{"without ageing", ablation, without_ageing},
     policy_row{"without account fairness", ablation, without_account_fairness},
--- /dev/null
+++ b/src/dispatch/class_demand.cpp
@@ -0,0 +1,24 @@
+#include "dispatch/class_demand.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace lagoonferry {
+
+void class_demand::observe(const per_class<double>& calls, timestamp now)
+{
+    const double age = static_cast<double>((now - m_observed).count()) / static_cast<double>(m_half_life.count());
+    const double fade = std::exp2(-age);
+    m_observed = now;
+    for (std::size_t n = 0; n < class_count; ++n) {
+        m_slots.at(n) = std::max(calls.at(n), m_slots.at(n) * fade);
+    }
+}
+
+double class_demand::above(request_class c) const
+{
+    return std::accumulate(m_slots.begin(), m_slots.begin() + static_cast<std::ptrdiff_t>(index_of(c)), 0.0);
+}
+
+} // namespace lagoonferry
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace lagoonferry {
 
@@ -52,7 +53,8 @@
                                  timestamp now)
     : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_epoch(epoch), m_random(seed),
       m_started(now), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
-      m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us), m_typical_hold_us(first_hold_us)
+      m_demand(settings.demand_half_life), m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us),
+      m_typical_hold_us(first_hold_us)
 {
 }
 
@@ -81,6 +83,7 @@
         });
         std::ranges::for_each(lost, [&](std::uint64_t slot) { m_slots.remove(slot); });
         track.in_flight = 0;
+        track.in_class = {};
         m_prefixes.forget_target(*index);
     }
 }
@@ -113,6 +116,7 @@
     expire_slots(now);
     m_shares.prune(now);
     update_typical();
+    update_demand(now);
     if (m_settings.detect_slow) {
         mark_slow_targets(m_targets, m_settings);
     }
@@ -222,6 +226,7 @@
     record.granted = now;
     m_slots.add(std::move(record));
     ++m_targets[*index].in_flight;
+    ++m_targets[*index].in_class.at(index_of(held.priority));
     ++m_counters.adopted;
     m_prefixes.set(held.prefix, *index, held.prompt_tokens);
 }
@@ -351,7 +356,7 @@
             continue;
         }
         for (std::size_t n = 0; n < class_count; ++n) {
-            open.at(n) = open.at(n) || target.in_flight < limit_of(target, static_cast<request_class>(n), now);
+            open.at(n) = open.at(n) || has_room(target, static_cast<request_class>(n), now);
         }
     }
     return open;
@@ -367,8 +372,8 @@
         view.id = target.info.id;
         view.in_flight = target.in_flight;
         view.limit = limit_of(target, call.acquire.priority, now);
-        view.open =
-            view.in_flight < view.limit && takes_calls(target, now) && !is_excluded(call.acquire, target.info.id);
+        view.open = has_room(target, call.acquire.priority, now) && takes_calls(target, now) &&
+                    !is_excluded(call.acquire, target.info.id);
         view.reported_running = target.reported_running;
         view.reported_waiting = target.reported_waiting;
         view.cached_tokens = 0;
@@ -390,6 +395,7 @@
     auto& target = m_targets[index];
     const auto& a = call.acquire;
     ++target.in_flight;
+    ++target.in_class.at(index_of(a.priority));
     if (target.slow) {
         target.probed = now;
     }
@@ -415,7 +421,9 @@
 void slot_dispatcher::free_slot(slot_record& slot)
 {
     auto& target = m_targets[slot.target];
+    auto& in_class = target.in_class.at(index_of(slot.priority));
     target.in_flight -= std::min(target.in_flight, 1U);
+    in_class -= std::min(in_class, 1U);
     m_slots.remove(slot.slot);
 }
 
@@ -554,7 +562,7 @@
 {
     double best = std::numeric_limits<double>::max();
     for (const auto& target : m_targets) {
-        if (target.slow || !takes_calls(target, now) || target.in_flight >= limit_of(target, slot.priority, now)) {
+        if (target.slow || !takes_calls(target, now) || !has_room(target, slot.priority, now)) {
             continue;
         }
         const double step = step_us(target) * (1 + latency_track::step_growth * target.in_flight);
@@ -588,6 +596,37 @@
     return std::max(1U, static_cast<std::uint32_t>(whole * share));
 }
 
+bool slot_dispatcher::has_room(const target_track& target, request_class c, timestamp now) const
+{
+    if (target.in_flight >= limit_of(target, c, now)) {
+        return false;
+    }
+    if (!m_settings.reserve_demand || c == request_class::safety) {
+        return true;
+    }
+    const auto first = target.in_class.begin() + static_cast<std::ptrdiff_t>(index_of(c));
+    const auto in_flight = std::accumulate(first, target.in_class.end(), 0U);
+    const double whole = limit_of(target, request_class::safety, now);
+    const double reserved = m_settings.demand_margin * m_demand.above(c) * whole / std::max(1.0, m_all_limits);
+    return in_flight < std::max(1.0, whole - reserved);
+}
+
+void slot_dispatcher::update_demand(timestamp now)
+{
+    per_class<double> calls{};
+    m_all_limits = 0;
+    for (const auto& target : m_targets) {
+        for (std::size_t n = 0; n < class_count; ++n) {
+            calls.at(n) += target.in_class.at(n);
+        }
+        m_all_limits += takes_calls(target, now) ? limit_of(target, request_class::safety, now) : 0;
+    }
+    for (std::size_t n = 0; n < class_count; ++n) {
+        calls.at(n) += m_queue.count(static_cast<request_class>(n));
+    }
+    m_demand.observe(calls, now);
+}
+
 double slot_dispatcher::step_us(const target_track& target) const
 {
     return target.latency.recent_step_us() > 0 ? target.latency.recent_step_us() : m_typical_step_us;
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/concurrency_limit.h"
 #include "dispatch/latency_track.h"
+#include "dispatch/request_class.h"
 #include "dispatch/target_info.h"
 #include "util/time.h"
 
@@ -14,7 +15,8 @@
     target_info info;
     concurrency_limit limit;
     latency_track latency;
-    std::uint32_t in_flight = 0;
+    std::uint32_t in_flight = 0; ///< sum of `in_class`
+    per_class<std::uint32_t> in_class{};
     std::uint32_t reported_running = 0;
     std::uint32_t reported_waiting = 0;
     double hold_us = 0; ///< how long slots are held here, moving mean
