--- a/src/dispatch/affinity_choice.h
+++ b/src/dispatch/affinity_choice.h
@@ -6,7 +6,7 @@
 
 /// Chooses the target where the call costs the least time, its own and that which it adds to the calls that run there:
 /// prompt tokens that are not cached, then steps, which grow with the number of calls. A call whose prefix is cached on
-/// a full target waits for a slot there while that is cheaper than computing the prompt elsewhere.
+/// a full target waits for a slot there while that is cheaper than computing the prompt elsewhere; urgent calls do not.
 class affinity_choice : public target_choice {
 public:
     /// `use_prefix` false leaves the cached tokens out of the decision.
--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -20,7 +20,7 @@
     per_class<double> class_share{1.0, 0.9, 0.8, 0.5};
     /// Slots that more urgent classes have needed lately stay free for them.
     bool reserve_demand = true;
-    double demand_margin = 1.2;
+    double demand_margin = 1.8;
     timestamp demand_half_life = std::chrono::seconds(10);
 
     /// Waiting calls of a class, per target of the group.
