Adapt limits to the usual speed of a target instead of the recent one

Change: the limit sees the usual speed, which leaves out slow times; steady and slowed runs last 600 s instead of 300 s, since the 99th percentile of 300 s rests on a handful of stragglers.

--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -15,9 +15,9 @@
 constexpr timestamp crest_end = seconds(540);
 constexpr timestamp ramp_end = seconds(600);
 constexpr timestamp day_end = seconds(720);
-constexpr timestamp steady_end = seconds(300);
+constexpr timestamp steady_end = seconds(600);
 constexpr timestamp slow_start = seconds(60);
-constexpr timestamp slow_end = seconds(240);
+constexpr timestamp slow_end = seconds(540);
 
 double share_of(timestamp part, timestamp whole)
 {
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -471,7 +471,7 @@
     target.latency.observe_step(per_token_us, static_cast<std::uint32_t>(batch), now);
     if (m_settings.adaptive_limit && !target.slow) {
         const double others = std::max(0.0, batch - 1);
-        const double smoothed = target.latency.recent_step_us() * (1 + latency_track::step_growth * others);
+        const double smoothed = target.latency.usual_step_us() * (1 + latency_track::step_growth * others);
         target.limit.observe(smoothed, target.in_flight, now);
     }
 }
