--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -31,7 +31,7 @@
     timestamp account_half_life = std::chrono::seconds(30);
 
     timestamp token_goal = std::chrono::milliseconds(72); ///< between tokens; the limits adapt to it
-    double slow_ratio = 2.0;                              ///< of the usual latency, against the median of the peers
+    double slow_ratio = 3.0;                              ///< of the usual latency, against the median of the peers
     timestamp probe_interval = std::chrono::seconds(2);   ///< one call to a slow target
 
     timestamp holder_timeout = std::chrono::seconds(10);
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -378,7 +378,7 @@
         view.reported_waiting = target.reported_waiting;
         view.cached_tokens = 0;
         view.step_us = step_us(target);
-        view.step_growth = latency_track::step_growth;
+        view.step_growth = target.latency.step_growth();
         view.prefill_us = prefill_us(target);
         const double hold = target.hold_us > 0 ? target.hold_us : m_typical_hold_us;
         view.release_us = hold / std::max<double>(1, target.in_flight);
@@ -468,10 +468,9 @@
 
 void slot_dispatcher::observe_step(target_track& target, double per_token_us, double batch, timestamp now)
 {
-    target.latency.observe_step(per_token_us, static_cast<std::uint32_t>(batch), now);
+    target.latency.observe_step(per_token_us, batch, now);
     if (m_settings.adaptive_limit && !target.slow) {
-        const double others = std::max(0.0, batch - 1);
-        const double smoothed = target.latency.usual_step_us() * (1 + latency_track::step_growth * others);
+        const double smoothed = target.latency.usual_step_us() * target.latency.batch_factor(batch);
         target.limit.observe(smoothed, target.in_flight, now);
     }
 }
@@ -549,8 +548,8 @@
         }
         const double expected = slot.expected_output > 0 ? slot.expected_output : usual_output;
         const double left = std::max(expected - slot.tokens, least_left_share * slot.tokens);
-        const double staying = left * target.latency.recent_step_us() *
-                               (1 + latency_track::step_growth * std::max<double>(0, target.in_flight - 1.0));
+        const double staying =
+            left * target.latency.recent_step_us() * target.latency.batch_factor(target.in_flight);
         if (staying > move_gain * best_cost_elsewhere(slot, left, now)) {
             request_preempt(slot, preempt_reason::slow_target, now, out);
             ++m_counters.preempted_slow;
@@ -565,7 +564,7 @@
         if (target.slow || !takes_calls(target, now) || !has_room(target, slot.priority, now)) {
             continue;
         }
-        const double step = step_us(target) * (1 + latency_track::step_growth * target.in_flight);
+        const double step = step_us(target) * target.latency.batch_factor(target.in_flight + 1.0);
         best = std::min(best, (slot.prompt_tokens + slot.tokens) * prefill_us(target) + output_left * step);
     }
     return best;
