Make the platform clients and stand-ins clean under clang-tidy

Change: the clients are not copyable by declaration; fault rules and cache entries use plain values instead of optional ones.

--- a/src/platform/http_engine_client.h
+++ b/src/platform/http_engine_client.h
@@ -19,6 +19,8 @@
 public:
     /// `counts` outlives this object. At most `max_connections` calls run at a time; a further one ends as `not_sent`.
     http_engine_client(std::size_t max_connections, call_counts& counts);
+    http_engine_client(const http_engine_client&) = delete;
+    http_engine_client& operator=(const http_engine_client&) = delete;
     ~http_engine_client() override;
 
     engine_answer stream(const engine_call& call, const token_callback& on_token) override;
--- a/src/platform/http_instance_list.h
+++ b/src/platform/http_instance_list.h
@@ -15,6 +15,8 @@
 public:
     /// `address` is "<ip>:<port>"; `timeout` as for `http_kv_store`. `counts` outlives this object.
     http_instance_list(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts);
+    http_instance_list(const http_instance_list&) = delete;
+    http_instance_list& operator=(const http_instance_list&) = delete;
     ~http_instance_list() override;
 
     std::optional<std::vector<instance>> poll() override;
--- a/src/platform/http_kv_leases.h
+++ b/src/platform/http_kv_leases.h
@@ -14,6 +14,8 @@
 public:
     /// `address` is "<ip>:<port>"; `timeout` as for `http_kv_store`. `counts` outlives this object.
     http_kv_leases(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts);
+    http_kv_leases(const http_kv_leases&) = delete;
+    http_kv_leases& operator=(const http_kv_leases&) = delete;
     ~http_kv_leases() override;
 
     std::optional<std::string> grant(std::chrono::milliseconds time_to_live) override;
--- a/src/platform/http_kv_store.h
+++ b/src/platform/http_kv_store.h
@@ -18,6 +18,8 @@
     /// `address` is "<ip>:<port>". Every call waits at most `timeout` for its reply and as long again for a new
     /// connection. `counts` outlives this object.
     http_kv_store(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts);
+    http_kv_store(const http_kv_store&) = delete;
+    http_kv_store& operator=(const http_kv_store&) = delete;
     ~http_kv_store() override;
 
     /// Reads one key. A read without a reply is `unavailable`, because it has no effect.
--- a/src/platform/http_kv_watch.h
+++ b/src/platform/http_kv_watch.h
@@ -14,6 +14,8 @@
 public:
     /// `address` is "<ip>:<port>". A wait lasts at most its own timeout plus `timeout`. `counts` outlives this object.
     http_kv_watch(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts);
+    http_kv_watch(const http_kv_watch&) = delete;
+    http_kv_watch& operator=(const http_kv_watch&) = delete;
     ~http_kv_watch() override;
 
     std::optional<kv_changes> wait(std::string_view prefix, std::uint64_t after,
--- a/src/platform/http_tool_client.h
+++ b/src/platform/http_tool_client.h
@@ -14,6 +14,8 @@
 public:
     /// `counts` outlives this object. At most `max_connections` calls run at a time; a further one ends as `not_sent`.
     http_tool_client(std::size_t max_connections, call_counts& counts);
+    http_tool_client(const http_tool_client&) = delete;
+    http_tool_client& operator=(const http_tool_client&) = delete;
     ~http_tool_client() override;
 
     tool_result call(const tool_call& call) override;
--- a/src/platform/http_weight_store.h
+++ b/src/platform/http_weight_store.h
@@ -15,6 +15,8 @@
 public:
     /// `address` is "<ip>:<port>"; `timeout` as for `http_kv_store`. `counts` outlives this object.
     http_weight_store(const std::string& address, std::chrono::milliseconds timeout, call_counts& counts);
+    http_weight_store(const http_weight_store&) = delete;
+    http_weight_store& operator=(const http_weight_store&) = delete;
     ~http_weight_store() override;
 
     std::optional<std::string> read(std::string_view name) override;
--- a/standins/completion_text.cpp
+++ b/standins/completion_text.cpp
@@ -100,9 +100,10 @@
 
 nlohmann::json completion_text::tool_calls() const
 {
+    const scripted_call call = m_answer.call.value_or(scripted_call{});
     return {{{"id", "call_" + m_answer.digest.substr(0, 12)},
              {"type", "function"},
-             {"function", {{"name", m_answer.call->name}, {"arguments", m_answer.call->arguments}}}}};
+             {"function", {{"name", call.name}, {"arguments", call.arguments}}}}};
 }
 
 std::string completion_text::finish_reason() const
--- a/standins/fault_plan.cpp
+++ b/standins/fault_plan.cpp
@@ -47,13 +47,10 @@
 void fault_plan::add(const nlohmann::json& body)
 {
     check_members(body);
-    rule added{read_fault(body), body.value("method", ""), body.value("path", ""), {}};
-    if (body.contains("count")) {
-        added.remaining = body.at("count").get<std::uint32_t>();
-    }
+    rule added{read_fault(body), body.value("method", ""), body.value("path", ""), body.value("count", unlimited)};
     {
         const std::lock_guard lock(m_mutex);
-        if (!added.remaining) {
+        if (added.remaining == unlimited) {
             m_rules.remove_if([&](const rule& it) { return it.method == added.method && it.path == added.path; });
         }
         m_rules.push_front(std::move(added));
@@ -90,13 +87,13 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto found = std::ranges::find_if(m_rules, [&](const rule& it) {
-        return (it.method.empty() || it.method == method) && path.starts_with(it.path) && it.remaining != 0U;
+        return (it.method.empty() || it.method == method) && path.starts_with(it.path) && it.remaining != 0;
     });
     if (found == m_rules.end()) {
         return {};
     }
     const fault effect = found->effect;
-    if (found->remaining && --*found->remaining == 0) {
+    if (found->remaining != unlimited && --found->remaining == 0) {
         m_rules.erase(found);
     }
     return effect;
@@ -106,7 +103,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto found = std::ranges::find_if(
-        m_rules, [](const rule& it) { return it.method.empty() && it.path.empty() && !it.remaining; });
+        m_rules, [](const rule& it) { return it.method.empty() && it.path.empty() && it.remaining == unlimited; });
     return found == m_rules.end() ? fault{} : found->effect;
 }
 
--- a/standins/fault_plan.h
+++ b/standins/fault_plan.h
@@ -7,9 +7,9 @@
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <list>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -46,11 +46,13 @@
     void wait_for(std::chrono::milliseconds delay);
 
 private:
+    static constexpr std::uint32_t unlimited = std::numeric_limits<std::uint32_t>::max();
+
     struct rule {
         fault effect;
         std::string method;
         std::string path;
-        std::optional<std::uint32_t> remaining;
+        std::uint32_t remaining = unlimited; ///< further calls that it applies to
     };
 
     void notify_change() const;
--- a/standins/kv_state.cpp
+++ b/standins/kv_state.cpp
@@ -60,7 +60,7 @@
 
 std::string kv_state::grant_lease(timestamp now, timestamp time_to_live)
 {
-    const std::string id = "lease-" + std::to_string(++m_leases_granted);
+    std::string id = "lease-" + std::to_string(++m_leases_granted);
     m_leases[id] = {time_to_live, now + time_to_live};
     return id;
 }
--- a/standins/prefix_cache.cpp
+++ b/standins/prefix_cache.cpp
@@ -34,8 +34,7 @@
         return;
     }
     const std::uint64_t tokens = token_sum(blocks);
-    const auto pinned_until = pin.count() > 0 ? std::optional(now + pin) : std::nullopt;
-    m_entries[program] = {std::move(blocks), tokens, now, pinned_until};
+    m_entries[program] = {std::move(blocks), tokens, now, pin.count() > 0 ? now + pin : no_pin};
     m_held += tokens;
     m_on_event(kind, program, tokens);
 }
@@ -54,7 +53,7 @@
 void prefix_cache::evict_to(std::uint64_t limit)
 {
     const auto order = [](const entry_map::value_type& it) {
-        return std::tuple(it.second.pinned_until.has_value(), it.second.last_used);
+        return std::tuple(it.second.pin_end != no_pin, it.second.last_used);
     };
     while (m_held > limit && !m_entries.empty()) {
         drop(std::ranges::min_element(m_entries, {}, order), "evicted");
@@ -63,9 +62,7 @@
 
 void prefix_cache::expire(timestamp now)
 {
-    const auto expired = [&](const entry_map::value_type& it) {
-        return it.second.pinned_until && *it.second.pinned_until <= now;
-    };
+    const auto expired = [&](const entry_map::value_type& it) { return it.second.pin_end <= now; };
     for (auto it = std::ranges::find_if(m_entries, expired); it != m_entries.end();
          it = std::ranges::find_if(m_entries, expired)) {
         drop(it, "expired");
@@ -74,13 +71,11 @@
 
 std::optional<timestamp> prefix_cache::next_expiry() const
 {
-    std::optional<timestamp> next;
+    timestamp next = no_pin;
     for (const auto& [program, it] : m_entries) {
-        if (it.pinned_until && (!next || *it.pinned_until < *next)) {
-            next = it.pinned_until;
-        }
+        next = std::min(next, it.pin_end);
     }
-    return next;
+    return next == no_pin ? std::nullopt : std::optional(next);
 }
 
 std::map<std::string, std::uint64_t> prefix_cache::held_by_program() const
--- a/standins/prefix_cache.h
+++ b/standins/prefix_cache.h
@@ -47,11 +47,13 @@
     std::map<std::string, std::uint64_t> held_by_program() const;
 
 private:
+    static constexpr timestamp no_pin = timestamp::max();
+
     struct entry {
         std::vector<prompt_block> blocks;
         std::uint64_t tokens = 0;
         timestamp last_used{};
-        std::optional<timestamp> pinned_until;
+        timestamp pin_end = no_pin;
     };
     using entry_map = std::map<std::string, entry>;
 
--- a/standins/weights_server.cpp
+++ b/standins/weights_server.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-weights_server::weights_server(const size_map& sizes, double reads_per_second) : m_sizes(sizes)
+weights_server::weights_server(size_map sizes, double reads_per_second) : m_sizes(std::move(sizes))
 {
     m_reads.set_rate(reads_per_second);
     m_http.on("GET", "/weights/(.+)",
--- a/standins/weights_server.h
+++ b/standins/weights_server.h
@@ -16,7 +16,7 @@
     using size_map = std::map<std::string, std::size_t>;
 
     /// `sizes` are the weights with their sizes in bytes. `reads_per_second` 0 switches the limit off.
-    weights_server(const size_map& sizes, double reads_per_second);
+    weights_server(size_map sizes, double reads_per_second);
 
     http_server& http() { return m_http; }
 
