--- /dev/null
+++ b/bench/demo_caller.cpp
@@ -0,0 +1,162 @@
+#include "demo_caller.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr int most_attempts = 60;
+constexpr milliseconds shortest_pause{200};
+constexpr milliseconds connect_timeout{300};
+constexpr milliseconds read_timeout{60'000};
+constexpr int redirect_status = 307;
+constexpr int unavailable_status = 503;
+
+milliseconds since(clock::time_point start)
+{
+    return std::chrono::duration_cast<milliseconds>(clock::now() - start);
+}
+
+/// Reads server-sent events: the text of all tokens and the last event with the position of the turn.
+void read_events(const std::string& stream, caller_reply& reply)
+{
+    constexpr std::string_view prefix = "data: ";
+    std::size_t at = 0;
+    while ((at = stream.find(prefix, at)) != std::string::npos) {
+        at += prefix.size();
+        const nlohmann::json event =
+            nlohmann::json::parse(stream.substr(at, stream.find('\n', at) - at), nullptr, false);
+        if (!event.is_object()) {
+            continue;
+        }
+        if (event.contains("error") || event.contains("lagoonferry")) {
+            reply.body = event;
+        }
+        if (event.contains("choices")) {
+            reply.text += event["choices"][0]["delta"].value("content", std::string());
+        }
+    }
+}
+
+} // namespace
+
+demo_caller::demo_caller(std::vector<std::string> entries, std::string key)
+    : m_entries(std::move(entries)), m_key(std::move(key))
+{
+}
+
+caller_reply demo_caller::open(const std::string& service, const std::string& parent, std::uint64_t tokens)
+{
+    nlohmann::json body{{"service", service}};
+    if (!parent.empty()) {
+        body["parent"] = parent;
+    }
+    if (tokens > 0) {
+        body["budget"] = {{"tokens", tokens}, {"calls", 20}, {"money_micro", 0}};
+    }
+    return send({"POST", "/v1/programs", {}, body.dump()});
+}
+
+caller_reply demo_caller::turn(const turn_wish& wish)
+{
+    const nlohmann::json body{{"model", "allocation"},
+                              {"stream", true},
+                              {"max_tokens", wish.max_tokens},
+                              {"messages", {{{"role", "user"}, {"content", wish.content}}}}};
+    return send({"POST",
+                 "/v1/chat/completions",
+                 {{"X-Program", wish.program},
+                  {"X-Turn", std::to_string(wish.turn)},
+                  {"X-History", "new"},
+                  {"X-Class", wish.request_class}},
+                 body.dump()});
+}
+
+caller_reply demo_caller::tool(const std::string& program, const std::string& name, const std::string& key,
+                               const nlohmann::json& arguments)
+{
+    const nlohmann::json body{{"arguments", arguments}};
+    return send({"POST", "/v1/tools/" + name, {{"X-Program", program}, {"Idempotency-Key", key}}, body.dump()});
+}
+
+caller_reply demo_caller::program(const std::string& id)
+{
+    return send({"GET", "/v1/programs/" + id, {}, {}});
+}
+
+caller_reply demo_caller::end(const std::string& id)
+{
+    return send({"DELETE", "/v1/programs/" + id, {}, {}});
+}
+
+caller_reply demo_caller::send(const request& wanted)
+{
+    const auto start = clock::now();
+    std::string location;
+    caller_reply reply;
+    for (int attempt = 0; attempt < most_attempts; ++attempt) {
+        const std::string address =
+            location.empty() ? m_entries[static_cast<std::size_t>(attempt) % m_entries.size()] : location;
+        location.clear();
+        reply = send_once(wanted, address, location);
+        if (reply.status != 0 && reply.status != redirect_status && reply.status != unavailable_status) {
+            break;
+        }
+        if (location.empty()) {
+            std::this_thread::sleep_for(shortest_pause);
+        }
+    }
+    reply.duration = since(start);
+    return reply;
+}
+
+caller_reply demo_caller::send_once(const request& wanted, const std::string& address, std::string& location) const
+{
+    const auto start = clock::now();
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(connect_timeout);
+    client.set_read_timeout(read_timeout);
+    httplib::Request message;
+    message.method = wanted.method;
+    message.path = wanted.path;
+    message.body = wanted.body;
+    message.headers.emplace("Authorization", "Bearer " + m_key);
+    for (const auto& [name, value] : wanted.headers) {
+        message.headers.emplace(name, value);
+    }
+    caller_reply reply;
+    std::string received;
+    message.content_receiver = [&](const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (received.empty()) {
+            reply.first_token = since(start);
+        }
+        received.append(data, size);
+        return true;
+    };
+    const auto response = client.send(message);
+    if (!response) {
+        return reply;
+    }
+    reply.status = response->status;
+    if (response->status == redirect_status) {
+        const std::string target = response->get_header_value("Location");
+        const std::size_t host = target.find("//") + 2;
+        location = target.substr(host, target.find('/', host) - host);
+    }
+    if (response->get_header_value("Content-Type") == "text/event-stream") {
+        read_events(received, reply);
+    }
+    else {
+        reply.body = nlohmann::json::parse(received, nullptr, false);
+    }
+    return reply;
+}
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/demo_caller.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+/// The reply to one request of a demo caller.
+struct caller_reply {
+    int status = 0; ///< 0 if no entry instance could be reached
+    nlohmann::json body;
+    std::string text; ///< streamed text
+    std::chrono::milliseconds first_token{0};
+    std::chrono::milliseconds duration{0};
+};
+
+/// What to ask for in one turn.
+struct turn_wish {
+    std::string program;
+    std::string content;
+    std::string request_class = "normal";
+    int turn = 0;
+    int max_tokens = 48;
+};
+
+/// A caller that knows some entry addresses, follows redirects, and tries the next address while an instance does not
+/// answer or asks to come back. One thread at a time.
+class demo_caller {
+public:
+    demo_caller(std::vector<std::string> entries, std::string key);
+
+    caller_reply open(const std::string& service, const std::string& parent = {}, std::uint64_t tokens = 0);
+    caller_reply turn(const turn_wish& wish);
+    caller_reply tool(const std::string& program, const std::string& name, const std::string& key,
+                      const nlohmann::json& arguments);
+    caller_reply program(const std::string& id);
+    caller_reply end(const std::string& id);
+
+private:
+    struct request {
+        std::string method;
+        std::string path;
+        std::vector<std::pair<std::string, std::string>> headers;
+        std::string body;
+    };
+
+    caller_reply send(const request& wanted);
+    caller_reply send_once(const request& wanted, const std::string& address, std::string& location) const;
+
+    std::vector<std::string> m_entries;
+    std::string m_key;
+};
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/demo_command.cpp
@@ -0,0 +1,284 @@
+#include "demo_command.h"
+
+#include "demo_caller.h"
+#include "util/digest.h"
+
+#include <docopt/docopt.h>
+#include <httplib.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr auto usage = R"(Runs the boat assignment program against running processes and prints a timeline.
+
+Usage:
+  lagoonferry_bench demo --entries=<list> --engines=<list> --tool=<address> [--pids=<list>]
+
+Options:
+  --entries=<list>   HTTP addresses of the entry processes, separated by commas.
+  --engines=<list>   Addresses of the engines.
+  --tool=<address>   Address of the tool service.
+  --pids=<list>      <instance>=<process id> of the entry processes; the owner of the program is killed between turns.
+)";
+
+constexpr auto service = "boat-assignment";
+constexpr auto coach_key = "coach-demo-key";
+constexpr int bulk_programs = 12;
+constexpr int bulk_tokens = 150;
+constexpr milliseconds start_timeout{20'000};
+
+std::vector<std::string> split(const std::string& list)
+{
+    std::vector<std::string> items;
+    std::istringstream in(list);
+    for (std::string item; std::getline(in, item, ',');) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+nlohmann::json target(const std::string& id, const std::string& address, const char* kind)
+{
+    return {{"id", id},     {"address", address},    {"failure_domain", "zh-a"},
+            {"kind", kind}, {"checks_fence", false}, {"speed_class", "medium"}};
+}
+
+nlohmann::json tool_entry(const std::string& name, const std::string& address, bool idempotent)
+{
+    return {{"name", name},
+            {"targets", {target(name + "-1", address, "tool")}},
+            {"idempotent", idempotent},
+            {"deadline_ms", 4000},
+            {"retries", idempotent ? 2 : 0}};
+}
+
+nlohmann::json per_class(const nlohmann::json& value)
+{
+    return {{"safety", value}, {"interactive", value}, {"normal", value}, {"bulk", value}};
+}
+
+nlohmann::json make_document(const std::vector<std::string>& engines, const std::string& tool)
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (std::size_t n = 0; n < engines.size(); ++n) {
+        targets.push_back(target("engine-" + std::to_string(n), engines[n], "engine"));
+    }
+    nlohmann::json priorities;
+    int priority = 0;
+    for (const char* name : {"safety", "interactive", "normal", "bulk"}) {
+        priorities[name] = {{"engine_priority", priority++}, {"headroom_percent", 0}};
+    }
+    return {{"service", service},
+            {"owner_team", "demo"},
+            {"accounts",
+             {{{"name", "coaches"},
+               {"key_digest", digest_hex(coach_key)},
+               {"weight", 1},
+               {"max_programs", 1000},
+               {"classes", {"safety", "interactive", "normal", "bulk"}}}}},
+            {"models", {{{"name", "allocation"}, {"targets", targets}}}},
+            {"tools", {tool_entry("list_boats", tool, true), tool_entry("book_boat", tool, false)}},
+            {"classes", per_class({{"first_token_ms", 1500}, {"between_tokens_ms", 72}, {"program_ms", 60000}})},
+            {"priorities", priorities},
+            {"budgets", {{"tokens", 300000}, {"calls", 400}, {"money_micro", 1000000}, {"mark_share_percent", 25}}},
+            {"objectives", per_class({{"good_percent", 99.0}, {"window_days", 28}})}};
+}
+
+/// Prints the steps with their times and counts those that did not have the expected result.
+class timeline {
+public:
+    void step(const std::string& who, const std::string& what, const caller_reply& reply, bool expected)
+    {
+        const auto at = std::chrono::duration_cast<milliseconds>(clock::now() - m_start);
+        const nlohmann::json place = reply.body.value("lagoonferry", nlohmann::json::object());
+        std::printf("%6.2f s  %-10s %-52s %5lld ms", static_cast<double>(at.count()) / 1000.0, who.c_str(),
+                    what.c_str(), static_cast<long long>(reply.duration.count()));
+        if (!place.empty()) {
+            std::printf("  first token %lld ms, %s, %s", static_cast<long long>(reply.first_token.count()),
+                        place.value("instance", "").c_str(), place.value("target", "").c_str());
+        }
+        std::printf("%s\n", expected ? "" : "  UNEXPECTED");
+        if (!expected) {
+            ++m_unexpected;
+            std::printf("          status %d, body %s\n", reply.status, reply.body.dump().c_str());
+        }
+        std::fflush(stdout);
+    }
+
+    void note(const std::string& text) const { std::printf("\n%s\n", text.c_str()); }
+    int unexpected() const { return m_unexpected; }
+
+private:
+    clock::time_point m_start = clock::now();
+    int m_unexpected = 0;
+};
+
+bool put_document(const std::string& entry, const nlohmann::json& document)
+{
+    const char* key = std::getenv("LAGOONFERRY_OPERATOR_KEY");
+    httplib::Client client("http://" + entry);
+    const httplib::Headers headers{{"Authorization", std::string("Bearer ") + (key == nullptr ? "" : key)},
+                                   {"X-Author", "demo"},
+                                   {"If-Version", "0"}};
+    const auto response =
+        client.Put(std::string("/control/documents/") + service, headers, document.dump(), "application/json");
+    return response && response->status == 200;
+}
+
+/// Waits until every entry instance serves the document's callers.
+bool wait_until_served(const std::vector<std::string>& entries)
+{
+    const auto deadline = clock::now() + start_timeout;
+    for (const std::string& entry : entries) {
+        int status = 0;
+        while (status != 200) {
+            if (clock::now() > deadline) {
+                return false;
+            }
+            httplib::Client client("http://" + entry);
+            const auto response = client.Post("/v1/programs", {{"Authorization", std::string("Bearer ") + coach_key}},
+                                              nlohmann::json{{"service", service}}.dump(), "application/json");
+            status = response ? response->status : 0;
+            if (status != 200) {
+                std::this_thread::sleep_for(milliseconds(100));
+            }
+        }
+    }
+    return true;
+}
+
+/// Bulk drafts in the background, which keep the engines full.
+class bulk_load {
+public:
+    explicit bulk_load(const std::vector<std::string>& entries)
+    {
+        for (int n = 0; n < bulk_programs; ++n) {
+            m_threads.emplace_back([entries] {
+                demo_caller caller(entries, coach_key);
+                const std::string program = caller.open(service).body.value("program", "");
+                caller.turn({program, "answer " + std::to_string(bulk_tokens) + " tokens", "bulk", 1, bulk_tokens});
+                caller.end(program);
+            });
+        }
+    }
+    bulk_load(const bulk_load&) = delete;
+    bulk_load& operator=(const bulk_load&) = delete;
+    ~bulk_load() { std::ranges::for_each(m_threads, &std::thread::join); }
+
+private:
+    std::vector<std::thread> m_threads;
+};
+
+void kill_owner(const std::string& pids, const std::string& instance)
+{
+    for (const std::string& item : split(pids)) {
+        const std::size_t equals = item.find('=');
+        if (item.substr(0, equals) == instance) {
+            ::kill(static_cast<pid_t>(std::stol(item.substr(equals + 1))), SIGKILL);
+        }
+    }
+}
+
+struct first_act {
+    std::string program;
+    std::string owner;
+};
+
+first_act assign_boat(demo_caller& coach, timeline& line)
+{
+    line.note("Act 1: a coach asks for a boat while weekly drafts keep the engines full");
+    caller_reply reply = coach.open(service);
+    const std::string program = reply.body.value("program", "");
+    line.step("coach", "opens program " + program, reply, reply.status == 200);
+    reply = coach.turn({program, "Which eight is free on Saturday?", "interactive", 1});
+    line.step("coach", "turn 1", reply, reply.status == 200 && !reply.text.empty());
+    reply = coach.tool(program, "list_boats", "", {{"class", "eight"}});
+    line.step("coach", "tool list_boats (may be repeated)", reply, reply.status == 200);
+    reply = coach.turn({program, R"(call tool book_boat {"boat":"eight-3"})", "interactive", 2});
+    line.step("coach", "turn 2 asks for book_boat", reply, reply.status == 200);
+    reply = coach.tool(program, "book_boat", "booking-1", {{"boat", "eight-3"}});
+    const nlohmann::json booked = reply.body;
+    line.step("coach", "tool book_boat (runs at most once)", reply, reply.status == 200);
+    reply = coach.tool(program, "book_boat", "booking-1", {{"boat", "eight-3"}});
+    line.step("coach", "the same booking again: the recorded result", reply, reply.body == booked);
+
+    caller_reply child = coach.open(service, program, 20'000);
+    const std::string sub_agent = child.body.value("program", "");
+    line.step("sub-agent", "opens with a share of 20,000 tokens", child, child.status == 200);
+    child = coach.turn({sub_agent, "Check the crew list.", "interactive", 1});
+    line.step("sub-agent", "turn 1", child, child.status == 200);
+    child = coach.end(sub_agent);
+    line.step("sub-agent", "ends; the rest of its share returns", child, child.status == 200);
+    reply = coach.turn({program, "Confirm the booking.", "interactive", 3});
+    line.step("coach", "turn 3", reply, reply.status == 200);
+    const nlohmann::json place = reply.body.value("lagoonferry", nlohmann::json::object());
+    return {program, place.value("instance", "")};
+}
+
+void send_notice(demo_caller& coach, timeline& line)
+{
+    const std::string notice = coach.open(service).body.value("program", "");
+    const caller_reply reply = coach.turn({notice, "answer 8 tokens", "safety", 1, 8});
+    line.step("safety", "notice overtakes the drafts", reply, reply.status == 200);
+    coach.end(notice);
+}
+
+void continue_elsewhere(demo_caller& coach, const first_act& begun, const std::string& pids, timeline& line)
+{
+    line.note("Act 2: the process that owns the program (" + begun.owner + ") is killed between two turns");
+    kill_owner(pids, begun.owner);
+    caller_reply reply = coach.turn({begun.program, "Who rows at six?", "interactive", 4});
+    const nlohmann::json place = reply.body.value("lagoonferry", nlohmann::json::object());
+    line.step("coach", "turn 4 at the successor", reply,
+              reply.status == 200 && place.value("turn", 0) == 4 && place.value("instance", "") != begun.owner);
+    reply = coach.program(begun.program);
+    line.step("coach", "the successor has the whole history", reply, reply.body.value("turns", 0) == 4);
+    reply = coach.tool(begun.program, "book_boat", "booking-1", {{"boat", "eight-3"}});
+    line.step("coach", "the same booking again: still one execution", reply,
+              reply.status == 200 && reply.body["body"].value("execution", 0) == 1);
+    reply = coach.end(begun.program);
+    line.step("coach", "ends the program", reply, reply.status == 200);
+}
+
+} // namespace
+
+int demo_command(const std::vector<std::string>& arguments)
+{
+    const std::map<std::string, docopt::value> options = docopt::docopt(usage, arguments, true);
+    const auto entries = split(options.at("--entries").asString());
+    const nlohmann::json document =
+        make_document(split(options.at("--engines").asString()), options.at("--tool").asString());
+    if (!put_document(entries.front(), document) || !wait_until_served(entries)) {
+        std::cerr << "demo: the document did not come into force\n";
+        return 1;
+    }
+    std::cout << "The service document is in force at " << entries.size() << " entry instances.\n";
+    timeline line;
+    demo_caller coach(entries, coach_key);
+    first_act begun;
+    {
+        const bulk_load drafts(entries);
+        begun = assign_boat(coach, line);
+        send_notice(coach, line);
+    }
+    if (options.at("--pids")) {
+        continue_elsewhere(coach, begun, options.at("--pids").asString(), line);
+    }
+    std::cout << "\n"
+              << (line.unexpected() == 0 ? "Every step had the expected result." : "Some steps failed.") << '\n';
+    return line.unexpected() == 0 ? 0 : 1;
+}
+
+} // namespace lagoonferry::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "demo_command.h"
 #include "policy_command.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 
 constexpr std::array subcommands{
     subcommand{"policy", lagoonferry::bench::policy_command},
+    subcommand{"demo", lagoonferry::bench::demo_command},
 };
 
 } // namespace
@@ -29,7 +31,7 @@
     }
     const auto* it = std::ranges::find(subcommands, arguments.front(), &subcommand::name);
     if (it == subcommands.end()) {
-        std::cerr << "Usage: lagoonferry_bench [policy] [options]\n";
+        std::cerr << "Usage: lagoonferry_bench [policy|demo] [options]\n";
         return 2;
     }
     return it->run(arguments);
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -42,15 +42,16 @@
 
     active_request active;
     std::uint32_t partition = 0;
-    std::string program;
+    answer_origin origin;
     call_options options;
     std::shared_ptr<call_session> session;
     std::optional<start_engine_call> work; ///< not yet run
 };
 
 caller_api::caller_api(const board& shared, const partition_router& router, turn_runner& turns, tool_runner& tools,
-                       entry_metrics& metrics)
-    : m_board(shared), m_router(router), m_turns(turns), m_tools(tools), m_metrics(metrics)
+                       entry_metrics& metrics, std::string instance)
+    : m_board(shared), m_router(router), m_turns(turns), m_tools(tools), m_metrics(metrics),
+      m_instance(std::move(instance))
 {
 }
 
@@ -181,8 +182,9 @@
 {
     caller_identity caller;
     auto exchange = std::make_shared<turn_exchange>(m_active);
-    exchange->program = request.get_header_value("X-Program");
-    if (!admit(request, exchange->program, response, caller, exchange->partition)) {
+    exchange->origin.program = request.get_header_value("X-Program");
+    exchange->origin.instance = m_instance;
+    if (!admit(request, exchange->origin.program, response, caller, exchange->partition)) {
         return;
     }
     refusal why;
@@ -196,33 +198,33 @@
     exchange->options = *options;
     exchange->options.model = body->value("model", std::string());
     exchange->options.parameters = engine_parameters(*body);
+    exchange->origin.model = exchange->options.model;
     if (find_model(caller.service->document, exchange->options.model) == nullptr) {
         send_refusal(response, refuse(result_code::no_target, "the service has no model of this name"));
         return;
     }
-    turn->program = exchange->program;
+    turn->program = exchange->origin.program;
     turn->account = caller.full_name();
     turn->deadline = exchange->options.deadline;
     exchange->session = std::make_shared<call_session>();
     m_router.send(exchange->partition, *turn, exchange->session);
 
     if (!body->value("stream", false)) {
-        const answer_request answer = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
-        m_metrics.count("turn", answer);
-        if (const auto* done = std::get_if<success>(&answer.result)) {
-            response.set_content(completion_json(exchange->program, exchange->options.model, *done),
-                                 "application/json");
+        const served_answer served = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
+        m_metrics.count("turn", served.answer);
+        if (const auto* done = std::get_if<success>(&served.answer.result)) {
+            exchange->origin.target = served.target;
+            response.set_content(completion_json(exchange->origin, *done), "application/json");
             return;
         }
-        finish(request, exchange->partition, answer, response);
+        finish(request, exchange->partition, served.answer, response);
         return;
     }
     call_session::item first = exchange->session->wait();
     if (const auto* answer = std::get_if<answer_request>(&first)) {
         m_metrics.count("turn", *answer);
         if (const auto* done = std::get_if<success>(&answer->result)) {
-            response.set_content(replayed_stream(exchange->program, exchange->options.model, *done),
-                                 "text/event-stream");
+            response.set_content(replayed_stream(exchange->origin, *done), "text/event-stream");
             return;
         }
         finish(request, exchange->partition, *answer, response);
@@ -238,13 +240,14 @@
         const auto write = [&sink](const std::string& text) { return sink.write(text.data(), text.size()); };
         const start_engine_call work = std::move(*exchange->work);
         exchange->work.reset();
-        run_engine_call(exchange->partition, work, exchange->options, [&](std::string_view token) {
-            return write(stream_token(exchange->program, exchange->options.model, token));
-        });
-        const answer_request answer = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
+        exchange->origin.target =
+            run_engine_call(exchange->partition, work, exchange->options,
+                            [&](std::string_view token) { return write(stream_token(exchange->origin, token)); });
+        const answer_request answer =
+            serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens).answer;
         m_metrics.count("turn", answer);
         if (const auto* done = std::get_if<success>(&answer.result)) {
-            write(stream_end_of_answer(exchange->program, exchange->options.model, *done));
+            write(stream_end_of_answer(exchange->origin, *done));
         }
         else {
             write("data: " + refusal_json(std::get<refusal>(answer.result)).dump() + "\n\n");
@@ -267,11 +270,13 @@
     response.set_chunked_content_provider("text/event-stream", provide, release);
 }
 
-void caller_api::run_engine_call(std::uint32_t partition, const start_engine_call& work, const call_options& options,
-                                 const turn_runner::token_sink& sink)
+std::string caller_api::run_engine_call(std::uint32_t partition, const start_engine_call& work,
+                                        const call_options& options, const turn_runner::token_sink& sink)
 {
     const turn_result result = m_turns.run(work, options, sink);
     std::visit([&](const auto& value) { m_router.send(partition, value, nullptr); }, result);
+    const auto* done = std::get_if<engine_completed>(&result);
+    return done == nullptr ? std::string() : done->target;
 }
 
 answer_request caller_api::ask(std::uint32_t partition, event input) const
@@ -286,16 +291,17 @@
     }
 }
 
-answer_request caller_api::serve(std::uint32_t partition, call_session& session, const call_options& options,
-                                 const turn_runner::token_sink& sink)
+caller_api::served_answer caller_api::serve(std::uint32_t partition, call_session& session, const call_options& options,
+                                            const turn_runner::token_sink& sink)
 {
+    std::string target;
     while (true) {
         const call_session::item next = session.wait();
         if (const auto* answer = std::get_if<answer_request>(&next)) {
-            return *answer;
+            return {*answer, target};
         }
         if (const auto* work = std::get_if<start_engine_call>(&next)) {
-            run_engine_call(partition, *work, options, sink);
+            target = run_engine_call(partition, *work, options, sink);
         }
         else {
             m_router.send(partition, m_tools.run(std::get<send_tool_call>(next)), nullptr);
@@ -335,7 +341,7 @@
     call.deadline = std::min(options->deadline, steady_now() + std::chrono::milliseconds(known->deadline_ms));
     auto session = std::make_shared<call_session>();
     m_router.send(partition, call, session);
-    const answer_request answer = serve(partition, *session, *options, ignore_tokens);
+    const answer_request answer = serve(partition, *session, *options, ignore_tokens).answer;
     m_metrics.count("tool", answer);
     finish(request, partition, answer, response);
 }
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -29,7 +29,7 @@
 public:
     /// All references outlive this object.
     caller_api(const board& shared, const partition_router& router, turn_runner& turns, tool_runner& tools,
-               entry_metrics& metrics);
+               entry_metrics& metrics, std::string instance);
 
     /// Adds the routes. Precondition: the server is not running.
     void attach(httplib::Server& server);
@@ -55,11 +55,19 @@
     /// Sends an event and waits for its answer, without work for engines or tools.
     answer_request ask(std::uint32_t partition, event input) const;
 
+    /// The answer of a session and the engine that gave it, if one did.
+    struct served_answer {
+        answer_request answer;
+        std::string target;
+    };
+
     /// Runs the work of a session up to its answer.
-    answer_request serve(std::uint32_t partition, call_session& session, const call_options& options,
-                         const turn_runner::token_sink& sink);
-    void run_engine_call(std::uint32_t partition, const start_engine_call& work, const call_options& options,
-                         const turn_runner::token_sink& sink);
+    served_answer serve(std::uint32_t partition, call_session& session, const call_options& options,
+                        const turn_runner::token_sink& sink);
+
+    /// Runs one engine call and returns the engine that completed it.
+    std::string run_engine_call(std::uint32_t partition, const start_engine_call& work, const call_options& options,
+                                const turn_runner::token_sink& sink);
 
     void stream_answer(const std::shared_ptr<turn_exchange>& exchange, httplib::Response& response);
     void finish(const httplib::Request& request, std::uint32_t partition, const answer_request& answer,
@@ -72,6 +80,7 @@
     turn_runner& m_turns;
     tool_runner& m_tools;
     entry_metrics& m_metrics;
+    std::string m_instance;
     std::atomic<std::uint32_t> m_active{0};
 };
 
--- a/src/entry/completion_json.cpp
+++ b/src/entry/completion_json.cpp
@@ -22,17 +22,17 @@
     return message.contains("tool_calls") ? "tool_calls" : "stop";
 }
 
-nlohmann::json position(const std::string& program, const success& done)
+nlohmann::json position(const answer_origin& origin, const success& done)
 {
-    return {{"program", program}, {"turn", done.turn}};
+    return {{"program", origin.program}, {"turn", done.turn}, {"instance", origin.instance}, {"target", origin.target}};
 }
 
-nlohmann::json chunk(const std::string& program, const std::string& model, const nlohmann::json& delta)
+nlohmann::json chunk(const answer_origin& origin, const nlohmann::json& delta)
 {
     const nlohmann::json choice{{"index", 0}, {"delta", delta}, {"finish_reason", nullptr}};
-    return {{"id", program},
+    return {{"id", origin.program},
             {"object", "chat.completion.chunk"},
-            {"model", model},
+            {"model", origin.model},
             {"choices", nlohmann::json::array({choice})}};
 }
 
@@ -43,40 +43,40 @@
 
 } // namespace
 
-std::string completion_json(const std::string& program, const std::string& model, const success& done)
+std::string completion_json(const answer_origin& origin, const success& done)
 {
     const nlohmann::json message = parse_message(done);
     const nlohmann::json choice{{"index", 0}, {"message", message}, {"finish_reason", finish_reason(message)}};
-    return dump({{"id", program},
+    return dump({{"id", origin.program},
                  {"object", "chat.completion"},
-                 {"model", model},
+                 {"model", origin.model},
                  {"choices", nlohmann::json::array({choice})},
-                 {"lagoonferry", position(program, done)}});
+                 {"lagoonferry", position(origin, done)}});
 }
 
-std::string stream_token(const std::string& program, const std::string& model, std::string_view token)
+std::string stream_token(const answer_origin& origin, std::string_view token)
 {
-    return as_event(chunk(program, model, {{"content", token}}));
+    return as_event(chunk(origin, {{"content", token}}));
 }
 
-std::string stream_end_of_answer(const std::string& program, const std::string& model, const success& done)
+std::string stream_end_of_answer(const answer_origin& origin, const success& done)
 {
     const nlohmann::json message = parse_message(done);
     nlohmann::json delta = nlohmann::json::object();
     if (message.contains("tool_calls")) {
         delta["tool_calls"] = message.at("tool_calls");
     }
-    nlohmann::json last = chunk(program, model, delta);
+    nlohmann::json last = chunk(origin, delta);
     last["choices"][0]["finish_reason"] = finish_reason(message);
-    last["lagoonferry"] = position(program, done);
+    last["lagoonferry"] = position(origin, done);
     return as_event(last) + "data: [DONE]\n\n";
 }
 
-std::string replayed_stream(const std::string& program, const std::string& model, const success& done)
+std::string replayed_stream(const answer_origin& origin, const success& done)
 {
     const nlohmann::json message = parse_message(done);
     const std::string text = message.value("content", std::string());
-    return stream_token(program, model, text) + stream_end_of_answer(program, model, done);
+    return stream_token(origin, text) + stream_end_of_answer(origin, done);
 }
 
 } // namespace lagoonferry
--- a/src/entry/completion_json.h
+++ b/src/entry/completion_json.h
@@ -7,16 +7,24 @@
 
 namespace lagoonferry {
 
+/// Where an answer comes from.
+struct answer_origin {
+    std::string program;
+    std::string model;
+    std::string instance; ///< the entry instance that owns the program
+    std::string target;   ///< the engine, or empty for an answer that was stored before
+};
+
 /// Returns the body of a chat completion that is not streamed. Thread-safe, as are all functions of this header.
-std::string completion_json(const std::string& program, const std::string& model, const success& done);
+std::string completion_json(const answer_origin& origin, const success& done);
 
 /// Returns the server-sent event of one token.
-std::string stream_token(const std::string& program, const std::string& model, std::string_view token);
+std::string stream_token(const answer_origin& origin, std::string_view token);
 
 /// Returns the last events of a streamed answer whose text has been sent: tool calls, finish reason, turn and [DONE].
-std::string stream_end_of_answer(const std::string& program, const std::string& model, const success& done);
+std::string stream_end_of_answer(const answer_origin& origin, const success& done);
 
 /// Returns all events of an answer that was stored before.
-std::string replayed_stream(const std::string& program, const std::string& model, const success& done);
+std::string replayed_stream(const answer_origin& origin, const success& done);
 
 } // namespace lagoonferry
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -93,7 +93,7 @@
     m_turns = std::make_unique<turn_runner>(&m_process.shared(), m_slots, &m_process.engines(),
                                             static_cast<std::uint64_t>(steady_now().count()));
     m_tool_runner = std::make_unique<tool_runner>(&m_process.shared(), &m_tools);
-    m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics);
+    m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics, m_id);
     add_rpc_methods();
     add_routes();
     m_process.start(m_ownership, m_slots);
