--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -484,7 +484,8 @@
 
 std::uint64_t journal::writable() const
 {
-    return std::min(m_last, std::max(m_stored, m_segments.written(m_last)));
+    const std::optional<std::uint64_t> unwritten = m_segments.first_unwritten(m_stored);
+    return unwritten ? *unwritten - 1 : m_last;
 }
 
 bool journal::has_room() const
--- a/src/journal/segment_set.cpp
+++ b/src/journal/segment_set.cpp
@@ -70,23 +70,21 @@
 void segment_set::start_batch(std::uint64_t epoch, timestamp now)
 {
     m_batch = {};
-    m_batch.first = m_pending.front().sequence;
-    std::uint64_t last = 0;
     while (!m_pending.empty()) {
         const std::size_t bytes = text_bytes(*m_pending.front().text);
         if (m_batch.new_bytes > 0 && m_batch.new_bytes + bytes > m_settings->segment_limit) {
             break;
         }
         m_batch.new_bytes += bytes;
-        last = m_pending.front().sequence;
+        m_batch.sequences.push_back(m_pending.front().sequence);
         m_batch.content.texts.push_back(std::move(m_pending.front().text));
         m_pending.pop_front();
     }
     if (m_segments.size() >= m_settings->merge_segments_above && m_batch.new_bytes < m_settings->segment_limit) {
         merge_small(m_settings->segment_limit - m_batch.new_bytes);
     }
-    m_batch.content.key =
-        "history/" + std::to_string(m_partition) + "/" + std::to_string(epoch) + "-" + std::to_string(last);
+    m_batch.content.key = "history/" + std::to_string(m_partition) + "/" + std::to_string(epoch) + "-" +
+                          std::to_string(m_batch.sequences.back());
     m_write.emplace(m_batch.content.key, encode_segment(m_batch.content.texts), *m_outbox, *m_settings);
     m_written = false;
     m_last_start = now;
@@ -168,17 +166,21 @@
 std::uint64_t segment_set::flushed(std::uint64_t last) const
 {
     if (m_write) {
-        return m_batch.first - 1;
+        return m_batch.sequences.front() - 1;
     }
     return m_pending.empty() ? last : m_pending.front().sequence - 1;
 }
 
-std::uint64_t segment_set::written(std::uint64_t last) const
+std::optional<std::uint64_t> segment_set::first_unwritten(std::uint64_t after) const
 {
-    if (m_write && !m_written) {
-        return m_batch.first - 1;
+    if (writing()) {
+        const auto it = std::ranges::upper_bound(m_batch.sequences, after);
+        if (it != m_batch.sequences.end()) {
+            return *it;
+        }
     }
-    return m_pending.empty() ? last : m_pending.front().sequence - 1;
+    const auto it = std::ranges::upper_bound(m_pending, after, {}, &pending_text::sequence);
+    return it == m_pending.end() ? std::nullopt : std::optional{it->sequence};
 }
 
 std::optional<timestamp> segment_set::next_wake() const
--- a/src/journal/segment_set.h
+++ b/src/journal/segment_set.h
@@ -50,8 +50,8 @@
     /// Returns whether every text is in a segment that `next_keys` names.
     bool complete() const { return m_pending.empty() && (!m_write || m_written); }
 
-    /// Every text up to this sequence is in a segment that `next_keys` names, where `last` is the last sequence in use.
-    std::uint64_t written(std::uint64_t last) const;
+    /// The first text behind `after` that is in no segment that `next_keys` names, or nothing.
+    std::optional<std::uint64_t> first_unwritten(std::uint64_t after) const;
 
     /// Every text up to this sequence is in a segment that the head names, where `last` is the last sequence in use.
     std::uint64_t flushed(std::uint64_t last) const;
@@ -78,7 +78,7 @@
     struct batch {
         segment content;
         std::vector<std::string> replaces;
-        std::uint64_t first = 0; ///< sequence of the first new text
+        std::vector<std::uint64_t> sequences; ///< of the new texts
         std::size_t new_bytes = 0;
     };
 
--- a/tests/owner_rig.h
+++ b/tests/owner_rig.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lagoonferry::test {
@@ -132,8 +133,11 @@
     /// Runs one turn to its end and returns its request.
     request_id turn(std::uint64_t number, const std::string& text, const std::string& program = "0-a")
     {
+        const std::size_t before = engine_calls.size();
         const request_id request = begin(number, text, program);
-        complete(engine_calls.back());
+        if (engine_calls.size() > before) {
+            complete(engine_calls.back());
+        }
         return request;
     }
 
