Keep null members of answers, and measure the write rate

Cause: dropping null members changed the answer that the caller receives; the write rate of the fleet was not measured. Change: messages are stored with null members and compared without them; lookups in the log are binary searches; a deterministic test runs eight owners with 32 partitions.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -371,15 +371,9 @@
 
 void journal::apply_durable(std::uint64_t sequence)
 {
-    for (const logged_item& it : m_log) {
-        if (it.item.sequence <= m_durable) {
-            continue;
-        }
-        if (it.item.sequence > sequence) {
-            break;
-        }
-        m_image.apply(it.item.content);
-        drop_ended(it.item.content);
+    for (auto it = first_after(m_durable); it != m_log.end() && it->item.sequence <= sequence; ++it) {
+        m_image.apply(it->item.content);
+        drop_ended(it->item.content);
     }
     m_durable = std::max(m_durable, sequence);
     count_tail();
@@ -451,12 +445,9 @@
     return !m_chain.idle() && now >= m_chain.write_started() + limit;
 }
 
-const logged_item* journal::first_pending() const
+std::deque<logged_item>::const_iterator journal::first_after(std::uint64_t sequence) const
 {
-    const auto it = std::ranges::find_if(
-        m_log, [this](std::uint64_t sequence) { return sequence > m_durable; },
-        [](const logged_item& item) { return item.item.sequence; });
-    return it == m_log.end() ? nullptr : &*it;
+    return std::ranges::upper_bound(m_log, sequence, {}, [](const logged_item& it) { return it.item.sequence; });
 }
 
 std::optional<timestamp> journal::lazy_due() const
@@ -464,8 +455,8 @@
     if (writes_everything()) {
         return std::nullopt;
     }
-    const logged_item* first = first_pending();
-    if (first == nullptr) {
+    const auto first = first_after(m_durable);
+    if (first == m_log.end()) {
         return std::nullopt;
     }
     // A head that follows a segment names it as well, which saves a write; a slow segment is not waited for.
@@ -537,16 +528,13 @@
     for (const entry& it : next.tail) {
         bytes += entry_bytes(it);
     }
-    for (const logged_item& it : m_log) {
-        if (it.item.sequence <= m_durable) {
-            continue;
-        }
-        if (bytes >= m_settings->write_limit || it.item.sequence > limit) {
+    for (auto it = first_after(m_durable); it != m_log.end() && it->item.sequence <= limit; ++it) {
+        if (bytes >= m_settings->write_limit) {
             return;
         }
-        bytes += entry_bytes(it.item.content);
-        next.tail.push_back(it.item.content);
-        next.sequence = it.item.sequence;
+        bytes += entry_bytes(it->item.content);
+        next.tail.push_back(it->item.content);
+        next.sequence = it->item.sequence;
     }
 }
 
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -160,7 +160,7 @@
     void replace_snapshot(head_record& next) const;
     void add_entries(head_record& next) const;
     void change_ownership(head_record& next) const;
-    const logged_item* first_pending() const;
+    std::deque<logged_item>::const_iterator first_after(std::uint64_t sequence) const;
 
     std::uint32_t m_partition;
     instance_ref m_self;
--- a/src/program/backup_set.cpp
+++ b/src/program/backup_set.cpp
@@ -15,6 +15,11 @@
 /// A backup that is presumed down is asked less often.
 constexpr int resend_factor_down = 5;
 
+std::uint64_t sequence_of(const logged_item& it)
+{
+    return it.item.sequence;
+}
+
 bool contains(const std::vector<backup_ref>& list, const backup_ref& backup)
 {
     return std::ranges::find(list, backup) != list.end();
@@ -288,16 +293,15 @@
                               .items = {}};
     std::size_t bytes = 0;
     it.batch_end = message.previous;
-    for (const logged_item& next : log.log()) {
-        if (next.item.sequence <= message.previous) {
-            continue;
-        }
-        bytes += item_bytes(next.item);
+    const auto& items = log.log();
+    auto next = std::ranges::upper_bound(items, message.previous, {}, sequence_of);
+    for (; next != items.end(); ++next) {
+        bytes += item_bytes(next->item);
         if (!message.items.empty() && bytes > max_batch_bytes) {
             break;
         }
-        message.items.push_back(next.item);
-        it.batch_end = next.item.sequence;
+        message.items.push_back(next->item);
+        it.batch_end = next->item.sequence;
     }
     it.in_flight = true;
     it.sent = now;
@@ -336,7 +340,7 @@
         }
     }
     const auto& items = log.log();
-    const auto it = std::ranges::upper_bound(items, m_stored, {}, [](const logged_item& i) { return i.item.sequence; });
+    const auto it = std::ranges::upper_bound(items, m_stored, {}, sequence_of);
     if (it != items.end()) {
         wakes.add(it->appended + m_settings->backup_wait);
     }
--- a/src/program/history.cpp
+++ b/src/program/history.cpp
@@ -11,6 +11,18 @@
 
 using nlohmann::json;
 
+json without_null_members(const std::string& message)
+{
+    json value = json::parse(message, nullptr, false);
+    if (!value.is_object()) {
+        return value;
+    }
+    for (auto it = value.begin(); it != value.end();) {
+        it = it->is_null() ? value.erase(it) : std::next(it);
+    }
+    return value;
+}
+
 /// Returns whether the caller's list continues at `position` with exactly this turn.
 bool matches(const turn_text& turn, std::span<const std::string> messages, std::size_t position)
 {
@@ -20,6 +32,11 @@
     turn_text given{turn.program, turn.number, turn.previous, {}, messages[position + turn.messages.size()], {}};
     const auto part = messages.subspan(position, turn.messages.size());
     given.messages.assign(part.begin(), part.end());
+    // What differs only in null members is taken from the history, so that the digest can be compared.
+    for (std::size_t n = 0; n < part.size(); ++n) {
+        given.messages[n] = same_message(part[n], turn.messages[n]) ? turn.messages[n] : part[n];
+    }
+    given.answer = same_message(given.answer, turn.answer) ? turn.answer : given.answer;
     return chain_digest(given) == turn.digest;
 }
 
@@ -48,13 +65,10 @@
 
 std::optional<std::string> canonical_message(std::string_view text)
 {
-    json value = json::parse(text, nullptr, false);
+    const json value = json::parse(text, nullptr, false);
     if (!value.is_object()) {
         return std::nullopt;
     }
-    for (auto it = value.begin(); it != value.end();) {
-        it = it->is_null() ? value.erase(it) : std::next(it);
-    }
     try {
         return value.dump();
     }
@@ -63,6 +77,11 @@
     }
 }
 
+bool same_message(const std::string& a, const std::string& b)
+{
+    return a == b || without_null_members(a) == without_null_members(b);
+}
+
 std::string valid_utf8(std::string_view text)
 {
     const std::string quoted = json(std::string(text)).dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/program/history.h
+++ b/src/program/history.h
@@ -12,10 +12,14 @@
 
 namespace lagoonferry {
 
-/// Returns the form in which messages are stored and compared: a JSON object without null members, with sorted member
-/// names and without insignificant spaces. Returns nothing for text that is not a JSON object in UTF-8. Thread-safe.
+/// Returns the form in which messages are stored and sent to engines: a JSON object with sorted member names and
+/// without insignificant spaces. Returns nothing for text that is not a JSON object in UTF-8. Thread-safe.
 std::optional<std::string> canonical_message(std::string_view text);
 
+/// Returns whether two canonical messages are equal apart from null members, which client libraries add or drop.
+/// Thread-safe.
+bool same_message(const std::string& a, const std::string& b);
+
 /// Returns the text with invalid UTF-8 sequences replaced, so that it can be part of JSON. Thread-safe.
 std::string valid_utf8(std::string_view text);
 
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -351,7 +351,10 @@
 {
     std::vector<std::string> ids;
     for (const auto& [id, call] : m_calls) {
-        ids.push_back(id);
+        // Most calls are with an engine; they need nothing before their deadline.
+        if (call.step != call_step::running || m_now >= call.deadline) {
+            ids.push_back(id);
+        }
     }
     for (const std::string& id : ids) {
         const auto it = m_calls.find(id);
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -107,7 +107,7 @@
 void partition_owner::core::repeat_turn(const begin_turn& it, const program_state& program, const turn_request& request)
 {
     const turn_text& turn = as_turn(program.turns.at(request.number - 1));
-    if (turn.messages != request.messages) {
+    if (!std::ranges::equal(turn.messages, request.messages, same_message)) {
         refuse(it.request,
                refused(result_code::turn_conflict, "turn " + std::to_string(turn.number) + " has other messages"));
         return;
--- a/tests/fake_kv.h
+++ b/tests/fake_kv.h
@@ -2,6 +2,7 @@
 
 #include "journal/kv_call.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -35,6 +36,7 @@
             break;
         }
         ++m_writes;
+        ++m_kinds[call.operation == kv_operation::erase ? "erase" : call.key.substr(0, call.key.find('/'))];
         if (present != call.expected) {
             reply.status = kv_status::conflict;
             return reply;
@@ -51,6 +53,8 @@
 
     const std::map<std::string, kv_entry>& entries() const { return m_entries; }
     std::uint64_t writes() const { return m_writes; }
+    /// Writes by the first part of the key, and erasing.
+    const std::map<std::string, std::uint64_t>& kinds() const { return m_kinds; }
     std::uint64_t reads() const { return m_reads; }
     std::size_t largest_value() const { return m_largest_value; }
 
@@ -59,6 +63,7 @@
     std::uint64_t m_last_version = 0;
     std::uint64_t m_writes = 0;
     std::uint64_t m_reads = 0;
+    std::map<std::string, std::uint64_t> m_kinds;
     std::size_t m_largest_value = 0;
 };
 
--- a/tests/owner_test.cpp
+++ b/tests/owner_test.cpp
@@ -59,7 +59,9 @@
     CHECK(rig.refused(full(2, {hello, yes})).code == result_code::malformed);
     CHECK(rig.refused(full(0, {hello, yes, more, yes, more})).code == result_code::turn_conflict);
     CHECK(rig.ok(full(0, {hello}))->turn == 1);
-    CHECK_FALSE(rig.answered(full(0, {R"({"role":"user","content":"hello"})", yes, more})));
+    const std::string echoed = R"({"role":"assistant","content":"yes","refusal":null})";
+    CHECK(rig.refused(full(1, {echoed, hello})).code == result_code::turn_conflict);
+    CHECK_FALSE(rig.answered(full(0, {R"({"role":"user","content":"hello"})", echoed, more})));
     CHECK(rig.engine_calls.back().turn == 2);
     CHECK(rig.engine_calls.back().messages == std::vector<std::string>{hello, yes, more});
 }
--- /dev/null
+++ b/tests/write_rate_test.cpp
@@ -0,0 +1,234 @@
+#include "fake_kv.h"
+#include "program/partition_owner.h"
+#include "program/replica_store.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+using namespace lagoonferry;
+using namespace lagoonferry::test;
+
+namespace {
+
+constexpr timestamp ms{std::chrono::milliseconds{1}};
+constexpr std::uint32_t partitions = 32;
+constexpr std::uint64_t turns_per_program = 12;
+constexpr std::uint64_t programs_at_a_time = 200;
+
+/// Eight instances that own four partitions each; every message and platform call takes a fixed time.
+class fleet {
+public:
+    fleet()
+    {
+        for (int n = 0; n < 8; ++n) {
+            m_stores.push_back(std::make_unique<replica_store>(name(n), 1));
+        }
+        for (std::uint32_t p = 0; p < partitions; ++p) {
+            owner_settings settings;
+            settings.partition = p;
+            settings.self = {name(p % 8), name(p % 8)};
+            settings.failure_domain = domain(p % 8);
+            settings.writer = "w" + std::to_string(p);
+            m_owners.push_back(std::make_unique<partition_owner>(settings));
+            membership_changed view;
+            for (std::uint32_t n = 1; n < 8; ++n) {
+                const std::uint32_t peer = (p + n) % 8;
+                view.peers.push_back({{name(peer), name(peer)}, 1, domain(peer), false, false, true});
+            }
+            handle(p, view);
+            handle(p, start_takeover{});
+        }
+        run(m_now + 100 * ms);
+        for (std::uint64_t n = 0; n < programs_at_a_time; ++n) {
+            open_next();
+        }
+        run(m_now + 1000 * ms);
+    }
+
+    /// 100 turns per second with a call after each; a tenth of the turns has an irreversible call.
+    void load(int seconds)
+    {
+        for (int n = 0; n < seconds * 100; ++n) {
+            run(m_now + 10 * ms);
+            turn_of(n);
+        }
+    }
+
+    const fake_kv& kv() const { return m_kv; }
+    std::uint64_t answered() const { return m_answered; }
+    std::uint64_t sent() const { return m_sent; }
+
+private:
+    struct program {
+        std::string id;
+        std::uint32_t partition = 0;
+        std::uint64_t turns = 0;
+    };
+
+    struct later {
+        timestamp at{0};
+        std::uint64_t order = 0;
+        std::shared_ptr<std::function<void()>> run;
+        bool operator<(const later& other) const { return std::tie(other.at, other.order) < std::tie(at, order); }
+    };
+
+    static std::string name(std::uint32_t n) { return std::to_string(n); }
+    static std::string domain(std::uint32_t n) { return "d" + std::to_string(n % 3); }
+
+    void after(timestamp delay, std::function<void()> run)
+    {
+        m_queue.push({m_now + delay, ++m_order, std::make_shared<std::function<void()>>(std::move(run))});
+    }
+
+    void run(timestamp end)
+    {
+        while (!m_queue.empty() && m_queue.top().at <= end) {
+            const later next = m_queue.top();
+            m_queue.pop();
+            m_now = std::max(m_now, next.at);
+            (*next.run)();
+        }
+        m_now = end;
+    }
+
+    void handle(std::uint32_t p, const event& input)
+    {
+        for (const action& it : m_owners[p]->handle(input, m_now)) {
+            std::visit([this, p](const auto& typed) { perform(p, typed); }, it);
+        }
+        const auto wake = m_owners[p]->next_wake();
+        const std::uint64_t number = ++m_timers[p];
+        if (wake) {
+            after(*wake - m_now, [this, p, number] {
+                if (m_timers[p] == number) {
+                    handle(p, timer_fired{});
+                }
+            });
+        }
+    }
+
+    void perform(std::uint32_t p, const kv_call& it)
+    {
+        after(2 * ms, [this, p, it] {
+            const kv_reply reply = m_kv.apply(it);
+            after(ms, [this, p, reply] { handle(p, reply); });
+        });
+    }
+
+    void perform(std::uint32_t p, const send_replicate& it)
+    {
+        after(1500 * ms / 1000, [this, p, it] {
+            const replicate_reply reply = m_stores.at(std::stoul(it.backup.id))->replicate(it.message);
+            after(1500 * ms / 1000, [this, p, reply] { handle(p, reply); });
+        });
+    }
+
+    void perform(std::uint32_t p, const send_fetch& it)
+    {
+        const fetch_reply reply = m_stores.at(std::stoul(it.backup.id))->fetch(it.message);
+        after(3 * ms, [this, p, reply] { handle(p, reply); });
+    }
+
+    void perform(std::uint32_t p, const start_engine_call& it)
+    {
+        after(800 * ms, [this, p, it] {
+            const std::string answer = R"({"role":"assistant","content":")" + std::string(1600, 'a') + "\"}";
+            handle(p, engine_completed{it.call, it.epoch, answer, {400, 400}, "t"});
+        });
+    }
+
+    void perform(std::uint32_t p, const send_tool_call& it)
+    {
+        ++m_sent;
+        after(50 * ms, [this, p, it] {
+            handle(p, call_finished{it.call, it.epoch, it.attempt, call_status::completed, "{\"done\":true}", 1});
+        });
+    }
+
+    void perform(std::uint32_t /*p*/, const answer_request& it)
+    {
+        m_answered += std::holds_alternative<success>(it.result) ? 1 : 0;
+    }
+
+    void perform(std::uint32_t /*p*/, const cancel_engine_call& /*it*/) {}
+    void perform(std::uint32_t /*p*/, const release_engine_memory& /*it*/) {}
+    void perform(std::uint32_t /*p*/, const partition_ready& /*it*/) {}
+    void perform(std::uint32_t /*p*/, const partition_lost& /*it*/) {}
+
+    void open_next()
+    {
+        const std::uint32_t p = static_cast<std::uint32_t>(m_random() % partitions);
+        program it{std::to_string(p) + "-" + std::string(16, '0') + std::to_string(10000000 + m_programs++), p, 0};
+        handle(p, open_program{++m_last_request, it.id, {}, "account", "service", {1000000, 1000, 1000000}, 4});
+        m_running.push_back(it);
+    }
+
+    void turn_of(int n)
+    {
+        // Programs take turns, so that each one has paused for 2 s before its next turn.
+        program it = m_running.front();
+        m_running.pop_front();
+        const std::string message = R"({"role":"user","content":")" + std::string(400, 'q') + "\"}";
+        ++it.turns;
+        handle(it.partition,
+               begin_turn{
+                   ++m_last_request, it.id, "account", it.turns, false, {message}, 600, {1, 1, 1}, m_now + 60000 * ms});
+        if (n % 10 == 0) {
+            handle(it.partition,
+                   begin_call{++m_last_request, it.id, "account", true, "key" + std::to_string(m_last_request),
+                              "charge", "{}", 10, m_now + 10000 * ms});
+        }
+        if (it.turns < turns_per_program) {
+            m_running.push_back(it);
+            return;
+        }
+        after(1500 * ms, [this, it] { handle(it.partition, end_program{++m_last_request, it.id, "account", "done"}); });
+        open_next();
+    }
+
+    timestamp m_now{std::chrono::seconds{1}};
+    std::uint64_t m_order = 0;
+    std::priority_queue<later> m_queue;
+    fake_kv m_kv;
+    std::vector<std::unique_ptr<replica_store>> m_stores;
+    std::vector<std::unique_ptr<partition_owner>> m_owners;
+    std::map<std::uint32_t, std::uint64_t> m_timers;
+    std::mt19937 m_random{1};
+    std::deque<program> m_running;
+    std::uint64_t m_programs = 0;
+    request_id m_last_request = 0;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_sent = 0;
+};
+
+} // namespace
+
+TEST_CASE("eight owners write at most 100 times a second at 100 turns per second, a tenth irreversible")
+{
+    fleet it;
+    it.load(20);
+    const std::uint64_t writes = it.kv().writes();
+    const std::uint64_t reads = it.kv().reads();
+    const auto kinds = it.kv().kinds();
+    const std::uint64_t answered = it.answered();
+    const std::uint64_t sent = it.sent();
+    constexpr int seconds = 60;
+    it.load(seconds);
+    const double rate = static_cast<double>(it.kv().writes() - writes) / seconds;
+    MESSAGE("writes/s ", rate, ", reads/s ", static_cast<double>(it.kv().reads() - reads) / seconds, ", largest value ",
+            it.kv().largest_value(), " bytes, keys ", it.kv().entries().size());
+    for (const auto& [kind, count] : it.kv().kinds()) {
+        const std::uint64_t before = kinds.contains(kind) ? kinds.at(kind) : 0;
+        MESSAGE(kind, ": ", static_cast<double>(count - before) / seconds, "/s");
+    }
+    CHECK(rate <= 100);
+    CHECK(it.sent() - sent >= 590);
+    CHECK(it.answered() - answered >= 100 * seconds * 11 / 10);
+    CHECK(it.kv().largest_value() < 1024 * 1024);
+}
