--- /dev/null
+++ b/src/dispatch/target_track.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "dispatch/concurrency_limit.h"
+#include "dispatch/latency_track.h"
+#include "dispatch/request_class.h"
+#include "dispatch/target_info.h"
+#include "util/time.h"
+
+#include <cstdint>
+
+namespace lagoonferry {
+
+/// What a dispatcher knows of one target.
+struct target_track {
+    target_info info;
+    concurrency_limit limit;
+    latency_track latency;
+    std::uint32_t in_flight = 0; ///< sum of `in_class`
+    per_class<std::uint32_t> in_class{};
+    std::uint32_t reported_running = 0;
+    std::uint32_t reported_waiting = 0;
+    double hold_us = 0; ///< how long slots are held here, moving mean
+    bool slow = false;
+    timestamp probed{0}; ///< time of the last call sent to it while it was slow
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/membership/heartbeat.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "document/document_version.h"
+#include "membership/member.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+inline constexpr std::size_t max_heartbeat_updates = 8;
+inline constexpr std::size_t max_heartbeat_targets = 40;
+inline constexpr std::size_t max_heartbeat_documents = 4;
+inline constexpr std::size_t max_heartbeat_partitions = 24;
+
+/// Largest heartbeat in CBOR, bytes. With its envelope it stays below the 1,200 bytes that every path carries whole.
+inline constexpr std::size_t max_heartbeat_bytes = 1'000;
+
+/// What a process tells about another process. `sequence` counts the heartbeats of that member and orders the updates
+/// of one incarnation. `age_ms` is the time since the teller's last sign of life of the member.
+struct member_update {
+    member about;
+    std::uint64_t sequence = 0;
+    std::uint32_t age_ms = 0;
+
+    bool operator==(const member_update&) const = default;
+};
+
+/// What a process tells about a target. It is short, because all targets of a failure domain can leave at once.
+struct target_update {
+    std::string id;
+    std::uint64_t incarnation = 0;
+    member_state state = member_state::alive;
+
+    bool operator==(const target_update&) const = default;
+};
+
+/// A partition that the sender owns, with the epoch of its head record.
+struct owned_partition {
+    std::uint32_t partition = 0;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const owned_partition&) const = default;
+};
+
+/// The datagram that processes send each other every 500 ms. Idempotent and unordered.
+struct heartbeat {
+    member_update sender;
+    bool wants_answer = false;          ///< the receiver answers with a heartbeat without updates
+    std::vector<member_update> updates; ///< about processes
+    std::vector<target_update> targets;
+    std::vector<document_version> documents;
+    std::vector<owned_partition> partitions;
+
+    bool operator==(const heartbeat&) const = default;
+};
+
+/// Returns the message with short field names, to be sent as CBOR. Thread-safe.
+nlohmann::json to_json(const heartbeat& message);
+
+/// Reads a message; nothing when a field is missing, has a wrong type or is out of range. Thread-safe.
+std::optional<heartbeat> heartbeat_from_json(const nlohmann::json& message);
+
+/// Returns the size of the message in CBOR. Thread-safe.
+std::size_t encoded_bytes(const heartbeat& message);
+
+} // namespace lagoonferry
