--- a/spec/budget.pml
+++ b/spec/budget.pml
@@ -1,8 +1,8 @@
 /*
  * Budget: a mark ("spent at most") is acknowledged by the backups ahead of use.
  *
- * One program with a limit, two backups, owners that reserve the largest possible cost of a call and settle it after the
- * call. A process that takes no further step stands for a crash, one that takes its next step late stands for a pause.
+ * One program with a limit, two backups, owners that reserve the largest possible cost of a call and settle it
+ * afterwards. A process that takes no further step stands for a crash, one that takes its next step late stands for a pause.
  * ALL_ACKS as in turns_history.pml.
  * Property: the program never spends more than its limit.
  */
@@ -131,6 +131,8 @@
 #define available (mark - used)
 #endif
 
+#define replicating (phase == PUSHING || (phase == SERVING && proposed > mark))
+
 proctype process(bool first)
 {
     byte epoch, mark, proposed, used, reserved, acks, fenced, list = 3;
@@ -146,8 +148,8 @@
     :: atomic { phase == FENCING && has(list, 0) && !has(fenced, 0) && accepts(0, 0, 255) -> fence(0) }
     :: atomic { phase == FENCING && has(list, 1) && !has(fenced, 1) && accepts(1, 0, 255) -> fence(1) }
     :: atomic { phase == FENCING && all_fenced -> start_push() }
-    :: atomic { (phase == PUSHING || (phase == SERVING && proposed > mark)) && has(list, 0) && !has(acks, 0) -> replicate(0) }
-    :: atomic { (phase == PUSHING || (phase == SERVING && proposed > mark)) && has(list, 1) && !has(acks, 1) -> replicate(1) }
+    :: atomic { replicating && has(list, 0) && !has(acks, 0) -> replicate(0) }
+    :: atomic { replicating && has(list, 1) && !has(acks, 1) -> replicate(1) }
     :: atomic { phase == PUSHING && stored -> phase = SERVING; acks = 0 }
     :: atomic { phase == SERVING && proposed == mark && mark + CHUNK <= LIMIT -> proposed = mark + CHUNK; acks = 0 }
     :: atomic { phase == SERVING && proposed > mark && stored -> mark = proposed; acks = 0 }
--- a/spec/budget_child.pml
+++ b/spec/budget_child.pml
@@ -1,8 +1,8 @@
 /*
  * Budget of a sub-agent: a program grants a share to a child program in another partition, which returns the remainder.
  *
- * Two owners in turn for the parent and two for the child; marks and the end of the child are fenced registers (budget.pml
- * covers how several backups provide them). The message with the remainder is sent any number of times and can be late.
+ * Two owners in turn for the parent and two for the child; marks and the end of the child are fenced registers, which
+ * budget.pml covers. The message with the remainder is sent any number of times and can be late.
  * Property: parent and child together never spend more than the limit of the parent.
  */
 
@@ -39,7 +39,11 @@
     do
     /* A successor starts from the mark, which covers the share. */
     :: atomic { epoch == 0 -> parent_next++; epoch = parent_next; parent_epoch = epoch; used = LIMIT }
-    :: atomic { epoch == 1 && !granted && used + SHARE <= LIMIT -> granted = true; grant_epoch = epoch; used = used + SHARE }
+    :: atomic { epoch == 1 && !granted && used + SHARE <= LIMIT ->
+            granted = true;
+            grant_epoch = epoch;
+            used = used + SHARE
+        }
     :: atomic { epoch != 0 && used < LIMIT -> used++; spend() }
 #ifdef BROKEN_CREDIT_OF_FORMER_EPOCH
     :: atomic { epoch != 0 && message_used && !credited && used >= message_remainder ->
@@ -56,6 +60,8 @@
     od
 }
 
+#define may_write (epoch != 0 && granted && epoch == child_epoch && !child_ended)
+
 proctype child(bool first)
 {
     byte epoch = first, mark, used;
@@ -69,13 +75,17 @@
             mark = child_mark;
             used = child_mark
         }
-    :: atomic { epoch != 0 && granted && epoch == child_epoch && !child_ended && mark < SHARE -> child_mark++; mark = child_mark }
+    :: atomic { may_write && mark < SHARE -> child_mark++; mark = child_mark }
     :: atomic { used < mark && !(child_ended && epoch == child_epoch) -> used++; spend() }
 #ifdef BROKEN_RETURN_BEFORE_END
-    :: atomic { epoch != 0 && granted && !child_ended && !message_used -> message_used = true; message_epoch = grant_epoch;
-            message_remainder = SHARE - used; mark = used }
+    :: atomic { epoch != 0 && granted && !child_ended && !message_used ->
+            message_used = true;
+            message_epoch = grant_epoch;
+            message_remainder = SHARE - used;
+            mark = used
+        }
 #endif
-    :: atomic { epoch != 0 && granted && epoch == child_epoch && !child_ended ->
+    :: atomic { may_write ->
             child_ended = true;
             child_remainder = SHARE - used;
             mark = used
--- a/spec/documents.pml
+++ b/spec/documents.pml
@@ -2,10 +2,11 @@
  * Documents: versions by compare-and-swap, spread between processes, also while the key-value service is down.
  *
  * One document, processes 0 to 2 that run it, operators that write it through the service. The content of a write is its
- * own number. Processes 1 and 2 start without a document, process 2 restarts. An outage is an execution without steps of the
- * service. Replies and messages carry the (version, content) pair and can be late.
+ * own number. Processes 1 and 2 start without a document, process 2 restarts. An outage is an execution without steps
+ * of the service. Replies and messages carry the (version, content) pair and can be late.
  * Properties: the version at a process never goes back, a version has one content everywhere, a process that is ready
- * runs a document, a write never replaces an accepted document that its author has not seen, and a refused write has no effect.
+ * runs a document, a write never replaces an accepted document that its author has not seen, and a refused write has no
+ * effect.
  */
 
 #define PROCESSES 3
