Add failure tests with real processes (under test)

Cause: the invariants must hold through kills, pauses, outages and races of real processes. Change: a fixture that starts stand-ins, three entry processes and a dispatcher with short timeouts, and ten cases. Measured: the first run failed in the fixture, because an instance without partitions redirects instead of opening; the fixture now accepts that.

--- a/bench/demo_command.cpp
+++ b/bench/demo_command.cpp
@@ -168,7 +168,7 @@
             m_threads.emplace_back([entries] {
                 demo_caller caller(entries, coach_key);
                 const std::string program = caller.open(service).body.value("program", "");
-                caller.turn({program, "answer " + std::to_string(bulk_tokens) + " tokens", "bulk", 1, bulk_tokens});
+                caller.turn({program, "say " + std::to_string(bulk_tokens) + " tokens", "bulk", 1, bulk_tokens});
                 caller.end(program);
             });
         }
@@ -230,7 +230,7 @@
 void send_notice(demo_caller& coach, timeline& line)
 {
     const std::string notice = coach.open(service).body.value("program", "");
-    const caller_reply reply = coach.turn({notice, "answer 8 tokens", "safety", 1, 8});
+    const caller_reply reply = coach.turn({notice, "say 8 tokens", "safety", 1, 8});
     line.step("safety", "notice overtakes the drafts", reply, reply.status == 200);
     coach.end(notice);
 }
--- /dev/null
+++ b/tests/process/failure_process_test.cpp
@@ -0,0 +1,271 @@
+#include "local_system.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace lagoonferry::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string error_name(const http_answer& answer)
+{
+    return answer.body.is_object() && answer.body.contains("error") ? answer.body["error"].value("name", "") : "";
+}
+
+std::string run_of(const http_answer& answer)
+{
+    return answer.body.is_object() && answer.body.contains("error") ? answer.body["error"].value("run", "") : "";
+}
+
+std::string content_of(const http_answer& answer)
+{
+    REQUIRE(answer.status == 200);
+    return answer.body.at("choices").at(0).at("message").at("content");
+}
+
+int held_tokens(local_system& system, const std::string& program)
+{
+    int held = 0;
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        held += system.ask_standin(engine, "GET", "/v1/cache").body.at("programs").value(program, 0);
+    }
+    return held;
+}
+
+} // namespace
+
+TEST_CASE("an owner killed between two turns loses no turn and repeats no booking")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    REQUIRE(system.book(program, "b1").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.entry(owner).send_signal(SIGKILL);
+
+    const std::string second = content_of(system.turn(program, 2, "second"));
+    CHECK(system.owner_of(program) != owner);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+    CHECK(content_of(system.turn(program, 2, "second")) == second);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+
+    // The second failure: the successor dies as well.
+    system.entry(system.owner_of(program)).send_signal(SIGKILL);
+    CHECK(content_of(system.turn(program, 3, "third")) != second);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+}
+
+TEST_CASE("an owner killed between call and outcome leaves an unknown outcome that is never sent again")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string owner = system.owner_of(program);
+    system.set_fault("tool-0", {{"lose_reply", true}, {"hang", true}, {"path", "/call/book_boat"}});
+    std::thread booking([&] {
+        system.call(owner, "POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}},
+                    {{"X-Program", program}, {"Idempotency-Key", "b1"}});
+    });
+    CHECK(wait_until([&] { return system.executions(program, "b1") == 1; }));
+    system.entry(owner).send_signal(SIGKILL);
+    booking.join();
+    system.clear_faults("tool-0");
+
+    const http_answer again = system.book(program, "b1");
+    CHECK(error_name(again) == "outcome_unknown");
+    CHECK(run_of(again) == "outcome_unknown");
+    CHECK(error_name(system.call_any("GET", "/v1/calls/" + program + "/b1")) == "outcome_unknown");
+    CHECK(system.executions(program, "b1") == 1);
+}
+
+TEST_CASE("an owner that is paused past its timeout and resumed serves nothing it no longer owns")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    const std::string owner = system.owner_of(program);
+    system.entry(owner).send_signal(SIGSTOP);
+    std::thread late([&] {
+        // Waits in the socket of the paused process and is handled after it resumes.
+        const http_answer answer =
+            system.call(owner, "POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}},
+                        {{"X-Program", program}, {"Idempotency-Key", "b1"}});
+        CHECK(answer.status != 200);
+        CHECK(run_of(answer) == "not_run");
+    });
+    std::string successor;
+    CHECK(wait_until([&] {
+        for (const std::string& id : system.entry_ids()) {
+            if (id != owner && system.call(id, "GET", "/v1/programs/" + program).status == 200) {
+                successor = id;
+            }
+        }
+        return !successor.empty();
+    }));
+    const http_answer second =
+        system.call(successor, "POST", "/v1/chat/completions",
+                    {{"model", "allocation"}, {"messages", {{{"role", "user"}, {"content", "second"}}}}},
+                    {{"X-Program", program}, {"X-Turn", "2"}, {"X-History", "new"}});
+    CHECK(second.status == 200);
+    system.entry(owner).send_signal(SIGCONT);
+    late.join();
+    CHECK(system.executions(program, "b1") == 0);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+    CHECK(content_of(system.turn(program, 2, "second")) == content_of(second));
+}
+
+TEST_CASE("while the key-value service is down, turns go on and bookings are refused as not run")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    REQUIRE(system.turn(program, 1, "first").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.set_fault("kv", {{"outage", true}});
+    const http_answer refused = system.call(owner, "POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}},
+                                            {{"X-Program", program}, {"Idempotency-Key", "b1"}});
+    CHECK(error_name(refused) == "platform_unavailable");
+    CHECK(run_of(refused) == "not_run");
+    CHECK(refused.body["error"].value("retry_after_ms", 0) > 0);
+    CHECK(system.turn(program, 2, "second").status == 200);
+    CHECK(system.open_program() != program);
+    CHECK(system.executions(program, "b1") == 0);
+    system.clear_faults("kv");
+    CHECK(wait_until([&] { return system.book(program, "b1").status == 200; }));
+    CHECK(system.executions(program, "b1") == 1);
+}
+
+TEST_CASE("a lost reply of the key-value service to an intent neither repeats nor loses the booking")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    REQUIRE(system.turn(program, 1, "first").status == 200);
+    system.set_fault("kv", {{"lose_reply", true}, {"method", "PUT"}, {"path", "/kv/partition/.*"}, {"count", 1}});
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+}
+
+TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
+{
+    local_system system;
+    const std::string path = std::string("/control/documents/") + local_system::service;
+    nlohmann::json document = system.document();
+    document["owner_team"] = "second";
+    const auto put = [&](const std::string& entry, const std::string& author) {
+        return system.operate(entry, "PUT", path, document, {{"X-Author", author}, {"If-Version", "1"}});
+    };
+    http_answer other;
+    std::thread race([&] { other = put("entry-2", "bea"); });
+    const http_answer one = put("entry-1", "ada");
+    race.join();
+    CHECK(one.status + other.status == 200 + 409);
+    const http_answer& lost = one.status == 409 ? one : other;
+    CHECK(lost.body.value("newer_version", 0) == 2);
+    CHECK(lost.body.value("newer_author", "") == (one.status == 409 ? "bea" : "ada"));
+    for (const std::string& id : system.entry_ids()) {
+        CHECK(wait_until([&] { return system.operate(id, "GET", path).body.value("version", 0) == 2; }, 6000ms));
+    }
+}
+
+TEST_CASE("a process that starts during an outage runs the newest document of its peers")
+{
+    local_system system;
+    system.set_fault("kv", {{"outage", true}});
+    system.start_entry("entry-4", "fd-4");
+    CHECK(wait_until([&] { return system.call("entry-4", "GET", "/readyz").status == 200; }));
+    CHECK(system.operate("entry-4", "GET", std::string("/control/documents/") + local_system::service)
+              .body.value("version", 0) == 1);
+}
+
+TEST_CASE("a planned stop finishes the running turn and hands the program over")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string owner = system.owner_of(program);
+    http_answer running;
+    std::thread caller([&] {
+        running = system.call(owner, "POST", "/v1/chat/completions",
+                              {{"model", "allocation"},
+                               {"max_tokens", 200},
+                               {"messages", {{{"role", "user"}, {"content", "say 200 tokens"}}}}},
+                              {{"X-Program", program}, {"X-Turn", "1"}, {"X-History", "new"}});
+    });
+    CHECK(wait_until([&] {
+        return system.ask_standin("engine-0", "GET", "/v1/load").body.value("running", 0) +
+                   system.ask_standin("engine-1", "GET", "/v1/load").body.value("running", 0) >
+               0;
+    }));
+    system.entry(owner).send_signal(SIGTERM);
+    caller.join();
+    CHECK(running.status == 200);
+    CHECK(system.entry(owner).wait_for_exit(20s) == 0);
+    CHECK(system.turn(program, 2, "second").status == 200);
+    CHECK(content_of(system.turn(program, 1, "say 200 tokens")) == content_of(running));
+}
+
+TEST_CASE("a leaving target gets no new work within 5 s, and the end of a program releases engine memory")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const http_answer first = system.turn(program, 1, "first");
+    REQUIRE(first.status == 200);
+    const std::string target = first.body.at("lagoonferry").at("target");
+    CHECK(held_tokens(system, program) > 0);
+
+    REQUIRE(system.operate("entry-2", "POST", "/control/drain", {{"id", target}}).status == 200);
+    int number = 2;
+    CHECK(wait_until(
+        [&] {
+            const http_answer next = system.turn(program, number++, "next");
+            return next.status == 200 && next.body.at("lagoonferry").at("target") != target;
+        },
+        5000ms));
+    for (int n = 0; n < 5; ++n) {
+        const http_answer next = system.turn(program, number++, "next");
+        REQUIRE(next.status == 200);
+        CHECK(next.body.at("lagoonferry").at("target") != target);
+    }
+    CHECK(system.call_any("DELETE", "/v1/programs/" + program).status == 200);
+    CHECK(wait_until([&] { return held_tokens(system, program) == 0; }));
+}
+
+TEST_CASE("bad input is refused with a numbered error and another account cannot reach a program")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string owner = system.owner_of(program);
+    const auto chat = [&](const nlohmann::json& body, const std::map<std::string, std::string>& headers) {
+        return system.call(owner, "POST", "/v1/chat/completions", body, headers);
+    };
+    const nlohmann::json good{{"model", "allocation"}, {"messages", {{{"role", "user"}, {"content", "x"}}}}};
+    CHECK(error_name(chat("text", {{"X-Program", program}})) == "malformed");
+    CHECK(error_name(chat({{"model", "allocation"}}, {{"X-Program", program}})) == "malformed");
+    CHECK(error_name(chat(good, {{"X-Program", program}, {"X-Turn", "x"}})) == "malformed");
+    CHECK(error_name(chat(good, {{"X-Program", program}, {"X-Deadline-Ms", "0"}})) == "malformed");
+    CHECK(error_name(chat(good, {{"X-Program", "nonsense"}})) == "unknown_program");
+    const std::string unknown = program.substr(0, program.find('-')) + "-000000000000000000000000";
+    CHECK(error_name(chat(good, {{"X-Program", unknown}})) == "unknown_program");
+    CHECK(error_name(chat(good, {{"X-Program", program}, {"X-Turn", "5"}, {"X-History", "new"}})) ==
+          "turn_out_of_order");
+    CHECK(chat(good, {{"X-Program", program}, {"X-Turn", "1"}, {"X-History", "new"}}).status == 200);
+    nlohmann::json other = good;
+    other["messages"][0]["content"] = "y";
+    CHECK(error_name(chat(other, {{"X-Program", program}, {"X-Turn", "1"}, {"X-History", "new"}})) == "turn_conflict");
+    const auto tool = [&](const std::map<std::string, std::string>& headers) {
+        return system.call(owner, "POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}}, headers);
+    };
+    CHECK(error_name(tool({{"X-Program", program}})) == "key_missing");
+    REQUIRE(tool({{"X-Program", program}, {"Idempotency-Key", "k"}}).status == 200);
+    CHECK(error_name(system.call(owner, "POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "four"}}}},
+                                 {{"X-Program", program}, {"Idempotency-Key", "k"}})) == "key_conflict");
+    CHECK(system.executions(program, "k") == 1);
+    CHECK(error_name(system.call(owner, "GET", "/control/instances")) == "unauthorized");
+    CHECK(error_name(system.call_with_key(owner, "GET", "/v1/programs/" + program, "other-test-key")) ==
+          "unknown_program");
+    CHECK(error_name(system.call_with_key(owner, "GET", "/v1/programs/" + program, "no-such-key")) == "unauthorized");
+}
--- /dev/null
+++ b/tests/process/local_system.cpp
@@ -0,0 +1,313 @@
+#include "local_system.h"
+
+#include "util/digest.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <csignal>
+#include <sstream>
+#include <thread>
+
+namespace lagoonferry::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto caller_key = "caller-test-key";
+constexpr auto operator_key = "operator-test-key-1";
+constexpr int standin_count = 6;
+constexpr auto poll_pause = 20ms;
+
+nlohmann::json target(const std::string& id, const std::string& address, const char* kind)
+{
+    return {{"id", id},     {"address", address},    {"failure_domain", "fd-1"},
+            {"kind", kind}, {"checks_fence", false}, {"speed_class", "medium"}};
+}
+
+nlohmann::json per_class(const nlohmann::json& value)
+{
+    return {{"safety", value}, {"interactive", value}, {"normal", value}, {"bulk", value}};
+}
+
+http_answer send(const std::string& address, const std::string& method, const std::string& path,
+                 const nlohmann::json& body, const std::map<std::string, std::string>& headers, const std::string& key)
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(500ms);
+    client.set_read_timeout(30s);
+    httplib::Request request;
+    request.method = method;
+    request.path = path;
+    request.body = body.is_null() ? std::string() : body.dump();
+    request.headers.emplace("Authorization", "Bearer " + key);
+    request.headers.insert(headers.begin(), headers.end());
+    const auto response = client.send(request);
+    if (!response) {
+        return {};
+    }
+    return {response->status, nlohmann::json::parse(response->body, nullptr, false),
+            response->get_header_value("Location")};
+}
+
+} // namespace
+
+bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds limit)
+{
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_pause);
+    }
+    return true;
+}
+
+local_system::local_system()
+{
+    start_standins();
+    for (int n = 1; n <= 3; ++n) {
+        start_entry("entry-" + std::to_string(n), "fd-" + std::to_string(n));
+    }
+    start_dispatcher();
+    REQUIRE(wait_until([this] {
+        return operate("entry-1", "PUT", std::string("/control/documents/") + service, document(),
+                       {{"X-Author", "test"}, {"If-Version", "0"}})
+                   .status == 200;
+    }));
+    for (const std::string& id : entry_ids()) {
+        REQUIRE(wait_until([&] { const int status = call(id, "POST", "/v1/programs", {{"service", service}}).status;
+            // An instance without partitions redirects.
+            return status == 200 || status == 307;
+        }));
+    }
+}
+
+local_system::~local_system()
+{
+    for (const auto& [id, process] : m_entries) {
+        process->send_signal(SIGKILL);
+    }
+    if (m_dispatcher) {
+        m_dispatcher->send_signal(SIGKILL);
+    }
+}
+
+void local_system::start_standins()
+{
+    m_standins = std::make_unique<child_process>(
+        "lagoonferry_standins", std::vector<std::string>{"all", "--engines=2", "--tools=1", "--tool=book_boat=0",
+                                                         "--model=allocation", "--decode-speed=200"});
+    for (int n = 0; n < standin_count; ++n) {
+        const auto line = m_standins->read_listening(20s);
+        REQUIRE(line);
+        std::istringstream words(*line);
+        std::string kind;
+        std::string name;
+        std::string address;
+        words >> kind >> name >> address;
+        m_addresses[name] = address;
+    }
+}
+
+std::vector<std::string> local_system::common_arguments(const std::string& id, const std::string& failure_domain) const
+{
+    std::vector<std::string> arguments{"--instance-id=" + id,
+                                       "--failure-domain=" + failure_domain,
+                                       "--http-port=0",
+                                       "--datagram-port=0",
+                                       "--rpc-port=0",
+                                       "--kv-address=" + m_addresses.at("kv"),
+                                       "--instances-address=" + m_addresses.at("instances"),
+                                       "--heartbeat-ms=100",
+                                       "--suspicion-ms=1000",
+                                       "--presumed-down-ms=2000",
+                                       "--address-ttl-ms=500",
+                                       "--instance-poll-ms=300",
+                                       "--intent-confirmation-ms=1000",
+                                       "--partitions=6",
+                                       "--log-level=off"};
+    if (!m_seed.empty()) {
+        arguments.push_back("--seeds=" + m_seed);
+    }
+    return arguments;
+}
+
+void local_system::start_entry(const std::string& id, const std::string& failure_domain)
+{
+    std::vector<std::string> arguments = common_arguments(id, failure_domain);
+    arguments.insert(arguments.begin(), "entry");
+    auto process = std::make_unique<child_process>(
+        "lagoonferry", arguments,
+        std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1",
+                                 std::string("LAGOONFERRY_OPERATOR_KEY=") + operator_key});
+    for (int n = 0; n < 3; ++n) {
+        const auto line = process->read_listening(20s);
+        REQUIRE(line);
+        const std::string address = line->substr(line->find(' ') + 1);
+        if (line->starts_with("http ")) {
+            m_addresses[id] = address;
+        }
+        else if (line->starts_with("datagram ") && m_seed.empty()) {
+            m_seed = address;
+        }
+    }
+    m_entries[id] = std::move(process);
+}
+
+void local_system::start_dispatcher()
+{
+    std::vector<std::string> arguments = common_arguments("dispatch-1", "fd-1");
+    arguments.insert(arguments.begin(), "dispatch");
+    m_dispatcher = std::make_unique<child_process>(
+        "lagoonferry", arguments, std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1"});
+    REQUIRE(m_dispatcher->read_listening(20s));
+}
+
+nlohmann::json local_system::document() const
+{
+    const auto tool = [this](const char* name, bool idempotent) -> nlohmann::json {
+        return {{"name", name},
+                {"targets", {target(std::string(name) + "-1", m_addresses.at("tool-0"), "tool")}},
+                {"idempotent", idempotent},
+                {"deadline_ms", 3000},
+                {"retries", idempotent ? 2 : 0}};
+    };
+    nlohmann::json priorities;
+    int priority = 0;
+    for (const char* name : {"safety", "interactive", "normal", "bulk"}) {
+        priorities[name] = {{"engine_priority", priority++}, {"headroom_percent", 0}};
+    }
+    return {{"service", service},
+            {"owner_team", "test"},
+            {"accounts",
+             {{{"name", "captains"},
+               {"key_digest", digest_hex(caller_key)},
+               {"weight", 1},
+               {"max_programs", 1000},
+               {"classes", {"safety", "interactive", "normal", "bulk"}}},
+              {{"name", "others"},
+               {"key_digest", digest_hex("other-test-key")},
+               {"weight", 1},
+               {"max_programs", 1000},
+               {"classes", {"normal"}}}}},
+            {"models",
+             {{{"name", "allocation"},
+               {"targets",
+                {target("engine-0", m_addresses.at("engine-0"), "engine"),
+                 target("engine-1", m_addresses.at("engine-1"), "engine")}}}}},
+            {"tools", {tool("list_boats", true), tool("book_boat", false)}},
+            {"classes", per_class({{"first_token_ms", 1500}, {"between_tokens_ms", 72}, {"program_ms", 60000}})},
+            {"priorities", priorities},
+            {"budgets", {{"tokens", 300000}, {"calls", 400}, {"money_micro", 1000000}, {"mark_share_percent", 25}}},
+            {"objectives", per_class({{"good_percent", 99.0}, {"window_days", 28}})}};
+}
+
+std::vector<std::string> local_system::entry_ids() const
+{
+    std::vector<std::string> ids;
+    for (const auto& [id, process] : m_entries) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+http_answer local_system::call(const std::string& entry, const std::string& method, const std::string& path,
+                               const nlohmann::json& body, const std::map<std::string, std::string>& headers)
+{
+    return send(m_addresses.at(entry), method, path, body, headers, caller_key);
+}
+
+http_answer local_system::call_with_key(const std::string& entry, const std::string& method, const std::string& path,
+                                        const std::string& key)
+{
+    return send(m_addresses.at(entry), method, path, {}, {}, key);
+}
+
+http_answer local_system::operate(const std::string& entry, const std::string& method, const std::string& path,
+                                  const nlohmann::json& body, const std::map<std::string, std::string>& headers)
+{
+    return send(m_addresses.at(entry), method, path, body, headers, operator_key);
+}
+
+http_answer local_system::call_any(const std::string& method, const std::string& path, const nlohmann::json& body,
+                                   const std::map<std::string, std::string>& headers)
+{
+    http_answer answer;
+    const std::vector<std::string> ids = entry_ids();
+    std::size_t next = 0;
+    std::string address;
+    wait_until([&] {
+        answer = send(address.empty() ? m_addresses.at(ids[next++ % ids.size()]) : address, method, path, body, headers,
+                      caller_key);
+        address.clear();
+        if (answer.status == 307) {
+            const std::size_t host = answer.location.find("//") + 2;
+            address = answer.location.substr(host, answer.location.find('/', host) - host);
+        }
+        return answer.status != 0 && answer.status != 307 && answer.status != 503;
+    });
+    return answer;
+}
+
+std::string local_system::open_program()
+{
+    const http_answer answer = call_any("POST", "/v1/programs", {{"service", service}});
+    REQUIRE(answer.status == 200);
+    return answer.body.at("program");
+}
+
+http_answer local_system::turn(const std::string& program, int number, const std::string& content)
+{
+    return call_any(
+        "POST", "/v1/chat/completions",
+        {{"model", "allocation"}, {"max_tokens", 16}, {"messages", {{{"role", "user"}, {"content", content}}}}},
+        {{"X-Program", program}, {"X-Turn", std::to_string(number)}, {"X-History", "new"}});
+}
+
+http_answer local_system::book(const std::string& program, const std::string& key)
+{
+    return call_any("POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}},
+                    {{"X-Program", program}, {"Idempotency-Key", key}});
+}
+
+std::string local_system::owner_of(const std::string& program)
+{
+    std::string owner;
+    REQUIRE(wait_until([&] {
+        for (const std::string& id : entry_ids()) {
+            if (call(id, "GET", "/v1/programs/" + program).status == 200) {
+                owner = id;
+            }
+        }
+        return !owner.empty();
+    }));
+    return owner;
+}
+
+void local_system::set_fault(const std::string& standin, const nlohmann::json& fault)
+{
+    REQUIRE(ask_standin(standin, "POST", "/faults", fault).status == 200);
+}
+
+void local_system::clear_faults(const std::string& standin)
+{
+    REQUIRE(ask_standin(standin, "DELETE", "/faults").status == 200);
+}
+
+int local_system::executions(const std::string& program, const std::string& key)
+{
+    const http_answer answer = ask_standin("tool-0", "GET", "/executions");
+    REQUIRE(answer.status == 200);
+    return answer.body.at("by_key").value(program + '/' + key, 0);
+}
+
+http_answer local_system::ask_standin(const std::string& standin, const std::string& method, const std::string& path,
+                                      const nlohmann::json& body)
+{
+    return send(m_addresses.at(standin), method, path, body, {}, {});
+}
+
+} // namespace lagoonferry::test
--- /dev/null
+++ b/tests/process/local_system.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "child_process.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::test {
+
+/// An HTTP reply of a process under test.
+struct http_answer {
+    int status = 0; ///< 0 without an answer
+    nlohmann::json body;
+    std::string location;
+};
+
+/// Three entry processes in different failure domains, one dispatcher and all stand-ins on loopback, with short
+/// timeouts. Every process ends with the object.
+class local_system {
+public:
+    static constexpr auto service = "boat-assignment";
+
+    /// Starts all processes, stores a service document and waits until every entry instance serves it.
+    local_system();
+
+    /// Ends all processes at once; tests of the planned stop send their own signal.
+    ~local_system();
+    local_system(const local_system&) = delete;
+    local_system& operator=(const local_system&) = delete;
+
+    /// Sends one request to an entry instance with the caller's key, without following redirects.
+    http_answer call(const std::string& entry, const std::string& method, const std::string& path,
+                     const nlohmann::json& body = {}, const std::map<std::string, std::string>& headers = {});
+
+    /// Sends one request to an entry instance with another key.
+    http_answer call_with_key(const std::string& entry, const std::string& method, const std::string& path,
+                              const std::string& key);
+
+    /// Sends a request to the entry instances in turn and follows redirects until one answers with another status than
+    /// 307 and 503.
+    http_answer call_any(const std::string& method, const std::string& path, const nlohmann::json& body = {},
+                         const std::map<std::string, std::string>& headers = {});
+
+    /// Opens a program and returns its identifier.
+    std::string open_program();
+
+    /// Runs one turn anywhere and returns the reply.
+    http_answer turn(const std::string& program, int number, const std::string& content);
+
+    /// Books a boat anywhere.
+    http_answer book(const std::string& program, const std::string& key);
+
+    /// Returns the instance that owns a program.
+    std::string owner_of(const std::string& program);
+
+    /// Sets a fault of a stand-in ("kv", "instances", "engine-0", "engine-1", "tool-0"), or clears its faults.
+    void set_fault(const std::string& standin, const nlohmann::json& fault);
+    void clear_faults(const std::string& standin);
+
+    /// Returns how often the booking tool ran with an idempotency key of a program.
+    int executions(const std::string& program, const std::string& key);
+
+    /// Sends a request to a stand-in.
+    http_answer ask_standin(const std::string& standin, const std::string& method, const std::string& path,
+                            const nlohmann::json& body = {});
+
+    child_process& entry(const std::string& id) { return *m_entries.at(id); }
+    const std::string& address(const std::string& id) const { return m_addresses.at(id); }
+    std::vector<std::string> entry_ids() const;
+
+    /// Starts an entry process with a given id; used by the constructor and for restarts.
+    void start_entry(const std::string& id, const std::string& failure_domain);
+
+    /// Sends a request to an entry instance with the operator key.
+    http_answer operate(const std::string& entry, const std::string& method, const std::string& path,
+                        const nlohmann::json& body = {}, const std::map<std::string, std::string>& headers = {});
+
+    nlohmann::json document() const;
+
+private:
+    void start_standins();
+    void start_dispatcher();
+    std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain) const;
+
+    std::map<std::string, std::string> m_addresses;
+    std::string m_seed;
+    std::unique_ptr<child_process> m_standins;
+    std::unique_ptr<child_process> m_dispatcher;
+    std::map<std::string, std::unique_ptr<child_process>> m_entries;
+};
+
+/// Repeats `condition` until it holds or `limit` has passed; returns whether it held.
+bool wait_until(const std::function<bool()>& condition,
+                std::chrono::milliseconds limit = std::chrono::milliseconds(20'000));
+
+} // namespace lagoonferry::test
