Weigh targets by their recent speed instead of marking slow ones; take moves and probes out

Cause: marks on targets that were only busy cost more than they saved, and a slow target that was shut out lost the prefixes of its programs. Calls moved away came back for their prefix; with the target excluded they recomputed it. Change: the cost of a target uses its speed of the last seconds, which returns to the usual one with a half-life of 5 s without observations, so that it is tried again. Mark, probes, moves and the reason of a preempt are gone.

--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -29,7 +29,8 @@
          {"first_token_p50_s", "first_token_p95_s", "first_token_p99_s", "token_gap_p50_ms", "token_gap_p95_ms",
           "token_gap_p99_ms"}},
         {"cache and short work",
-         {"recomputed_share", "idle_held_tokens", "short_wait_p50_s", "short_wait_p99_s", "preempted", "moved"}},
+         {"recomputed_share", "idle_held_tokens", "short_wait_p50_s", "short_wait_p99_s", "preempted",
+          "refused_safety"}},
         {"crest and refusals",
          {"served_safety", "served_interactive", "served_normal", "served_bulk", "refused_other", "refuse_time_p95_s"}},
     };
--- a/bench/run_recorder.h
+++ b/bench/run_recorder.h
@@ -38,7 +38,7 @@
     void acquire_sent(request_class c) { ++m_acquires.at(index_of(c)); }
     void refused(request_class c, timestamp waited);
 
-    run_figures figures(const duration_histogram& gaps, double preempted, double moved, double granted) const;
+    run_figures figures(const duration_histogram& gaps, double preempted, double granted) const;
 
 private:
     double served(request_class c) const;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -15,6 +15,7 @@
 constexpr double normal_utilisation = 0.6;
 constexpr double straggler_output = 8; // times the tokens of a usual call
 constexpr double straggler_calls = 2;  // times the calls of a usual program
+constexpr int patience_targets = 10;
 constexpr int samples_per_kind = 2000;
 constexpr std::uint64_t sample_seed = 20;
 
@@ -44,6 +45,13 @@
     }
 }
 
+/// Callers wait ten times the target of their class; nobody waits for bulk programs.
+void set_patience(workload& w)
+{
+    std::ranges::transform(w.target, w.patience.begin(), [](timestamp target) { return target * patience_targets; });
+    w.patience.at(index_of(request_class::bulk)) = timestamp{0};
+}
+
 program_shape make_sub_agent(const workload& w, std::size_t kind, random_source& random)
 {
     constexpr range calls{1, 3};
@@ -192,7 +200,7 @@
          0.05},
     };
     w.target = {seconds(10), seconds(60), seconds(180), seconds(1200)};
-    w.patience = {seconds(60), seconds(180), seconds(600), timestamp{0}};
+    set_patience(w);
     return w;
 }
 
@@ -252,7 +260,7 @@
          0.03},
     };
     w.target = {seconds(10), seconds(5), seconds(600), seconds(1200)};
-    w.patience = {seconds(60), seconds(60), seconds(1200), timestamp{0}};
+    set_patience(w);
     w.slow_period = seconds(15);
     return w;
 }
--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -10,8 +10,7 @@
 /// Figures of the dispatch policy. A switched-off mechanism is left out of every decision.
 struct dispatch_settings {
     bool adaptive_limit = true;
-    bool detect_slow = true;
-    bool move_from_slow = true;
+    bool detect_slow = true; ///< weighs a target by its recent speed instead of its usual one
     bool preempt_bulk = true;
     bool refuse_late = true;
     bool unlimited = false; ///< grants without a limit: the target queues
@@ -31,8 +30,6 @@
     timestamp account_half_life = std::chrono::seconds(30);
 
     timestamp token_goal = std::chrono::milliseconds(72); ///< between tokens; the limits adapt to it
-    double slow_ratio = 3.0;                              ///< of the usual latency, against the median of the peers
-    timestamp probe_interval = std::chrono::seconds(2);   ///< one call to a slow target
 
     timestamp holder_timeout = std::chrono::seconds(10);
     timestamp recovery = std::chrono::seconds(2);    ///< half limits after a start without memory
--- a/src/dispatch/latency_track.cpp
+++ b/src/dispatch/latency_track.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/latency_track.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonferry {
 
@@ -9,12 +10,13 @@
 constexpr double recent_weight = 0.3;
 constexpr double usual_weight = 0.02;
 constexpr double usual_weight_while_slow = 0.002; // a lasting change of speed becomes usual after some minutes
-constexpr double prefill_fall = 0.2;              // a prompt that waited for others says little about the speed,
-constexpr double prefill_rise = 0.01;             // so that the estimate follows the lower samples
+constexpr timestamp recovery_half_life = std::chrono::seconds(5);
+constexpr double prefill_fall = 0.2;  // a prompt that waited for others says little about the speed,
+constexpr double prefill_rise = 0.01; // so that the estimate follows the lower samples
 constexpr double slow_factor = 1.8;
 constexpr double least_prefill_tokens = 256; // below this the first token says more about the batch
 
-constexpr double fit_memory = 0.995;  // per observation; a busy target makes about ten in a second
+constexpr double fit_memory = 0.995; // per observation; a busy target makes about ten in a second
 constexpr double least_fit_weight = 20;
 constexpr double least_fit_spread = 2; // variance of the batch below which the slope is noise
 constexpr double least_growth = 0.01;
@@ -39,6 +41,12 @@
     m_observed = now;
 }
 
+double latency_track::recent_step_us(timestamp now) const
+{
+    const auto age = static_cast<double>((now - m_observed).count());
+    return m_usual + (m_recent - m_usual) * std::exp2(-age / static_cast<double>(recovery_half_life.count()));
+}
+
 void latency_track::fit_growth(double per_token_us, double batch)
 {
     const auto add = [](double& sum, double value) { sum = sum * fit_memory + value; };
--- a/src/dispatch/latency_track.h
+++ b/src/dispatch/latency_track.h
@@ -13,8 +13,9 @@
     /// Notes the time for `tokens` prompt tokens that were not cached.
     void observe_prefill(double first_token_us, double tokens);
 
-    /// Time between tokens of a call that is alone, from the last seconds; 0 before any observation.
-    double recent_step_us() const { return m_recent; }
+    /// Time between tokens of a call that is alone, from the last seconds; 0 before any observation. Without new
+    /// observations it returns to the usual time, so that a target that was slow is tried again.
+    double recent_step_us(timestamp now) const;
 
     /// The same over the last minutes, without the times when the target was slow.
     double usual_step_us() const { return m_usual; }
@@ -28,11 +29,6 @@
     /// Time for a prompt token that is not cached; 0 before any observation.
     double prefill_us() const { return m_prefill; }
 
-    /// Recent against usual time; 1 before any observation.
-    double ratio() const { return m_usual > 0 ? m_recent / m_usual : 1.0; }
-
-    timestamp observed() const { return m_observed; }
-
 private:
     void fit_growth(double per_token_us, double batch);
 
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/slot_dispatcher.h"
 
-#include "dispatch/slow_detector.h"
-
 #include <algorithm>
 #include <limits>
 #include <numeric>
@@ -16,8 +14,6 @@
 constexpr double usual_output = 150;     // tokens, for a call without an estimate
 constexpr double prompt_service = 0.1;   // of a generated token
 constexpr double hold_weight = 0.1;      // of a new sample in a moving mean
-constexpr double least_left_share = 0.5; // of the tokens so far, assumed to follow when the estimate has run out
-constexpr double move_gain = 2;          // a call moves when staying costs this much more
 constexpr double longest_retry_us = 30e6;
 constexpr double program_queue_share = 0.5; // of a class's queue that calls of new programs may fill
 constexpr std::size_t largest_prefix_table = 100'000;
@@ -117,9 +113,6 @@
     m_shares.prune(now);
     update_typical();
     update_demand(now);
-    if (m_settings.detect_slow) {
-        mark_slow_targets(m_targets, m_settings);
-    }
     if (m_settings.refuse_late) {
         refuse_late(now, out);
     }
@@ -127,9 +120,6 @@
     if (m_settings.preempt_bulk) {
         preempt_for_urgent(now, out);
     }
-    if (m_settings.move_from_slow && m_settings.detect_slow) {
-        move_from_slow(now, out);
-    }
     return out;
 }
 
@@ -303,7 +293,7 @@
     double slots = 0;
     double in_flight = 0;
     for (const auto& target : m_targets) {
-        if (target.info.state == target_state::live && !target.slow) {
+        if (takes_calls(target)) {
             slots += target.limit.value() * m_settings.class_share.at(index_of(c));
             in_flight += target.in_flight;
         }
@@ -352,7 +342,7 @@
 {
     per_class<bool> open{};
     for (const auto& target : m_targets) {
-        if (!takes_calls(target, now)) {
+        if (!takes_calls(target)) {
             continue;
         }
         for (std::size_t n = 0; n < class_count; ++n) {
@@ -372,12 +362,12 @@
         view.id = target.info.id;
         view.in_flight = target.in_flight;
         view.limit = limit_of(target, call.acquire.priority, now);
-        view.open = has_room(target, call.acquire.priority, now) && takes_calls(target, now) &&
+        view.open = has_room(target, call.acquire.priority, now) && takes_calls(target) &&
                     !is_excluded(call.acquire, target.info.id);
         view.reported_running = target.reported_running;
         view.reported_waiting = target.reported_waiting;
         view.cached_tokens = 0;
-        view.step_us = step_us(target);
+        view.step_us = step_us(target, now);
         view.step_growth = target.latency.step_growth();
         view.prefill_us = prefill_us(target);
         const double hold = target.hold_us > 0 ? target.hold_us : m_typical_hold_us;
@@ -385,7 +375,7 @@
         any = any || view.open;
     }
     for (const auto& holding : m_prefixes.of(call.acquire.prefix)) {
-        m_views[holding.target].cached_tokens = takes_calls(m_targets[holding.target], now) ? holding.tokens : 0;
+        m_views[holding.target].cached_tokens = takes_calls(m_targets[holding.target]) ? holding.tokens : 0;
     }
     return any;
 }
@@ -396,9 +386,6 @@
     const auto& a = call.acquire;
     ++target.in_flight;
     ++target.in_class.at(index_of(a.priority));
-    if (target.slow) {
-        target.probed = now;
-    }
     slot_record record;
     record.slot = (m_epoch << slot_counter_bits) | m_next_slot++;
     record.request = a.request;
@@ -469,7 +456,7 @@
 void slot_dispatcher::observe_step(target_track& target, double per_token_us, double batch, timestamp now)
 {
     target.latency.observe_step(per_token_us, batch, now);
-    if (m_settings.adaptive_limit && !target.slow) {
+    if (m_settings.adaptive_limit) {
         const double smoothed = target.latency.usual_step_us() * target.latency.batch_factor(batch);
         target.limit.observe(smoothed, target.in_flight, now);
     }
@@ -518,8 +505,8 @@
         if (slot == nullptr) {
             return;
         }
-        request_preempt(*slot, preempt_reason::urgent_work, now, out);
-        ++m_counters.preempted_urgent;
+        request_preempt(*slot, now, out);
+        ++m_counters.preempted;
     }
 }
 
@@ -535,53 +522,15 @@
     return youngest;
 }
 
-void slot_dispatcher::move_from_slow(timestamp now, output& out)
-{
-    if (std::ranges::none_of(m_targets, &target_track::slow)) {
-        return;
-    }
-    m_slots.for_each([&](slot_record& slot) {
-        const auto& target = m_targets[slot.target];
-        const bool asked = slot.preempted.count() > 0 && now - slot.preempted < preempt_repeat;
-        if (!target.slow || asked || slot.granted == target.probed) {
-            return;
-        }
-        const double expected = slot.expected_output > 0 ? slot.expected_output : usual_output;
-        const double left = std::max(expected - slot.tokens, least_left_share * slot.tokens);
-        const double staying =
-            left * target.latency.recent_step_us() * target.latency.batch_factor(target.in_flight);
-        if (staying > move_gain * best_cost_elsewhere(slot, left, now)) {
-            request_preempt(slot, preempt_reason::slow_target, now, out);
-            ++m_counters.preempted_slow;
-        }
-    });
-}
-
-double slot_dispatcher::best_cost_elsewhere(const slot_record& slot, double output_left, timestamp now) const
-{
-    double best = std::numeric_limits<double>::max();
-    for (const auto& target : m_targets) {
-        if (target.slow || !takes_calls(target, now) || !has_room(target, slot.priority, now)) {
-            continue;
-        }
-        const double step = step_us(target) * target.latency.batch_factor(target.in_flight + 1.0);
-        best = std::min(best, (slot.prompt_tokens + slot.tokens) * prefill_us(target) + output_left * step);
-    }
-    return best;
-}
-
-void slot_dispatcher::request_preempt(slot_record& slot, preempt_reason reason, timestamp now, output& out)
+void slot_dispatcher::request_preempt(slot_record& slot, timestamp now, output& out)
 {
     slot.preempted = now;
-    out.push_back({slot.holder, slot_preempt{slot.slot, reason}});
+    out.push_back({slot.holder, slot_preempt{slot.slot}});
 }
 
-bool slot_dispatcher::takes_calls(const target_track& target, timestamp now) const
+bool slot_dispatcher::takes_calls(const target_track& target)
 {
-    if (target.info.state != target_state::live) {
-        return false;
-    }
-    return !target.slow || now - std::max(target.probed, target.latency.observed()) >= m_settings.probe_interval;
+    return target.info.state == target_state::live;
 }
 
 std::uint32_t slot_dispatcher::limit_of(const target_track& target, request_class c, timestamp now) const
@@ -618,7 +567,7 @@
         for (std::size_t n = 0; n < class_count; ++n) {
             calls.at(n) += target.in_class.at(n);
         }
-        m_all_limits += takes_calls(target, now) ? limit_of(target, request_class::safety, now) : 0;
+        m_all_limits += takes_calls(target) ? limit_of(target, request_class::safety, now) : 0;
     }
     for (std::size_t n = 0; n < class_count; ++n) {
         calls.at(n) += m_queue.count(static_cast<request_class>(n));
@@ -626,9 +575,11 @@
     m_demand.observe(calls, now);
 }
 
-double slot_dispatcher::step_us(const target_track& target) const
+double slot_dispatcher::step_us(const target_track& target, timestamp now) const
 {
-    return target.latency.recent_step_us() > 0 ? target.latency.recent_step_us() : m_typical_step_us;
+    const auto& latency = target.latency;
+    const double us = m_settings.detect_slow ? latency.recent_step_us(now) : latency.usual_step_us();
+    return us > 0 ? us : m_typical_step_us;
 }
 
 double slot_dispatcher::prefill_us(const target_track& target) const
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -93,15 +93,13 @@
     void expire_slots(timestamp now);
     void preempt_for_urgent(timestamp now, output& out);
     slot_record* youngest_bulk();
-    void move_from_slow(timestamp now, output& out);
-    double best_cost_elsewhere(const slot_record& slot, double output_left, timestamp now) const;
-    void request_preempt(slot_record& slot, preempt_reason reason, timestamp now, output& out);
+    void request_preempt(slot_record& slot, timestamp now, output& out);
 
-    bool takes_calls(const target_track& target, timestamp now) const;
+    static bool takes_calls(const target_track& target);
     std::uint32_t limit_of(const target_track& target, request_class c, timestamp now) const;
     bool has_room(const target_track& target, request_class c, timestamp now) const;
     void update_demand(timestamp now);
-    double step_us(const target_track& target) const;
+    double step_us(const target_track& target, timestamp now) const;
     double prefill_us(const target_track& target) const;
     void update_typical();
     std::optional<std::size_t> find_target(std::string_view id) const;
--- a/src/dispatch/slot_messages.cpp
+++ b/src/dispatch/slot_messages.cpp
@@ -210,17 +210,11 @@
 {
     out = json::object();
     put(out, "s", m.slot);
-    put(out, "q", static_cast<std::uint8_t>(m.reason));
 }
 
 void from_json(const json& in, slot_preempt& m)
 {
     m.slot = get<std::uint64_t>(in, "s");
-    const auto reason = get<std::uint8_t>(in, "q");
-    if (reason > static_cast<std::uint8_t>(preempt_reason::slow_target)) {
-        throw std::out_of_range("unknown reason");
-    }
-    m.reason = static_cast<preempt_reason>(reason);
 }
 
 void to_json(json& out, const slot_tokens& m)
--- a/src/dispatch/slot_messages.h
+++ b/src/dispatch/slot_messages.h
@@ -74,13 +74,10 @@
     std::uint64_t request = 0; ///< 0 for a release
 };
 
-/// Why a holder is asked to give up a slot.
-enum class preempt_reason : std::uint8_t { urgent_work, slow_target };
-
-/// Asks the holder to cancel the call, release the slot as preempted, acquire again and resume.
+/// Asks the holder to make room for urgent work: cancel the call, release the slot as preempted, acquire again and
+/// resume.
 struct slot_preempt {
     std::uint64_t slot = 0;
-    preempt_reason reason = preempt_reason::urgent_work;
 };
 
 /// Tokens received so far on one slot.
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -20,8 +20,6 @@
     std::uint32_t reported_running = 0;
     std::uint32_t reported_waiting = 0;
     double hold_us = 0; ///< how long slots are held here, moving mean
-    bool slow = false;
-    timestamp probed{0}; ///< time of the last call sent to it while it was slow
 };
 
 } // namespace lagoonferry
