Add a scenario with swings within seconds and one heavy account to the bench

Change: scenario surge, with four times the urgent programs for 15 s in each minute, bulk at twice the normal rate and an account that asks for as many normal programs as all others; figure light_p95_s for the other accounts. Ablations leave out the steady scenario.

--- a/bench/callers.cpp
+++ b/bench/callers.cpp
@@ -56,7 +56,7 @@
     m_stopped = true;
     for (const auto& p : m_programs) {
         if (!p.ended && !p.parent) {
-            m_recorder.program_ended(p.priority, p.started, m_clock.now(), true);
+            m_recorder.program_ended(p.priority, p.account, p.started, m_clock.now(), true);
         }
     }
 }
@@ -294,7 +294,7 @@
     }
     if (!p.parent) {
         --m_active;
-        m_recorder.program_ended(p.priority, p.started, m_clock.now(), given_up);
+        m_recorder.program_ended(p.priority, p.account, p.started, m_clock.now(), given_up);
         return;
     }
     const auto parent = *p.parent;
--- a/bench/comparison.cpp
+++ b/bench/comparison.cpp
@@ -26,6 +26,9 @@
     for (auto& c : comparisons) {
         for (std::size_t s = 0; s < scenario_count; ++s) {
             for (std::size_t policy = 0; policy < policy_rows().size(); ++policy) {
+                if (!is_run(static_cast<scenario>(s), policy_rows()[policy])) {
+                    continue;
+                }
                 for (std::size_t seed = 0; seed < c.seeds(); ++seed) {
                     jobs.push_back({&c, static_cast<scenario>(s), policy, seed});
                 }
@@ -43,6 +46,11 @@
 
 } // namespace
 
+bool is_run(scenario s, const policy_row& policy)
+{
+    return s != scenario::steady || policy.role != policy_role::ablation;
+}
+
 comparison::comparison(workload w, std::size_t seeds) : m_workload(std::move(w)), m_seeds(seeds)
 {
     std::ranges::for_each(m_figures, [&](auto& all) { all.resize(policy_rows().size() * seeds); });
--- a/bench/comparison.h
+++ b/bench/comparison.h
@@ -12,6 +12,9 @@
 
 namespace lagoonferry::bench {
 
+/// Whether a policy runs in a scenario; steady demand is left out for ablations, since it asks nothing of the policy.
+bool is_run(scenario s, const policy_row& policy);
+
 /// Figures of all runs of one workload.
 class comparison {
 public:
--- a/bench/run_recorder.cpp
+++ b/bench/run_recorder.cpp
@@ -20,11 +20,15 @@
 
 } // namespace
 
-void run_recorder::program_ended(request_class c, timestamp started, timestamp ended, bool given_up)
+void run_recorder::program_ended(request_class c, std::uint32_t account, timestamp started, timestamp ended,
+                                 bool given_up)
 {
     const auto latency = ended - started;
     const double seconds = given_up ? std::numeric_limits<double>::infinity() : to_s(latency);
     (c == request_class::bulk ? m_bulk : m_foreground).push_back(seconds);
+    if (c != request_class::bulk && account != heavy_account) {
+        m_light.push_back(seconds);
+    }
     m_given_up += given_up && c != request_class::bulk ? 1 : 0;
     if (in_crest(m_scenario, started)) {
         const bool in_time = !given_up && latency <= m_workload.target.at(index_of(c));
@@ -64,6 +68,7 @@
     f.program_p50_s = percentile(m_foreground, 0.50);
     f.program_p95_s = percentile(m_foreground, 0.95);
     f.program_p99_s = percentile(m_foreground, 0.99);
+    f.light_p95_s = percentile(m_light, 0.95);
     f.bulk_p50_s = percentile(m_bulk, 0.50);
     f.bulk_p95_s = percentile(m_bulk, 0.95);
     f.given_up_share = ratio(m_given_up, static_cast<double>(m_foreground.size()));
--- a/bench/run_recorder.h
+++ b/bench/run_recorder.h
@@ -24,7 +24,7 @@
     explicit run_recorder(const workload& w, scenario s) : m_workload(w), m_scenario(s) {}
 
     /// A program ended, or was given up by its caller.
-    void program_ended(request_class c, timestamp started, timestamp ended, bool given_up);
+    void program_ended(request_class c, std::uint32_t account, timestamp started, timestamp ended, bool given_up);
 
     void first_token(request_class c, timestamp waited);
 
@@ -46,6 +46,7 @@
     const workload& m_workload;
     scenario m_scenario;
     std::vector<double> m_foreground;
+    std::vector<double> m_light;
     std::vector<double> m_bulk;
     std::vector<double> m_first_token;
     std::vector<double> m_short_wait;
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -16,9 +16,22 @@
 constexpr timestamp ramp_end = seconds(600);
 constexpr timestamp day_end = seconds(720);
 constexpr timestamp steady_end = seconds(600);
+constexpr timestamp surge_end = seconds(300);
+constexpr timestamp surge_period = seconds(60);
+constexpr timestamp surge_length = seconds(15);
 constexpr timestamp slow_start = seconds(60);
 constexpr timestamp slow_end = seconds(540);
 
+/// Demand swings within seconds: urgent programs come in bursts.
+double surge_demand(request_class c, timestamp now)
+{
+    if (c == request_class::bulk) {
+        return 2;
+    }
+    const bool burst = c != request_class::normal && now % surge_period < surge_length;
+    return burst ? largest_demand : 0.5;
+}
+
 double share_of(timestamp part, timestamp whole)
 {
     return static_cast<double>(part.count()) / static_cast<double>(whole.count());
@@ -28,15 +41,18 @@
 
 std::string_view to_string(scenario s)
 {
-    constexpr std::array<std::string_view, scenario_count> names{"day", "steady", "slowed"};
+    constexpr std::array<std::string_view, scenario_count> names{"day", "steady", "slowed", "surge"};
     return names.at(static_cast<std::size_t>(s));
 }
 
-double demand(scenario s, timestamp now)
+double demand(scenario s, request_class c, timestamp now)
 {
     if (now >= arrivals_end(s)) {
         return 0;
     }
+    if (s == scenario::surge) {
+        return surge_demand(c, now);
+    }
     if (s != scenario::day || now < ramp_start || now >= ramp_end) {
         return 1;
     }
@@ -45,8 +61,16 @@
     return 1 + (crest_demand - 1) * std::min({1.0, up, down});
 }
 
+double heavy_demand(scenario s, request_class c, timestamp now)
+{
+    return s == scenario::surge && c == request_class::normal && now < arrivals_end(s) ? 1 : 0;
+}
+
 timestamp arrivals_end(scenario s)
 {
+    if (s == scenario::surge) {
+        return surge_end;
+    }
     return s == scenario::day ? day_end : steady_end;
 }
 
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -122,7 +122,7 @@
     return program;
 }
 
-std::vector<double> normal_rates(const workload& w)
+std::vector<double> compute_normal_rates(const workload& w)
 {
     random_source random(sample_seed);
     std::vector<double> rates;
@@ -201,6 +201,7 @@
     };
     w.target = {seconds(10), seconds(60), seconds(180), seconds(1200)};
     set_patience(w);
+    w.normal_rates = compute_normal_rates(w);
     return w;
 }
 
@@ -261,6 +262,7 @@
     };
     w.target = {seconds(10), seconds(5), seconds(600), seconds(1200)};
     set_patience(w);
+    w.normal_rates = compute_normal_rates(w);
     w.slow_period = seconds(15);
     return w;
 }
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -61,9 +61,10 @@
     std::vector<program_kind> kinds;
     std::string first_model;
     std::string second_model;
-    per_class<timestamp> target{};   ///< class target: latency of the whole program
-    per_class<timestamp> patience{}; ///< the caller gives up; 0: never
-    timestamp slow_period{0};        ///< another fifth of the targets is slow after this time; 0: always the same
+    per_class<timestamp> target{};    ///< class target: latency of the whole program
+    per_class<timestamp> patience{};  ///< the caller gives up; 0: never
+    std::vector<double> normal_rates; ///< programs per second by kind at normal demand
+    timestamp slow_period{0};         ///< another fifth of the targets is slow after this time; 0: always the same
 };
 
 /// Zürich: crew swaps, safety notices and weekly drafts on 18 and 5 engines in 3 failure domains.
@@ -78,8 +79,11 @@
 /// Engine time of a call of speed 1 when `batch` calls share the steps and all of the history is cached.
 double call_work_us(const call_shape& call, const engine_spec& engine, std::uint32_t batch);
 
+/// Account 0 only asks in scenarios with a heavy account.
+constexpr std::uint32_t heavy_account = 0;
+
 /// Programs per second of each kind at normal demand. Normal demand is the arrival rate at which the engines of the
 /// busier model spend six tenths of their time on the work, if all history is cached and all batches are full.
-std::vector<double> normal_rates(const workload& w);
+std::vector<double> compute_normal_rates(const workload& w);
 
 } // namespace lagoonferry::bench
