Remember the demand of urgent classes for a minute; keep one slot of 24 for safety notices

Cause: with a half-life of 10 s the reserve was gone before the next burst, so normal calls of 10 s to 30 s held the slots when it came; a tenth of each limit that interactive calls could not use left 6 slots instead of 9 for a burst. Change: half-life 60 s; interactive calls may fill 0.96 of a limit instead of 0.9.

--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -16,11 +16,11 @@
     bool unlimited = false; ///< grants without a limit: the target queues
 
     /// Share of a target's limit that a class and the classes below it may fill.
-    per_class<double> class_share{1.0, 0.9, 0.8, 0.5};
+    per_class<double> class_share{1.0, 0.96, 0.8, 0.5};
     /// Slots that more urgent classes have needed lately stay free for them.
     bool reserve_demand = true;
     double demand_margin = 1.8;
-    timestamp demand_half_life = std::chrono::seconds(10);
+    timestamp demand_half_life = std::chrono::seconds(60);
 
     /// Waiting calls of a class, per target of the group.
     per_class<double> queue_per_target{64, 16, 8, 8};
