--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -19,11 +19,11 @@
     per_class<double> class_share{1.0, 0.96, 0.8, 0.5};
     /// Slots that more urgent classes have needed lately stay free for them.
     bool reserve_demand = true;
-    double demand_margin = 1.8;
+    double demand_margin = 1.3;
     timestamp demand_half_life = std::chrono::seconds(60);
 
     /// Waiting calls of a class, per target of the group.
-    per_class<double> queue_per_target{64, 16, 8, 8};
+    per_class<double> queue_per_target{128, 128, 32, 16};
 
     double ageing_tokens_per_s = 400; ///< service credited to a waiting call
     double account_weight = 0.05;     ///< weight of the account's recent tokens against the program's
