Let a cancel wait for no other stream's connection

Cause: a cancel held the engine client's lock while it interrupted a connection that was still being made, so all other streams could not start or end for up to the connect timeout. Change: each stream has a lock of its own; the client's lock only covers the set of streams. Conclusion: a target that does not accept connections delays only its own cancel.

--- a/src/platform/engine_client.h
+++ b/src/platform/engine_client.h
@@ -44,7 +44,8 @@
     virtual engine_answer stream(const engine_call& call, const token_callback& on_token) = 0;
 
     /// Ends a running `stream` of this client with this call id, if there is one, and tells the engine to cancel the
-    /// call. May be called from any thread. `answered` means that the engine no longer runs the call.
+    /// call. May be called from any thread. `answered` means that the engine no longer runs the call if it had arrived
+    /// there; a call that arrives later ends when its connection closes.
     virtual call_end cancel(const std::string& address, const std::string& call_id,
                             std::chrono::milliseconds timeout) = 0;
 
--- a/src/platform/http_engine_client.cpp
+++ b/src/platform/http_engine_client.cpp
@@ -7,6 +7,10 @@
 #include "platform/http_connection.h"
 #include "platform/json_reply.h"
 
+#include <algorithm>
+#include <iterator>
+#include <vector>
+
 namespace lagoonferry {
 
 namespace {
@@ -85,6 +89,13 @@
 
 } // namespace
 
+/// A stream that `cancel` can find.
+struct http_engine_client::running_stream {
+    std::string call_id;
+    std::mutex mutex;
+    http_connection* connection = nullptr; ///< null once the stream has ended
+};
+
 http_engine_client::http_engine_client(std::size_t max_connections, call_counts& counts)
     : m_pool(std::make_unique<connection_pool>(max_connections)), m_counts(counts)
 {
@@ -101,11 +112,11 @@
     reply.reason = "all connections are in use";
     bool cancelled = false;
     if (connection != nullptr) {
-        const std::uint64_t id = register_stream(call.call_id, *connection);
+        const stream_ptr stream = register_stream(call.call_id, *connection);
         reply = connection->send(make_completion_request(call),
                                  {call.connect_timeout, call.idle_timeout, call.total_timeout},
                                  [&](std::string_view piece) { return events.feed(piece); });
-        unregister_stream(id);
+        unregister_stream(stream);
         cancelled = connection->interrupted();
     }
     engine_answer answer = std::move(reader.answer());
@@ -203,25 +214,40 @@
     return reply;
 }
 
-std::uint64_t http_engine_client::register_stream(const std::string& call_id, http_connection& connection)
+http_engine_client::stream_ptr http_engine_client::register_stream(const std::string& call_id,
+                                                                   http_connection& connection)
 {
+    auto added = std::make_shared<running_stream>();
+    added->call_id = call_id;
+    added->connection = &connection;
     const std::lock_guard lock(m_mutex);
-    m_streams.emplace(++m_last_stream, running_stream{call_id, &connection});
-    return m_last_stream;
+    m_streams.insert(added);
+    return added;
 }
 
-void http_engine_client::unregister_stream(std::uint64_t id)
+void http_engine_client::unregister_stream(const stream_ptr& stream)
 {
-    const std::lock_guard lock(m_mutex);
-    m_streams.erase(id);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_streams.erase(stream);
+    }
+    const std::lock_guard lock(stream->mutex);
+    stream->connection = nullptr;
 }
 
 void http_engine_client::interrupt_streams(const std::string& call_id)
 {
-    const std::lock_guard lock(m_mutex);
-    for (auto& [id, stream] : m_streams) {
-        if (stream.call_id == call_id) {
-            stream.connection->interrupt();
+    std::vector<stream_ptr> found;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::ranges::copy_if(m_streams, std::back_inserter(found),
+                             [&](const stream_ptr& it) { return it->call_id == call_id; });
+    }
+    // Without the client's lock: an interruption waits while its connection is being made.
+    for (const stream_ptr& it : found) {
+        const std::lock_guard lock(it->mutex);
+        if (it->connection != nullptr) {
+            it->connection->interrupt();
         }
     }
 }
--- a/src/platform/http_engine_client.h
+++ b/src/platform/http_engine_client.h
@@ -3,9 +3,9 @@
 #include "platform/engine_client.h"
 
 #include <cstddef>
-#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace lagoonferry {
 
@@ -41,22 +41,19 @@
                               std::chrono::milliseconds timeout) override;
 
 private:
-    struct running_stream {
-        std::string call_id;
-        http_connection* connection = nullptr;
-    };
+    struct running_stream;
+    using stream_ptr = std::shared_ptr<running_stream>;
 
     http_reply exchange(call_kind kind, const std::string& address, const http_request& request,
                         std::chrono::milliseconds timeout);
-    std::uint64_t register_stream(const std::string& call_id, http_connection& connection);
-    void unregister_stream(std::uint64_t id);
+    stream_ptr register_stream(const std::string& call_id, http_connection& connection);
+    void unregister_stream(const stream_ptr& stream);
     void interrupt_streams(const std::string& call_id);
 
     std::unique_ptr<connection_pool> m_pool;
     call_counts& m_counts;
     std::mutex m_mutex;
-    std::uint64_t m_last_stream = 0;
-    std::map<std::uint64_t, running_stream> m_streams;
+    std::set<stream_ptr> m_streams;
 };
 
 } // namespace lagoonferry
