Add the burn report and the metrics it reads

Cause: teams need to see how fast each class uses its error budget, and which target or instance uses it. Conclusion: the entry has to count its events through service_metrics.

--- a/src/dispatch/latency_track.cpp
+++ b/src/dispatch/latency_track.cpp
@@ -14,7 +14,7 @@
 constexpr double slow_factor = 1.8;
 constexpr double least_prefill_tokens = 256; // below this the first token says more about the batch
 
-constexpr double fit_memory = 0.995;  // per observation; a busy target makes about ten in a second
+constexpr double fit_memory = 0.995; // per observation; a busy target makes about ten in a second
 constexpr double least_fit_weight = 20;
 constexpr double least_fit_spread = 2; // variance of the batch below which the slope is noise
 constexpr double least_growth = 0.01;
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -548,8 +548,7 @@
         }
         const double expected = slot.expected_output > 0 ? slot.expected_output : usual_output;
         const double left = std::max(expected - slot.tokens, least_left_share * slot.tokens);
-        const double staying =
-            left * target.latency.recent_step_us() * target.latency.batch_factor(target.in_flight);
+        const double staying = left * target.latency.recent_step_us() * target.latency.batch_factor(target.in_flight);
         if (staying > move_gain * best_cost_elsewhere(slot, left, now)) {
             request_preempt(slot, preempt_reason::slow_target, now, out);
             ++m_counters.preempted_slow;
--- a/src/document/document_put.cpp
+++ b/src/document/document_put.cpp
@@ -27,6 +27,16 @@
     }
 }
 
+bool perform_next(document_put& put, kv_store& store, const put_clock& clock)
+{
+    const auto call = put.next();
+    if (!call) {
+        return false;
+    }
+    perform(*call, put, store, clock);
+    return true;
+}
+
 } // namespace
 
 document_put::document_put(put_request request, timestamp deadline)
@@ -274,13 +284,9 @@
 
 put_result run_put(document_put& put, kv_store& store, const put_clock& clock)
 {
-    while (true) {
-        const auto call = put.next();
-        if (!call) {
-            return put.result();
-        }
-        perform(*call, put, store, clock);
+    while (perform_next(put, store, clock)) {
     }
+    return put.result();
 }
 
 } // namespace lagoonferry
--- /dev/null
+++ b/src/report/burn_text.cpp
@@ -0,0 +1,153 @@
+#include "report/burn_text.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ctime>
+#include <iomanip>
+#include <sstream>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_shown_shares = 10;
+
+std::string status_of(const class_burn& burn)
+{
+    if (burn.fast_burn) {
+        return "FAST BURN";
+    }
+    return burn.slow_burn ? "SLOW BURN" : "ok";
+}
+
+void print_window(std::ostream& out, const window_burn& window)
+{
+    out << "  last " << std::setw(6) << duration_text(window.length) << ": burn rate " << std::setw(8) << window.rate
+        << ", " << window.bad << " bad of " << window.total;
+    if (window.covered < window.length) {
+        out << " (samples cover " << duration_text(window.covered) << ")";
+    }
+    out << '\n';
+}
+
+void print_shares(std::ostream& out, const char* title, const std::vector<burn_share>& shares)
+{
+    out << "  by " << title << ":\n";
+    std::size_t shown = 0;
+    for (const burn_share& share : shares) {
+        if (share.bad == 0 || shown++ == max_shown_shares) {
+            break;
+        }
+        out << "    " << share.name << ": " << share.bad << " bad of " << share.total << ", " << share.percent_of_bad
+            << "% of all bad events" << (share.outlier ? "  <- far worse than the others" : "") << '\n';
+    }
+}
+
+void print_class(std::ostream& out, const class_burn& burn)
+{
+    out << burn.service << " / " << to_string(burn.which) << ": " << status_of(burn) << ", objective "
+        << std::setprecision(3) << burn.goal.good_percent << "% good in " << burn.goal.window_days << " days, "
+        << std::setprecision(1) << burn.budget_used_percent << "% of the budget used in the last 3 days\n";
+    for (const window_burn& window : burn.windows) {
+        print_window(out, window);
+    }
+    if (burn.windows.back().bad > 0) {
+        out << "  bad events of the last " << duration_text(burn.detail_window) << '\n';
+        print_shares(out, "cause", burn.causes);
+        print_shares(out, "target", burn.targets);
+        print_shares(out, "instance", burn.instances);
+    }
+}
+
+json shares_json(const std::vector<burn_share>& shares)
+{
+    json result = json::array();
+    for (const burn_share& share : shares) {
+        result.push_back({{"name", share.name},
+                          {"total", share.total},
+                          {"bad", share.bad},
+                          {"percent_of_bad", share.percent_of_bad},
+                          {"outlier", share.outlier}});
+    }
+    return result;
+}
+
+json class_json(const class_burn& burn)
+{
+    json windows = json::array();
+    for (const window_burn& window : burn.windows) {
+        windows.push_back({{"length_s", window.length.count()},
+                           {"covered_s", window.covered.count()},
+                           {"total", window.total},
+                           {"bad", window.bad},
+                           {"burn_rate", window.rate}});
+    }
+    return {{"service", burn.service},
+            {"class", to_string(burn.which)},
+            {"objective", {{"good_percent", burn.goal.good_percent}, {"window_days", burn.goal.window_days}}},
+            {"fast_burn", burn.fast_burn},
+            {"slow_burn", burn.slow_burn},
+            {"budget_used_percent", burn.budget_used_percent},
+            {"windows", windows},
+            {"detail_window_s", burn.detail_window.count()},
+            {"causes", shares_json(burn.causes)},
+            {"targets", shares_json(burn.targets)},
+            {"instances", shares_json(burn.instances)}};
+}
+
+} // namespace
+
+std::string to_text(const burn_report& report)
+{
+    std::ostringstream out;
+    out << std::fixed << std::setprecision(1);
+    if (report.classes.empty()) {
+        out << "no events between two samples\n";
+        return out.str();
+    }
+    out << "samples from " << time_text(report.from_ms) << " to " << time_text(report.to_ms) << " UTC\n";
+    for (const class_burn& burn : report.classes) {
+        out << '\n';
+        print_class(out, burn);
+    }
+    return out.str();
+}
+
+json to_json(const burn_report& report)
+{
+    json classes = json::array();
+    for (const class_burn& burn : report.classes) {
+        classes.push_back(class_json(burn));
+    }
+    return {{"from_ms", report.from_ms}, {"to_ms", report.to_ms}, {"classes", classes}};
+}
+
+std::string duration_text(std::chrono::seconds length)
+{
+    struct unit {
+        std::int64_t seconds;
+        const char* name;
+    };
+    constexpr std::array units{unit{86'400, " d"}, unit{3'600, " h"}, unit{60, " min"}};
+    for (const unit& each : units) {
+        if (length.count() >= each.seconds) {
+            return std::to_string(length.count() / each.seconds) + each.name;
+        }
+    }
+    return std::to_string(length.count()) + " s";
+}
+
+std::string time_text(std::int64_t time_ms)
+{
+    constexpr std::int64_t ms_per_s = 1'000;
+    const auto time = static_cast<std::time_t>(time_ms / ms_per_s);
+    std::tm parts{};
+    ::gmtime_r(&time, &parts);
+    std::ostringstream out;
+    out << std::put_time(&parts, "%Y-%m-%d %H:%M:%S");
+    return out.str();
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/report/service_metrics.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "document/service_class.h"
+#include "document/service_document.h"
+#include "report/event_cause.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <cstddef>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace lagoonferry {
+
+/// Counts good and bad events by service, class, target and cause for the burn report. Thread-safe.
+class service_metrics {
+public:
+    /// The metrics are added to `registry`, which outlives this object. `start` is the start of the process since 1970.
+    service_metrics(prometheus::Registry& registry, std::chrono::seconds start);
+
+    /// Counts the first token of a turn: good, or late by the targets of its class.
+    void count_first_token(std::string_view service, service_class which, std::string_view target,
+                           std::chrono::milliseconds latency, const class_settings& targets);
+
+    /// Counts the end of a whole program: good, or late by the targets of its class. `target` answered its last turn.
+    void count_program(std::string_view service, service_class which, std::string_view target,
+                       std::chrono::milliseconds latency, const class_settings& targets);
+
+    /// Counts a request that was refused as not run. `target` is empty if none was chosen.
+    void count_refused(std::string_view service, service_class which, std::string_view target);
+
+    /// Counts a call whose outcome is unknown.
+    void count_unknown_outcome(std::string_view service, service_class which, std::string_view target);
+
+private:
+    void count(std::string_view service, service_class which, std::string_view target, event_cause cause);
+    bool admit(const std::string& service, const std::string& target);
+
+    prometheus::Family<prometheus::Counter>& m_events;
+    std::mutex m_mutex;
+    std::set<std::pair<std::string, std::string>> m_targets;
+};
+
+} // namespace lagoonferry
