--- a/src/entry/call_options.h
+++ b/src/entry/call_options.h
@@ -14,6 +14,7 @@
     std::string account; ///< `<service>/<account>`
     request_class priority = request_class::normal;
     int engine_priority = 2;
+    timestamp started{0}; ///< when the request arrived
     timestamp deadline{0};
     std::string parameters; ///< JSON object that is passed on to the engine
 };
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -211,7 +211,7 @@
 
     if (!body->value("stream", false)) {
         const served_answer served = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
-        m_metrics.count("turn", served.answer);
+        m_metrics.count("turn", served.answer, exchange->options, served.target);
         if (const auto* done = std::get_if<success>(&served.answer.result)) {
             exchange->origin.target = served.target;
             response.set_content(completion_json(exchange->origin, *done), "application/json");
@@ -222,7 +222,7 @@
     }
     call_session::item first = exchange->session->wait();
     if (const auto* answer = std::get_if<answer_request>(&first)) {
-        m_metrics.count("turn", *answer);
+        m_metrics.count("turn", *answer, exchange->options, {});
         if (const auto* done = std::get_if<success>(&answer->result)) {
             response.set_content(replayed_stream(exchange->origin, *done), "text/event-stream");
             return;
@@ -245,7 +245,7 @@
                             [&](std::string_view token) { return write(stream_token(exchange->origin, token)); });
         const answer_request answer =
             serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens).answer;
-        m_metrics.count("turn", answer);
+        m_metrics.count("turn", answer, exchange->options, exchange->origin.target);
         if (const auto* done = std::get_if<success>(&answer.result)) {
             write(stream_end_of_answer(exchange->origin, *done));
         }
@@ -342,7 +342,7 @@
     auto session = std::make_shared<call_session>();
     m_router.send(partition, call, session);
     const answer_request answer = serve(partition, *session, *options, ignore_tokens).answer;
-    m_metrics.count("tool", answer);
+    m_metrics.count("tool", answer, *options, name);
     finish(request, partition, answer, response);
 }
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -4,11 +4,26 @@
 
 namespace lagoonferry {
 
+namespace {
+
+std::chrono::seconds wall_clock()
+{
+    return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+service_class class_of(const call_options& options)
+{
+    return static_cast<service_class>(index_of(options.priority));
+}
+
+} // namespace
+
 entry_metrics::entry_metrics()
     : m_requests(prometheus::BuildCounter()
                      .Name("lagoonferry_requests_total")
                      .Help("Answered requests of callers by kind and result.")
-                     .Register(m_registry))
+                     .Register(m_registry)),
+      m_service(m_registry, wall_clock())
 {
 }
 
@@ -20,6 +35,29 @@
     m_requests.Add({{"kind", kind}, {"result", result}, {"run", run}}).Increment();
 }
 
+void entry_metrics::count(const std::string& kind, const answer_request& answer, const call_options& options,
+                          const std::string& target)
+{
+    count(kind, answer);
+    const auto* refused = std::get_if<refusal>(&answer.result);
+    if (refused == nullptr || refused->code == result_code::moved) {
+        return;
+    }
+    if (refused->run == run_state::outcome_unknown) {
+        m_service.count_unknown_outcome(options.service, class_of(options), target);
+    }
+    else if (refused->run == run_state::not_run) {
+        m_service.count_refused(options.service, class_of(options), target);
+    }
+}
+
+void entry_metrics::count_first_token(const call_options& options, const std::string& target, timestamp latency,
+                                      const class_settings& targets)
+{
+    m_service.count_first_token(options.service, class_of(options), target,
+                                std::chrono::duration_cast<std::chrono::milliseconds>(latency), targets);
+}
+
 std::string entry_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "entry/call_options.h"
 #include "program/action.h"
+#include "report/service_metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -18,6 +20,14 @@
     /// Counts one answer to a request of the given kind ("turn", "tool", "program").
     void count(const std::string& kind, const answer_request& answer);
 
+    /// Counts one answer to a turn or tool call, also as an event of its service and class. `target` may be empty.
+    void count(const std::string& kind, const answer_request& answer, const call_options& options,
+               const std::string& target);
+
+    /// Counts the first token of a turn against the target of its class.
+    void count_first_token(const call_options& options, const std::string& target, timestamp latency,
+                           const class_settings& targets);
+
     prometheus::Registry& registry() { return m_registry; }
 
     /// Returns the text form of all metrics.
@@ -26,6 +36,7 @@
 private:
     prometheus::Registry m_registry;
     prometheus::Family<prometheus::Counter>& m_requests;
+    service_metrics m_service;
 };
 
 } // namespace lagoonferry
--- a/src/entry/request_reader.cpp
+++ b/src/entry/request_reader.cpp
@@ -89,7 +89,8 @@
     const auto index = static_cast<std::size_t>(*wanted);
     options.priority = static_cast<request_class>(index);
     options.engine_priority = static_cast<int>(caller.service->document.priorities.at(index).engine_priority);
-    options.deadline = steady_now() + std::chrono::milliseconds(*deadline);
+    options.started = steady_now();
+    options.deadline = options.started + std::chrono::milliseconds(*deadline);
     return options;
 }
 
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -61,6 +61,7 @@
     void spawn_workers();
     std::vector<caf::actor> spawn_partitions();
     owner_settings settings_of(std::uint32_t partition) const;
+    void observe(const call_options& options, const turn_runner::attempt& seen);
     void add_rpc_methods();
     void add_routes();
     std::uint64_t hand_over_partitions();
@@ -92,6 +93,9 @@
     m_router.emplace(&m_process.shared(), partitions);
     m_turns = std::make_unique<turn_runner>(&m_process.shared(), m_slots, &m_process.engines(),
                                             static_cast<std::uint64_t>(steady_now().count()));
+    m_turns->set_observer([this](const call_options& options, const turn_runner::attempt& seen) {
+        observe(options, seen);
+    });
     m_tool_runner = std::make_unique<tool_runner>(&m_process.shared(), &m_tools);
     m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics, m_id);
     add_rpc_methods();
@@ -147,6 +151,17 @@
     return partitions;
 }
 
+void entry_role::observe(const call_options& options, const turn_runner::attempt& seen)
+{
+    const auto documents = m_process.shared().documents.read();
+    const auto it = documents->services.find(options.service);
+    if (seen.tokens == 0 || it == documents->services.end()) {
+        return;
+    }
+    const class_settings& targets = it->second->document.classes.at(index_of(options.priority));
+    m_metrics.count_first_token(options, seen.target, seen.first_token - options.started, targets);
+}
+
 void entry_role::add_rpc_methods()
 {
     m_process.rpc().add("replicate", [this](const nlohmann::json& parameters) {
