--- a/bench/bounds.cpp
+++ b/bench/bounds.cpp
@@ -83,6 +83,7 @@
 std::vector<bound_result> check_bounds(const comparison& c, const std::set<std::string>& known_red)
 {
     std::vector<bound_result> results;
+    results.reserve(ratio_goals.size() + absolute_goals.size() + 2);
     for (const auto& goal : ratio_goals) {
         results.push_back(check(c, goal));
     }
--- a/bench/callers.cpp
+++ b/bench/callers.cpp
@@ -222,28 +222,31 @@
     p.work_left_us -= alone_us(shape);
     p.history += shape.new_prompt + shape.output;
     p.generated = 0;
-    const auto pause = shape.pause_after;
     p.open_agents = shape.sub_agents.size();
+    if (!shape.sub_agents.empty()) {
+        start_sub_agents(index);
+        return;
+    }
     const bool last = p.next_call + 1 == p.shape.calls.size();
-    const auto agents = shape.sub_agents;
-    const auto entry = p.entry;
-    const auto account = p.account;
-    const auto priority = p.priority;
-    for (const auto agent : agents) {
+    m_clock.after(last ? timestamp{0} : shape.pause_after, [this, index] { next_step(index); });
+}
+
+/// The program goes on when all of them have ended.
+void callers::start_sub_agents(std::size_t index)
+{
+    const auto& parent = m_programs[index];
+    for (const auto agent : shape_of(parent).sub_agents) {
         const auto child = m_programs.size();
         auto& a = m_programs.emplace_back();
-        a.shape = m_programs[index].shape.sub_agents.at(agent);
+        a.shape = parent.shape.sub_agents.at(agent);
         a.parent = index;
-        a.account = account;
-        a.entry = entry;
-        a.priority = priority;
+        a.account = parent.account;
+        a.entry = parent.entry;
+        a.priority = parent.priority;
         a.started = m_clock.now();
         a.work_left_us = work_us(a.shape);
         begin(child);
     }
-    if (agents.empty()) {
-        m_clock.after(last ? timestamp{0} : pause, [this, index] { next_step(index); });
-    }
 }
 
 /// Returns the slot with what the entry saw of the call.
@@ -406,8 +409,8 @@
 
 std::size_t callers::root_of(std::size_t index) const
 {
-    while (m_programs[index].parent) {
-        index = *m_programs[index].parent;
+    for (auto parent = m_programs[index].parent; parent; parent = m_programs[index].parent) {
+        index = *parent;
     }
     return index;
 }
--- a/bench/callers.h
+++ b/bench/callers.h
@@ -79,6 +79,7 @@
     void cancel_and_resume(std::size_t index, std::uint64_t slot);
     void call_started(std::size_t index);
     void call_done(std::size_t index);
+    void start_sub_agents(std::size_t index);
     void release(program& p, std::uint32_t tokens, bool preempted);
     void next_step(std::size_t index);
     void finish(std::size_t index, bool given_up);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -19,8 +19,8 @@
 
 } // namespace
 
-fleet::fleet(virtual_clock& clock, const workload& w, scenario s, std::uint64_t seed, fake_engine::listener on_event,
-             deliver to_entry)
+fleet::fleet(virtual_clock& clock, const workload& w, scenario s, std::uint64_t seed,
+             const fake_engine::listener& on_event, deliver to_entry)
     : m_clock(clock), m_workload(w), m_scenario(s), m_seed(seed), m_random(seed ^ 0x5eed),
       m_to_entry(std::move(to_entry))
 {
@@ -95,7 +95,7 @@
     }
     for (const auto& e : m_engines) {
         load_report report{e.spec().id, e.running(), e.waiting()};
-        m_clock.after(m_workload.load_report_lag, [this, &g = group_of(e.spec().model), report = std::move(report)] {
+        m_clock.after(m_workload.load_report_lag, [&g = group_of(e.spec().model), report = std::move(report)] {
             g.dispatcher.report_load(report);
         });
     }
@@ -145,7 +145,7 @@
         return;
     }
     const auto& spec = m_engines.at(engine).spec();
-    m_clock.after(cache_event_lag, [this, &g = group_of(spec.model), event = cache_event{spec.id, prefix, tokens}] {
+    m_clock.after(cache_event_lag, [&g = group_of(spec.model), event = cache_event{spec.id, prefix, tokens}] {
         g.dispatcher.report_cache(event);
     });
 }
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -22,8 +22,8 @@
     using deliver = std::function<void(const outgoing_slot_message&)>;
 
     /// `to_entry` receives what dispatchers send, after the network.
-    fleet(virtual_clock& clock, const workload& w, scenario s, std::uint64_t seed, fake_engine::listener on_event,
-          deliver to_entry);
+    fleet(virtual_clock& clock, const workload& w, scenario s, std::uint64_t seed,
+          const fake_engine::listener& on_event, deliver to_entry);
 
     /// Makes the dispatchers and starts ticks and reports.
     void start(const policy_row& policy, const run_truth& truth);
--- a/bench/micro_dispatch.cpp
+++ b/bench/micro_dispatch.cpp
@@ -8,14 +8,14 @@
 
 namespace {
 
-std::atomic<std::uint64_t> allocations = 0;
+std::atomic<std::uint64_t> g_allocations = 0;
 
 } // namespace
 
 // Not inlined: the compiler would take the pair of malloc and free for mismatched.
 [[gnu::noinline]] void* operator new(std::size_t size)
 {
-    ++allocations;
+    ++g_allocations;
     if (void* p = std::malloc(size)) {
         return p;
     }
@@ -74,7 +74,7 @@
 {
     auto d = half_full(static_cast<std::size_t>(state.range(0)));
     std::uint64_t request = 1;
-    const auto before = allocations.load();
+    const auto before = g_allocations.load();
     for (auto _ : state) {
         const auto call = next_call(request++);
         const auto answer = d.handle(call, warm);
@@ -86,7 +86,7 @@
         benchmark::DoNotOptimize(d.handle(slot_release{granted->slot, call.holder, 100'000, 30'000, 100, 0}, warm));
     }
     state.counters["allocations"] =
-        benchmark::Counter(static_cast<double>(allocations - before), benchmark::Counter::kAvgIterations);
+        benchmark::Counter(static_cast<double>(g_allocations - before), benchmark::Counter::kAvgIterations);
 }
 
 /// The periodic tick with nothing waiting.
