Add the operators' commands

Cause: operators change documents, drain instances and look at the fleet from a terminal. A request that changes something goes to another entry only while nothing was sent; a lost answer exits with 3. Conclusion: client_commands() gives the rows for the command table.

--- /dev/null
+++ b/src/client/commands.cpp
@@ -0,0 +1,171 @@
+#include "client/commands.h"
+
+#include "client/command_runs.h"
+#include "util/ensure.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lagoonferry {
+
+namespace {
+
+// docopt reads the name and argument of an option up to two spaces on the same line.
+constexpr const char* connection_options =
+    R"(  --entry=LIST  addresses of entry instances, separated by commas; the first that can be reached is used
+        (variable LAGOONFERRY_ENTRY; default 127.0.0.1:8080)
+  --operator-key-file=PATH  file with the operator key
+        (variables LAGOONFERRY_OPERATOR_KEY for the key and LAGOONFERRY_OPERATOR_KEY_FILE for the path)
+  --timeout-ms=MS  longest wait for a connection and for an answer (100 to 600000; default 10000)
+)";
+
+constexpr const char* output_options = R"(  --json  print JSON
+  -h, --help  print this text
+
+Exit status: 0 done, 1 refused, 2 usage, 3 unreachable or outcome unknown.
+)";
+
+struct client_row {
+    std::string_view name;
+    std::string_view summary;
+    const char* usage; ///< up to the options of the command itself
+    bool connects;
+    int (*run)(client_call& call);
+};
+
+constexpr std::array client_rows{
+    client_row{"put", "puts a service document in force", R"(Usage:
+  lagoonferry put [options] <file>
+
+Checks a service document and puts it in force. The document names its service.
+
+Options:
+  --if-version=N  the version that the document was made from, 0 for a new service (required)
+  --author=NAME  your name, for the history (variable LAGOONFERRY_AUTHOR; required)
+)",
+               true, run_put},
+    client_row{"get", "prints a service document", R"(Usage:
+  lagoonferry get [options] <service>
+
+Prints the body of the document in force, or of an earlier version.
+
+Options:
+  --version=N  an earlier version
+)",
+               true, run_get},
+    client_row{"diff", "compares a service document with a file or another version", R"(Usage:
+  lagoonferry diff [options] <service> <file>
+  lagoonferry diff [options] <service> --from=N --to=N
+
+Compares the document in force with a file, or two versions with each other.
+
+Options:
+  --from=N  the former version
+  --to=N  the latter version
+)",
+               true, run_diff},
+    client_row{"validate", "checks a service document without a connection", R"(Usage:
+  lagoonferry validate [options] <file>
+
+Checks a service document and lists all faults.
+
+Options:
+)",
+               false, run_validate},
+    client_row{"history", "lists the versions of a service document", R"(Usage:
+  lagoonferry history [options] <service>
+
+Lists the versions of a document with author and time, the newest last.
+
+Options:
+)",
+               true, run_history},
+    client_row{"programs", "lists partitions of programs and their owners", R"(Usage:
+  lagoonferry programs [options]
+
+Lists the partitions of programs with their owners.
+
+Options:
+)",
+               true, run_programs},
+    client_row{"targets", "lists targets and their states", R"(Usage:
+  lagoonferry targets [options]
+
+Lists the targets of all services.
+
+Options:
+)",
+               true, run_targets},
+    client_row{"instances", "lists entry and dispatch instances", R"(Usage:
+  lagoonferry instances [options]
+
+Lists the entry and dispatch instances.
+
+Options:
+)",
+               true, run_instances},
+    client_row{"drain", "lets an instance or a target leave", R"(Usage:
+  lagoonferry drain [options] <id>
+
+Marks an instance or a target as leaving, for good: it gets no new work.
+
+Options:
+)",
+               true, run_drain},
+    client_row{"burn", "reports the use of error budgets", R"(Usage:
+  lagoonferry burn [options]
+
+Reports the use of the error budget of each service and class, and what used it.
+Without --samples, the metrics of all entry instances are read twice.
+
+Options:
+  --samples=FILE  read earlier samples from this file and make no connection
+  --append=FILE  read the metrics of all entry instances once, append them to this file, report on all its samples
+  --interval-s=S  time between the two readings without a file (1 to 3600; default 10)
+  --documents=LIST  files of service documents with objectives, separated by commas; by default those in force, or
+        99% in 28 days with --samples
+  --html=FILE  write the report with plots to this file
+)",
+               true, run_burn},
+};
+
+std::string usage_of(const client_row& row)
+{
+    return std::string(row.usage) + (row.connects ? connection_options : "") + output_options;
+}
+
+template <std::size_t N>
+int run_row(const std::vector<std::string>& args)
+{
+    client_io io = process_io();
+    return run_client_command(client_rows[N].name, args, io);
+}
+
+template <std::size_t... N>
+constexpr auto make_commands(std::index_sequence<N...> /*rows*/)
+{
+    return std::array{command{client_rows[N].name, client_rows[N].summary, run_row<N>}...};
+}
+
+constexpr auto commands = make_commands(std::make_index_sequence<client_rows.size()>());
+
+} // namespace
+
+std::span<const command> client_commands()
+{
+    return commands;
+}
+
+int run_client_command(std::string_view name, const std::vector<std::string>& args, client_io& io)
+{
+    const auto* row = std::ranges::find(client_rows, name, &client_row::name);
+    ensure(row != client_rows.end(), "no client command has this name");
+    docopt_result parsed = parse_docopt(std::string(name), usage_of(*row), args, io.out, io.err);
+    if (!parsed.values) {
+        return parsed.status;
+    }
+    client_call call(std::move(*parsed.values), io);
+    return row->run(call);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/client/control_client.cpp
@@ -0,0 +1,56 @@
+#include "client/control_client.h"
+
+namespace lagoonferry {
+
+control_client::control_client(std::vector<endpoint> entries, secret key, std::chrono::milliseconds timeout)
+    : m_entries(std::move(entries)), m_key(std::move(key)), m_timeouts(http_timeouts::all(timeout))
+{
+}
+
+control_reply control_client::get(const std::string& path) const
+{
+    control_reply reply;
+    for (const endpoint& entry : m_entries) {
+        reply = get_from(to_string(entry), path);
+        if (reply.end == call_end::answered) {
+            break;
+        }
+    }
+    return reply;
+}
+
+control_reply control_client::send(const std::string& method, const std::string& path, const http_headers& headers,
+                                   const std::string& body) const
+{
+    control_reply reply;
+    for (const endpoint& entry : m_entries) {
+        reply = call(to_string(entry), {method, path, headers, body});
+        if (reply.end != call_end::not_sent) {
+            break;
+        }
+    }
+    return reply;
+}
+
+control_reply control_client::get_from(const std::string& address, const std::string& path) const
+{
+    return call(address, {"GET", path, {}, {}});
+}
+
+control_reply control_client::call(const std::string& address, http_request request) const
+{
+    request.headers.emplace_back("Authorization", "Bearer " + m_key.reveal());
+    if (!request.body.empty()) {
+        request.headers.emplace_back("Content-Type", "application/json");
+    }
+    http_connection connection(address);
+    const http_reply reply = connection.send(request, m_timeouts);
+    control_reply result{reply.end, reply.status, reply.body, nullptr, reply.reason};
+    const auto parsed = nlohmann::json::parse(reply.body, nullptr, false);
+    if (!parsed.is_discarded()) {
+        result.body = parsed;
+    }
+    return result;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/client/document_commands.cpp
@@ -0,0 +1,218 @@
+#include "client/command_runs.h"
+#include "client/text_table.h"
+#include "document/document_diff.h"
+#include "document/document_schema.h"
+#include "report/burn_text.h"
+#include "settings/label.h"
+
+#include <ostream>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+std::string document_path(const std::string& service)
+{
+    return "/control/documents/" + percent_encode(service);
+}
+
+std::string version_line(const json& record)
+{
+    return "version " + std::to_string(record.value("version", std::uint64_t{0})) + " by " +
+           record.value("author", "") + " at " + time_text(record.value("time_ms", std::int64_t{0})) + " UTC";
+}
+
+/// Returns the text of the file of a command, or nothing after printing a fault.
+std::optional<std::string> read_argument_file(client_call& call)
+{
+    const std::string path = call.text("<file>").value_or("");
+    auto text = call.io().read_file(path);
+    if (!text) {
+        call.usage_fault("the file \"" + path + "\" cannot be read");
+    }
+    return text;
+}
+
+json faults_json(const std::vector<document_fault>& faults)
+{
+    json result = json::array();
+    for (const document_fault& fault : faults) {
+        result.push_back({{"path", fault.path}, {"reason", fault.reason}});
+    }
+    return result;
+}
+
+int print_check(client_call& call, const document_check& check)
+{
+    if (call.json()) {
+        call.print({{"valid", check.document.has_value()}, {"faults", faults_json(check.faults)}});
+    }
+    else {
+        call.io().out << (check.document ? "valid\n" : describe(check.faults));
+    }
+    return check.document ? exit_done : exit_refused;
+}
+
+/// Reads one version of a document, or the one in force for an empty version.
+control_reply read_document(const control_client& client, const std::string& service, const std::string& version)
+{
+    return client.get(document_path(service) + (version.empty() ? "" : "?version=" + percent_encode(version)));
+}
+
+int print_changes(client_call& call, const json& before, const json& after)
+{
+    const auto changes = diff_documents(before, after);
+    if (call.json()) {
+        call.print({{"changes", to_json(changes)}});
+    }
+    else {
+        call.io().out << (changes.empty() ? "no differences\n" : describe(changes));
+    }
+    return exit_done;
+}
+
+int diff_with_file(client_call& call, const control_client& client, const std::string& service)
+{
+    const auto text = read_argument_file(call);
+    if (!text) {
+        return exit_usage;
+    }
+    const document_check check = check_document_text(*text);
+    if (!check.document) {
+        return print_check(call, check);
+    }
+    const control_reply reply = read_document(client, service, "");
+    return reply.done() ? print_changes(call, reply.body.value("body", json()), json::parse(*text)) : call.fail(reply);
+}
+
+int diff_versions(client_call& call, const control_client& client, const std::string& service)
+{
+    if (!call.number("--from") || !call.number("--to")) {
+        return exit_usage;
+    }
+    const control_reply from = read_document(client, service, *call.text("--from"));
+    if (!from.done()) {
+        return call.fail(from);
+    }
+    const control_reply to = read_document(client, service, *call.text("--to"));
+    if (!to.done()) {
+        return call.fail(to);
+    }
+    return print_changes(call, from.body.value("body", json()), to.body.value("body", json()));
+}
+
+} // namespace
+
+int run_validate(client_call& call)
+{
+    const auto text = read_argument_file(call);
+    return text ? print_check(call, check_document_text(*text)) : static_cast<int>(exit_usage);
+}
+
+int run_put(client_call& call)
+{
+    const auto version = call.number("--if-version");
+    const auto given = call.text("--author");
+    const auto author = given ? given : call.io().variable("LAGOONFERRY_AUTHOR");
+    if (!version) {
+        return exit_usage;
+    }
+    if (!author || author->empty() || author->find_first_of("\r\n") != std::string::npos) {
+        return call.usage_fault("--author or LAGOONFERRY_AUTHOR must name you in one line");
+    }
+    const auto text = read_argument_file(call);
+    if (!text) {
+        return exit_usage;
+    }
+    const document_check check = check_document_text(*text);
+    if (!check.document) {
+        return print_check(call, check);
+    }
+    const auto client = call.connect();
+    if (!client) {
+        return exit_usage;
+    }
+    const control_reply reply = client->send("PUT", document_path(check.document->service),
+                                             {{"If-Version", std::to_string(*version)}, {"X-Author", *author}}, *text);
+    if (!reply.done()) {
+        return call.fail(reply);
+    }
+    if (call.json()) {
+        call.print(reply.body);
+    }
+    else {
+        call.io().out << check.document->service << ": " << version_line(reply.body) << " is in force\n";
+    }
+    return exit_done;
+}
+
+int run_get(client_call& call)
+{
+    const std::string service = *call.text("<service>");
+    const std::string version = call.text("--version").value_or("");
+    if (!is_label(service)) {
+        return call.usage_fault("\"" + service + "\" is not the name of a service");
+    }
+    if (!version.empty() && !call.number("--version")) {
+        return exit_usage;
+    }
+    const auto client = call.connect();
+    if (!client) {
+        return exit_usage;
+    }
+    const control_reply reply = read_document(*client, service, version);
+    if (!reply.done()) {
+        return call.fail(reply);
+    }
+    if (call.json()) {
+        call.print(reply.body);
+        return exit_done;
+    }
+    call.io().err << version_line(reply.body) << '\n';
+    call.print(reply.body.value("body", json()));
+    return exit_done;
+}
+
+int run_diff(client_call& call)
+{
+    const std::string service = *call.text("<service>");
+    if (!is_label(service)) {
+        return call.usage_fault("\"" + service + "\" is not the name of a service");
+    }
+    const auto client = call.connect();
+    if (!client) {
+        return exit_usage;
+    }
+    return call.text("<file>") ? diff_with_file(call, *client, service) : diff_versions(call, *client, service);
+}
+
+int run_history(client_call& call)
+{
+    const std::string service = *call.text("<service>");
+    if (!is_label(service)) {
+        return call.usage_fault("\"" + service + "\" is not the name of a service");
+    }
+    const auto client = call.connect();
+    if (!client) {
+        return exit_usage;
+    }
+    const control_reply reply = client->get(document_path(service) + "/history");
+    if (!reply.done()) {
+        return call.fail(reply);
+    }
+    if (call.json()) {
+        call.print(reply.body);
+        return exit_done;
+    }
+    std::vector<std::vector<std::string>> rows{{"version", "author", "time (UTC)"}};
+    for (const json& item : reply.body.value("versions", json::array())) {
+        rows.push_back({std::to_string(item.value("version", std::uint64_t{0})), item.value("author", ""),
+                        time_text(item.value("time_ms", std::int64_t{0}))});
+    }
+    print_table(call.io().out, rows);
+    return exit_done;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/client/text_table.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Prints rows of cells in columns; the first row is the heading. Thread-safe.
+void print_table(std::ostream& out, const std::vector<std::vector<std::string>>& rows);
+
+} // namespace lagoonferry
