--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -36,8 +36,9 @@
 
 } // namespace
 
-journal::journal(std::uint32_t partition, instance_ref self, std::string writer, const journal_settings& settings)
-    : m_partition(partition), m_self(std::move(self)), m_settings(&settings),
+journal::journal(std::uint32_t partition, instance_ref self, std::uint64_t incarnation, std::string writer,
+                 const journal_settings& settings)
+    : m_partition(partition), m_self(std::move(self)), m_incarnation(incarnation), m_settings(&settings),
       m_chain(partition, std::move(writer), m_outbox, settings), m_segments(partition, m_outbox, settings),
       m_eraser(m_outbox, settings), m_load_channel(m_outbox, settings)
 {
@@ -67,7 +68,8 @@
     m_chain.load();
 }
 
-void journal::finish_takeover(std::vector<log_item> recovered, std::vector<backup_ref> backups, timestamp now)
+void journal::finish_takeover(std::vector<log_item> recovered, std::vector<entry> closing,
+                              std::vector<backup_ref> backups, timestamp now)
 {
     ensure(m_phase == journal_phase::recovering, "the takeover has not loaded the partition");
     m_loaded_texts.clear();
@@ -80,6 +82,12 @@
         m_log_bytes += item_bytes(it);
         m_log.push_back({std::move(it), now});
     }
+    m_last_recovered = m_last;
+    for (entry& it : closing) {
+        log_item item{++m_last, std::move(it), nullptr};
+        m_log_bytes += item_bytes(item);
+        m_log.push_back({std::move(item), now});
+    }
     m_next_backups = std::move(backups);
     m_phase = journal_phase::publishing;
 }
@@ -224,6 +232,7 @@
     head_record next = head();
     next.epoch += 1;
     next.owner = m_self;
+    next.owner_incarnation = m_incarnation;
     m_chain.write(std::move(next));
 }
 
@@ -264,7 +273,7 @@
 
 void journal::replace_current_snapshot()
 {
-    if (!m_snapshot || head().snapshot != m_snapshot->key()) {
+    if (!m_snapshot || !m_snapshot->version() || head().snapshot != m_snapshot->key()) {
         return;
     }
     if (!m_current_snapshot.empty()) {
@@ -371,15 +380,9 @@
 
 void journal::apply_durable(std::uint64_t sequence)
 {
-    for (const logged_item& it : m_log) {
-        if (it.item.sequence <= m_durable) {
-            continue;
-        }
-        if (it.item.sequence > sequence) {
-            break;
-        }
-        m_image.apply(it.item.content);
-        drop_ended(it.item.content);
+    for (auto it = first_after(m_durable); it != m_log.end() && it->item.sequence <= sequence; ++it) {
+        m_image.apply(it->item.content);
+        drop_ended(it->item.content);
     }
     m_durable = std::max(m_durable, sequence);
     count_tail();
@@ -451,12 +454,9 @@
     return !m_chain.idle() && now >= m_chain.write_started() + limit;
 }
 
-const logged_item* journal::first_pending() const
+std::deque<logged_item>::const_iterator journal::first_after(std::uint64_t sequence) const
 {
-    const auto it = std::ranges::find_if(
-        m_log, [this](std::uint64_t sequence) { return sequence > m_durable; },
-        [](const logged_item& item) { return item.item.sequence; });
-    return it == m_log.end() ? nullptr : &*it;
+    return std::ranges::upper_bound(m_log, sequence, {}, [](const logged_item& it) { return it.item.sequence; });
 }
 
 std::optional<timestamp> journal::lazy_due() const
@@ -464,8 +464,8 @@
     if (writes_everything()) {
         return std::nullopt;
     }
-    const logged_item* first = first_pending();
-    if (first == nullptr) {
+    const auto first = first_after(m_durable);
+    if (first == m_log.end()) {
         return std::nullopt;
     }
     // A head that follows a segment names it as well, which saves a write; a slow segment is not waited for.
@@ -484,7 +484,8 @@
 
 std::uint64_t journal::writable() const
 {
-    return std::min(m_last, std::max(m_stored, m_segments.written(m_last)));
+    const std::optional<std::uint64_t> unwritten = m_segments.first_unwritten(m_stored);
+    return unwritten ? *unwritten - 1 : m_last;
 }
 
 bool journal::has_room() const
@@ -536,33 +537,31 @@
     for (const entry& it : next.tail) {
         bytes += entry_bytes(it);
     }
-    for (const logged_item& it : m_log) {
-        if (it.item.sequence <= m_durable) {
-            continue;
-        }
-        if (bytes >= m_settings->write_limit || it.item.sequence > limit) {
+    for (auto it = first_after(m_durable); it != m_log.end() && it->item.sequence <= limit; ++it) {
+        const bool closing = m_phase == journal_phase::publishing && it->item.sequence > m_last_recovered;
+        if (closing ? !m_segments.complete() : bytes >= m_settings->write_limit) {
             return;
         }
-        bytes += entry_bytes(it.item.content);
-        next.tail.push_back(it.item.content);
-        next.sequence = it.item.sequence;
+        bytes += entry_bytes(it->item.content);
+        next.tail.push_back(it->item.content);
+        next.sequence = it->item.sequence;
     }
 }
 
 void journal::change_ownership(head_record& next) const
 {
     const bool complete = next.sequence == m_last && m_segments.complete();
-    if (m_phase == journal_phase::publishing) {
-        if (complete) {
-            next.ready_epoch = m_epoch;
-            next.backups = *m_next_backups;
-        }
+    if (m_phase == journal_phase::publishing && !complete) {
         return;
     }
+    if (m_phase == journal_phase::publishing) {
+        next.ready_epoch = m_epoch;
+    }
     if (m_phase == journal_phase::handing_over && m_release && complete) {
         next.epoch = m_epoch + 1;
         next.ready_epoch = next.epoch;
         next.owner = m_successor;
+        next.owner_incarnation = 0;
         next.backups.clear();
         return;
     }
