--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -273,14 +273,14 @@
 
 void journal::replace_current_snapshot()
 {
-    if (!m_snapshot || !m_snapshot->version() || head().snapshot != m_snapshot->key()) {
+    if (!m_snapshot || head().snapshot != m_snapshot->key()) {
         return;
     }
     if (!m_current_snapshot.empty()) {
         m_eraser.erase(std::move(m_current_snapshot), m_current_snapshot_version);
     }
     m_current_snapshot = m_snapshot->key();
-    m_current_snapshot_version = *m_snapshot->version();
+    m_current_snapshot_version = m_snapshot->version().value_or(0);
     m_snapshot.reset();
 }
 
