--- a/bench/load_command.cpp
+++ b/bench/load_command.cpp
@@ -63,7 +63,8 @@
     latencies all;
     std::mutex mutex;
     std::vector<std::thread> threads;
-    const auto interval = std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(double(callers) / rate));
+    const auto interval =
+        std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(double(callers) / rate));
     const auto start = clock::now();
     for (int n = 0; n < callers; ++n) {
         threads.emplace_back([&, n] {
@@ -156,9 +157,8 @@
                                   {"max_tokens", 4},
                                   {"program", "direct-" + std::to_string(s.number)},
                                   {"messages", {{{"role", "user"}, {"content", "say 4 tokens"}}}}};
-        const auto response =
-            s.client->Post("/v1/chat/completions", {{"X-Call-Id", id}, {"X-Priority", "2"}}, body.dump(),
-                           "application/json");
+        const auto response = s.client->Post("/v1/chat/completions", {{"X-Call-Id", id}, {"X-Priority", "2"}},
+                                             body.dump(), "application/json");
         return response && response->status == 200;
     }
 };
--- a/bench/process_usage.cpp
+++ b/bench/process_usage.cpp
@@ -18,8 +18,7 @@
     std::uint64_t size = 0;
     std::uint64_t resident = 0;
     memory >> size >> resident;
-    usage.resident_mb =
-        static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / bytes_per_mb;
+    usage.resident_mb = static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / bytes_per_mb;
 
     std::ifstream stat(folder + "/stat");
     std::string line;
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -93,9 +93,8 @@
     m_router.emplace(&m_process.shared(), partitions);
     m_turns = std::make_unique<turn_runner>(&m_process.shared(), m_slots, &m_process.engines(),
                                             static_cast<std::uint64_t>(steady_now().count()));
-    m_turns->set_observer([this](const call_options& options, const turn_runner::attempt& seen) {
-        observe(options, seen);
-    });
+    m_turns->set_observer(
+        [this](const call_options& options, const turn_runner::attempt& seen) { observe(options, seen); });
     m_tool_runner = std::make_unique<tool_runner>(&m_process.shared(), &m_tools);
     m_callers = std::make_unique<caller_api>(m_process.shared(), *m_router, *m_turns, *m_tool_runner, m_metrics, m_id);
     add_rpc_methods();
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -156,6 +156,15 @@
     CHECK(document.classes[0].first_token_ms == 400);
 }
 
+TEST_CASE("the page on documents shows the example document")
+{
+    std::ifstream page("docs/documents.md");
+    std::ifstream file("examples/boat-assignment.json");
+    const std::string page_text(std::istreambuf_iterator<char>(page), {});
+    const std::string file_text(std::istreambuf_iterator<char>(file), {});
+    CHECK(page_text.find("```json\n" + file_text + "```\n") != std::string::npos);
+}
+
 TEST_CASE("a document with many faults is refused with all of them")
 {
     json body = example();
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -78,7 +78,8 @@
                    .status == 200;
     }));
     for (const std::string& id : entry_ids()) {
-        REQUIRE(wait_until([&] { const int status = call(id, "POST", "/v1/programs", {{"service", service}}).status;
+        REQUIRE(wait_until([&] {
+            const int status = call(id, "POST", "/v1/programs", {{"service", service}}).status;
             // An instance without partitions redirects.
             return status == 200 || status == 307;
         }));
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -175,6 +175,21 @@
     CHECK(out.str().find("cluster-key = set (environment)\n") != std::string::npos);
 }
 
+TEST_CASE("the settings page lists every setting with its variable, range and default")
+{
+    std::ifstream in("docs/settings.md");
+    REQUIRE_MESSAGE(in, "run the tests from the root of the repository");
+    const std::string page(std::istreambuf_iterator<char>(in), {});
+    const settings defaults;
+    for (const setting_row& row : setting_rows()) {
+        const std::string name(row.name);
+        const std::string value = row.required ? "required" : row.show(defaults);
+        const std::string line = "| `--" + name + "` | `" + variable_name(name) + "` | " + row.range() + " | " + value +
+                                 " | " + std::string(row.help) + " |\n";
+        CHECK_MESSAGE(page.find(line) != std::string::npos, line);
+    }
+}
+
 TEST_CASE("the command table refuses unknown commands and passes the rest of the arguments on")
 {
     const std::array commands{
