Make the new code clean under clang-tidy 16

Cause: clang-tidy reported unchecked optionals and escaped literals, and crashed on document_table.cpp, in its check of optional access for a loop with structured bindings. Conclusion: no check is switched off.

--- a/src/client/burn_command.cpp
+++ b/src/client/burn_command.cpp
@@ -19,7 +19,8 @@
 
     int run()
     {
-        if (!collect() || !read_objectives()) {
+        const auto samples = m_call.text("--samples");
+        if (samples ? !read_stored(*samples) : !read_fleet()) {
             return m_status;
         }
         const burn_report report = make_burn_report(m_history, m_objectives);
@@ -38,29 +39,55 @@
     }
 
 private:
-    bool collect()
+    bool read_stored(const std::string& path)
     {
-        if (const auto path = m_call.text("--samples")) {
-            return read_samples(*path, true);
-        }
-        m_client = m_call.connect();
-        if (!m_client) {
+        const auto documents = m_call.text("--documents");
+        return read_samples(path, true) && (!documents || read_documents(*documents));
+    }
+
+    bool read_fleet()
+    {
+        const auto client = m_call.connect();
+        if (!client) {
             return stop(exit_usage);
         }
-        if (const auto path = m_call.text("--append")) {
-            return read_samples(*path, false) && scrape_all() && append(*path);
+        const auto path = m_call.text("--append");
+        const bool collected = path ? append_to(*path, *client) : scrape_twice(*client);
+        if (!collected) {
+            return false;
+        }
+        const auto documents = m_call.text("--documents");
+        if (documents) {
+            return read_documents(*documents);
         }
+        for (const std::string& service : m_history.services()) {
+            read_document_in_force(service, *client);
+        }
+        return true;
+    }
+
+    bool scrape_twice(const control_client& client)
+    {
         ranged<std::uint32_t, 1, 3'600> interval_s = 10;
         const std::string given = m_call.text("--interval-s").value_or(show_setting(interval_s));
         if (!parse_setting(given, interval_s)) {
             return stop(m_call.usage_fault("--interval-s \"" + given + "\" is not valid; expected " +
                                            setting_range(interval_s)));
         }
-        if (!scrape_all()) {
+        if (!scrape_all(client)) {
             return false;
         }
         m_call.io().wait(std::chrono::seconds(interval_s));
-        return scrape_all();
+        return scrape_all(client);
+    }
+
+    bool append_to(const std::string& path, const control_client& client)
+    {
+        if (!read_samples(path, false) || !scrape_all(client)) {
+            return false;
+        }
+        return m_call.io().write_file(path, m_new_samples, true) ||
+               stop(m_call.usage_fault("the file \"" + path + "\" cannot be written"));
     }
 
     bool read_samples(const std::string& path, bool required)
@@ -83,24 +110,24 @@
     }
 
     /// Reads the metrics of all entry instances with one time. An instance that does not answer is named and left out.
-    bool scrape_all()
+    bool scrape_all(const control_client& client)
     {
-        const control_reply instances = m_client->get("/control/instances");
+        const control_reply instances = client.get("/control/instances");
         if (!instances.done()) {
             return stop(m_call.fail(instances));
         }
         const std::int64_t time_ms = m_call.io().wall_clock_ms();
         for (const json& item : instances.body.value("instances", json::array())) {
             if (item.value("role", "") == "entry") {
-                scrape(item.value("id", ""), item.value("address", ""), time_ms);
+                scrape(item.value("id", ""), item.value("address", ""), time_ms, client);
             }
         }
         return true;
     }
 
-    void scrape(const std::string& id, const std::string& address, std::int64_t time_ms)
+    void scrape(const std::string& id, const std::string& address, std::int64_t time_ms, const control_client& client)
     {
-        const control_reply reply = m_client->get_from(address, "/metrics");
+        const control_reply reply = client.get_from(address, "/metrics");
         const metric_scrape sample{id, time_ms, reply.text};
         if (!reply.done() || !m_history.add(sample)) {
             m_call.io().err << "no metrics of instance " << id << " at " << address << '\n';
@@ -109,25 +136,6 @@
         m_new_samples += to_sample_line(sample);
     }
 
-    bool append(const std::string& path)
-    {
-        return m_call.io().write_file(path, m_new_samples, true) ||
-               stop(m_call.usage_fault("the file \"" + path + "\" cannot be written"));
-    }
-
-    bool read_objectives()
-    {
-        if (const auto list = m_call.text("--documents")) {
-            return read_documents(*list);
-        }
-        if (m_client) {
-            for (const std::string& service : m_history.services()) {
-                read_document_in_force(service);
-            }
-        }
-        return true;
-    }
-
     bool read_documents(const std::string& list)
     {
         for (std::size_t start = 0; start <= list.size();) {
@@ -144,9 +152,9 @@
         return true;
     }
 
-    void read_document_in_force(const std::string& service)
+    void read_document_in_force(const std::string& service, const control_client& client)
     {
-        const control_reply reply = m_client->get("/control/documents/" + percent_encode(service));
+        const control_reply reply = client.get("/control/documents/" + percent_encode(service));
         const document_check check = reply.done() ? check_document(reply.body.value("body", json())) : document_check{};
         if (check.document) {
             m_objectives[service] = check.document->objectives;
@@ -163,7 +171,6 @@
     }
 
     client_call& m_call;
-    std::optional<control_client> m_client;
     metric_history m_history;
     service_objectives m_objectives;
     std::string m_new_samples;
--- a/src/document/document_table.cpp
+++ b/src/document/document_table.cpp
@@ -68,18 +68,9 @@
 {
     std::vector<document_fetch> started;
     for (auto& [service, item] : m_entries) {
-        if (item.fetch && now - item.fetch_started >= fetch_timeout) {
-            end_fetch(item, now);
+        if (needs_fetch(item, now) && fetches_in_flight() < max_fetches) {
+            started.push_back(start_fetch(service, item, now));
         }
-        const bool due = item.highest_heard > version_of(item) && !item.fetch && now >= item.retry_at;
-        if (!due || fetches_in_flight() >= max_fetches) {
-            continue;
-        }
-        const std::size_t choice = item.failed_fetches % (item.holders.size() + 1);
-        const std::string peer = choice < item.holders.size() ? item.holders[choice] : "";
-        item.fetch = document_fetch{peer, service, item.highest_heard};
-        item.fetch_started = now;
-        started.push_back(*item.fetch);
     }
     return started;
 }
@@ -170,6 +161,24 @@
     return item.in_force ? item.in_force->record.version : 0;
 }
 
+bool document_table::needs_fetch(entry& item, timestamp now)
+{
+    if (item.fetch && now - item.fetch_started >= fetch_timeout) {
+        end_fetch(item, now);
+    }
+    return item.highest_heard > version_of(item) && !item.fetch && now >= item.retry_at;
+}
+
+document_fetch document_table::start_fetch(const std::string& service, entry& item, timestamp now)
+{
+    const std::size_t choice = item.failed_fetches % (item.holders.size() + 1);
+    const std::string peer = choice < item.holders.size() ? item.holders[choice] : "";
+    document_fetch fetch{peer, service, item.highest_heard};
+    item.fetch = fetch;
+    item.fetch_started = now;
+    return fetch;
+}
+
 void document_table::end_fetch(entry& item, timestamp now)
 {
     const std::size_t doublings = std::min(item.failed_fetches, max_backoff_doublings);
--- a/src/document/document_table.h
+++ b/src/document/document_table.h
@@ -85,6 +85,8 @@
 
     void note(std::string_view peer, const document_version& known);
     static std::uint64_t version_of(const entry& item);
+    static bool needs_fetch(entry& item, timestamp now);
+    static document_fetch start_fetch(const std::string& service, entry& item, timestamp now);
     static void end_fetch(entry& item, timestamp now);
     std::size_t fetches_in_flight() const;
     std::vector<std::string> recent_changes(std::size_t limit);
--- a/src/report/burn_html.cpp
+++ b/src/report/burn_html.cpp
@@ -76,18 +76,17 @@
     }
     const auto span = static_cast<double>(std::max<std::int64_t>(1, report.to_ms - report.from_ms));
     const auto y_of = [&](double rate) { return plot_height * (1 - rate / top); };
-    out << "<svg width=\"" << plot_width << "\" height=\"" << plot_height + 20 << "\" role=\"img\">\n"
-        << "<rect width=\"" << plot_width << "\" height=\"" << plot_height << "\" fill=\"#f6f6f6\"/>\n"
-        << "<line x1=\"0\" x2=\"" << plot_width << "\" y1=\"" << y_of(1) << "\" y2=\"" << y_of(1)
-        << "\" stroke=\"#888\" stroke-dasharray=\"4\"/>\n"
-        << "<polyline fill=\"none\" stroke=\"#b00000\" points=\"";
+    out << R"(<svg width=")" << plot_width << R"(" height=")" << plot_height + 20 << R"(" role="img">)"
+        << R"(<rect width=")" << plot_width << R"(" height=")" << plot_height << R"(" fill="#f6f6f6"/>)"
+        << R"(<line x1="0" x2=")" << plot_width << R"(" y1=")" << y_of(1) << R"(" y2=")" << y_of(1)
+        << R"(" stroke="#888" stroke-dasharray="4"/>)"
+        << R"(<polyline fill="none" stroke="#b00000" points=")";
     for (const rate_point& point : burn.rates) {
         out << plot_width * static_cast<double>(point.time_ms - report.from_ms) / span << ',' << y_of(point.rate)
             << ' ';
     }
-    out << "\"/>\n<text x=\"4\" y=\"14\">burn rate, highest " << top << "</text>\n"
-        << "<text x=\"4\" y=\"" << plot_height + 14 << "\">" << time_text(report.from_ms) << " to "
-        << time_text(report.to_ms) << " UTC</text>\n</svg>\n";
+    out << R"("/><text x="4" y="14">burn rate, highest )" << top << R"(</text><text x="4" y=")" << plot_height + 14
+        << R"(">)" << time_text(report.from_ms) << " to " << time_text(report.to_ms) << " UTC</text></svg>\n";
 }
 
 /// Writes one bar for each share with bad events; outliers are red.
@@ -100,16 +99,16 @@
         return;
     }
     const double top = shown.front().bad;
-    out << "<h3>Bad events by " << title << "</h3>\n<svg width=\"" << plot_width << "\" height=\""
-        << bar_height * static_cast<double>(shown.size()) << "\" role=\"img\">\n";
+    out << "<h3>Bad events by " << title << R"(</h3><svg width=")" << plot_width << R"(" height=")"
+        << bar_height * static_cast<double>(shown.size()) << R"(" role="img">)";
     double y = 0;
     for (const burn_share& share : shown) {
         const double width = std::max(1.0, (plot_width - 2 * name_width) * share.bad / top);
-        out << "<text x=\"0\" y=\"" << y + 13 << "\">" << escaped(share.name) << "</text><rect x=\"" << name_width
-            << "\" y=\"" << y + 2 << "\" width=\"" << width << "\" height=\"" << bar_height - 4 << "\" fill=\""
-            << (share.outlier ? "#b00000" : "#7a9cc6") << "\"/><text x=\"" << name_width + width + 6 << "\" y=\""
-            << y + 13 << "\">" << share.bad << " of " << share.total << (share.outlier ? ", far worse than others" : "")
-            << "</text>\n";
+        out << R"(<text x="0" y=")" << y + 13 << R"(">)" << escaped(share.name) << R"(</text><rect x=")" << name_width
+            << R"(" y=")" << y + 2 << R"(" width=")" << width << R"(" height=")" << bar_height - 4 << R"(" fill=")"
+            << (share.outlier ? "#b00000" : "#7a9cc6") << R"("/><text x=")" << name_width + width + 6 << R"(" y=")"
+            << y + 13 << R"(">)" << share.bad << " of " << share.total
+            << (share.outlier ? ", far worse than others" : "") << "</text>\n";
         y += bar_height;
     }
     out << "</svg>\n";
@@ -119,10 +118,10 @@
 {
     out << "<h2>" << escaped(burn.service) << " / " << to_string(burn.which) << "</h2>\n<p>";
     if (burn.fast_burn) {
-        out << "<strong class=\"fast\">Fast burn.</strong> ";
+        out << R"(<strong class="fast">Fast burn.</strong> )";
     }
     if (burn.slow_burn) {
-        out << "<strong class=\"slow\">Slow burn.</strong> ";
+        out << R"(<strong class="slow">Slow burn.</strong> )";
     }
     out << "Objective " << std::setprecision(3) << burn.goal.good_percent << "% good in " << burn.goal.window_days
         << " days; " << std::setprecision(1) << burn.budget_used_percent
--- a/src/report/prometheus_text.cpp
+++ b/src/report/prometheus_text.cpp
@@ -1,5 +1,6 @@
 #include "report/prometheus_text.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace lagoonferry {
@@ -50,7 +51,7 @@
             ++length;
         }
         m_failed = m_failed || length == 0;
-        const std::string result(m_rest.substr(0, length));
+        std::string result(m_rest.substr(0, length));
         m_rest.remove_prefix(length);
         return result;
     }
