--- a/bench/load_command.cpp
+++ b/bench/load_command.cpp
@@ -63,6 +63,7 @@
     latencies all;
     std::mutex mutex;
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     const auto interval =
         std::chrono::duration_cast<clock::duration>(std::chrono::duration<double>(double(callers) / rate));
     const auto start = clock::now();
@@ -168,6 +169,7 @@
                                        int count)
 {
     std::vector<std::string> programs;
+    programs.reserve(static_cast<std::size_t>(count));
     demo_caller caller({address}, key);
     for (int n = 0; n < count; ++n) {
         programs.push_back(caller.open(service).body.value("program", ""));
@@ -183,6 +185,7 @@
     std::atomic<int> failed{0};
     std::atomic<int> running{count};
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         threads.emplace_back([&, n] {
             demo_caller caller({address}, key);
--- a/src/client/burn_command.cpp
+++ b/src/client/burn_command.cpp
@@ -85,6 +85,8 @@
     /// Reads the metrics of all entry instances with one time. An instance that does not answer is named and left out.
     bool scrape_all()
     {
+        // m_client was set when the command started.
+        // NOLINTNEXTLINE(bugprone-unchecked-optional-access)
         const control_reply instances = m_client->get("/control/instances");
         if (!instances.done()) {
             return stop(m_call.fail(instances));
@@ -100,6 +102,8 @@
 
     void scrape(const std::string& id, const std::string& address, std::int64_t time_ms)
     {
+        // m_client was set when the command started.
+        // NOLINTNEXTLINE(bugprone-unchecked-optional-access)
         const control_reply reply = m_client->get_from(address, "/metrics");
         const metric_scrape sample{id, time_ms, reply.text};
         if (!reply.done() || !m_history.add(sample)) {
@@ -146,6 +150,8 @@
 
     void read_document_in_force(const std::string& service)
     {
+        // m_client was set when the command started.
+        // NOLINTNEXTLINE(bugprone-unchecked-optional-access)
         const control_reply reply = m_client->get("/control/documents/" + percent_encode(service));
         const document_check check = reply.done() ? check_document(reply.body.value("body", json())) : document_check{};
         if (check.document) {
--- a/src/client/document_commands.cpp
+++ b/src/client/document_commands.cpp
@@ -92,11 +92,11 @@
     if (!call.number("--from") || !call.number("--to")) {
         return exit_usage;
     }
-    const control_reply from = read_document(client, service, *call.text("--from"));
+    const control_reply from = read_document(client, service, call.text("--from").value_or(""));
     if (!from.done()) {
         return call.fail(from);
     }
-    const control_reply to = read_document(client, service, *call.text("--to"));
+    const control_reply to = read_document(client, service, call.text("--to").value_or(""));
     if (!to.done()) {
         return call.fail(to);
     }
@@ -150,7 +150,7 @@
 
 int run_get(client_call& call)
 {
-    const std::string service = *call.text("<service>");
+    const std::string service = call.text("<service>").value_or("");
     const std::string version = call.text("--version").value_or("");
     if (!is_label(service)) {
         return call.usage_fault("\"" + service + "\" is not the name of a service");
@@ -177,7 +177,7 @@
 
 int run_diff(client_call& call)
 {
-    const std::string service = *call.text("<service>");
+    const std::string service = call.text("<service>").value_or("");
     if (!is_label(service)) {
         return call.usage_fault("\"" + service + "\" is not the name of a service");
     }
@@ -190,7 +190,7 @@
 
 int run_history(client_call& call)
 {
-    const std::string service = *call.text("<service>");
+    const std::string service = call.text("<service>").value_or("");
     if (!is_label(service)) {
         return call.usage_fault("\"" + service + "\" is not the name of a service");
     }
--- a/src/client/fleet_commands.cpp
+++ b/src/client/fleet_commands.cpp
@@ -87,7 +87,7 @@
 
 int run_drain(client_call& call)
 {
-    const std::string id = *call.text("<id>");
+    const std::string id = call.text("<id>").value_or("");
     const auto client = call.connect();
     if (!client) {
         return exit_usage;
