--- a/src/program/owner_calls.cpp
+++ b/src/program/owner_calls.cpp
@@ -72,7 +72,7 @@
     }
     auto reason = check_new_work();
     if (!reason && program.ended) {
-        reason = ended_refusal(program);
+        reason = ended_refusal(*program.ended);
     }
     if (!reason && m_now >= it.deadline) {
         reason = refused(result_code::deadline_exceeded, "the deadline has passed");
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -235,7 +235,8 @@
         program.ended = end_entry{id, record.reason, record.marked};
         program.ended_at = m_now;
     }
-    for (const auto& [key, call] : record.calls) {
+    for (const auto& item : record.calls) {
+        const call_record& call = item.second;
         if (m_settings.faults.forget_intents && !call.finished) {
             continue;
         }
@@ -250,7 +251,7 @@
         if (state.status == key_status::known && !call.result_digest.empty() && !state.result_text) {
             state.status = key_status::expired;
         }
-        program.keys.emplace(key, std::move(state));
+        program.keys.emplace(item.first, std::move(state));
     }
     return program;
 }
@@ -265,9 +266,9 @@
     ++m_counters.takeovers;
     m_backups.start(m_journal.epoch(), m_journal.head().backups, m_journal.flushed());
     emit(partition_ready{m_journal.epoch()});
-    for (const auto& [id, program] : m_programs) {
-        if (program.ended) {
-            emit(release_engine_memory{id, program.opened.service, {}});
+    for (const auto& item : m_programs) {
+        if (item.second.ended) {
+            emit(release_engine_memory{item.first, item.second.opened.service, {}});
         }
     }
 }
@@ -290,11 +291,12 @@
 
 void partition_owner::core::append_final_marks()
 {
-    for (auto& [id, program] : m_programs) {
+    for (auto& item : m_programs) {
+        program_state& program = item.second;
         const budget spent = program.account.used();
         if (!program.ended && program.account.marked() != spent) {
             program.account.set_mark(spent);
-            append(mark_entry{id, spent});
+            append(mark_entry{item.first, spent});
         }
     }
 }
@@ -412,14 +414,15 @@
 
 void partition_owner::core::expire_results(const std::string& id, program_state& program)
 {
-    for (auto& [key, state] : program.keys) {
+    for (auto& item : program.keys) {
+        key_state& state = item.second;
         const bool old = state.status == key_status::known && state.finished && m_journal.durable() >= state.sequence &&
                          m_now >= *state.finished + m_settings.retention;
         if (old) {
             state.status = key_status::expired;
             state.result.clear();
             state.result_text.reset();
-            m_journal.expire_result(id, key, state.call);
+            m_journal.expire_result(id, item.first, state.call);
         }
     }
 }
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -109,7 +109,7 @@
     std::optional<refusal> check_capacity() const;
     std::optional<refusal> check_new_work() const;
     std::optional<refusal> check_program(const std::string& program, const std::string& account) const;
-    static refusal ended_refusal(const program_state& program);
+    static refusal ended_refusal(const end_entry& ended);
     void end_with_children(const std::string& id, const std::string& reason);
     void end_one(program_state& program, const std::string& reason);
     void stop_call(const std::string& id);
--- a/src/program/owner_programs.cpp
+++ b/src/program/owner_programs.cpp
@@ -114,8 +114,8 @@
     if (auto reason = check_program(it.parent, it.account)) {
         return reason;
     }
-    if (find_program(it.parent)->ended) {
-        return ended_refusal(*find_program(it.parent));
+    if (const auto& ended = find_program(it.parent)->ended) {
+        return ended_refusal(*ended);
     }
     return std::nullopt;
 }
@@ -171,7 +171,7 @@
     const program_state& program = *find_program(it.program);
     refusal late{
         result_code::not_stored, run_state::outcome_unknown, "no backup has acknowledged the end", retry_later_ms, {}};
-    const json payload{{"program", it.program}, {"ended", program.ended->reason}};
+    const json payload{{"program", it.program}, {"ended", program.ended.value_or(end_entry{}).reason}};
     answer_when_stored({it.request,
                         program.end_sequence,
                         m_now + m_settings.store_timeout,
@@ -180,13 +180,12 @@
                         {}});
 }
 
-refusal partition_owner::core::ended_refusal(const program_state& program)
+refusal partition_owner::core::ended_refusal(const end_entry& ended)
 {
-    const std::string& reason = program.ended->reason;
-    if (reason == uncertain_reason) {
-        return refused(result_code::program_unavailable, reason);
+    if (ended.reason == uncertain_reason) {
+        return refused(result_code::program_unavailable, ended.reason);
     }
-    return refused(result_code::program_ended, "the program has ended: " + reason);
+    return refused(result_code::program_ended, "the program has ended: " + ended.reason);
 }
 
 void partition_owner::core::end_with_children(const std::string& id, const std::string& reason)
@@ -196,9 +195,9 @@
         return;
     }
     std::vector<std::string> children;
-    for (const auto& [child, state] : m_programs) {
-        if (state.opened.parent == id && !state.ended) {
-            children.push_back(child);
+    for (const auto& item : m_programs) {
+        if (item.second.opened.parent == id && !item.second.ended) {
+            children.push_back(item.first);
         }
     }
     std::ranges::for_each(children, [&](const std::string& it) { end_with_children(it, "the parent has ended"); });
@@ -209,9 +208,9 @@
 {
     const std::string& id = program.opened.program;
     std::vector<std::string> calls;
-    for (const auto& [call_id, call] : m_calls) {
-        if (call.program == id) {
-            calls.push_back(call_id);
+    for (const auto& item : m_calls) {
+        if (item.second.program == id) {
+            calls.push_back(item.first);
         }
     }
     std::ranges::for_each(calls, [this](const std::string& it) { stop_call(it); });
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -48,7 +48,7 @@
     }
     program_state& program = *find_program(it.program);
     if (program.ended) {
-        refuse(it.request, ended_refusal(program));
+        refuse(it.request, ended_refusal(*program.ended));
         return;
     }
     if (program.unavailable) {
--- a/src/program/recovery.cpp
+++ b/src/program/recovery.cpp
@@ -211,7 +211,9 @@
             out.results[std::get<result_text>(*it).call] = it;
         }
     }
-    for (const auto& [id, program] : out.image.programs()) {
+    for (const auto& item : out.image.programs()) {
+        const std::string& id = item.first;
+        const program_record& program = item.second;
         if (program.ended) {
             continue;
         }
