--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -34,6 +34,60 @@
 
 const turn_runner::token_sink ignore_tokens = [](std::string_view) { return true; };
 
+/// What a caller wants in a chat completion.
+struct chat_request {
+    begin_turn turn;
+    call_options options;
+    bool stream = false;
+};
+
+std::optional<chat_request> read_chat(const httplib::Request& request, const caller_identity& caller, refusal& why)
+{
+    const auto body = read_object(request.body, why);
+    if (!body) {
+        return std::nullopt;
+    }
+    const auto options = read_options(request, caller, why);
+    if (!options) {
+        return std::nullopt;
+    }
+    const auto turn = read_turn(request, *body, why);
+    if (!turn) {
+        return std::nullopt;
+    }
+    chat_request wanted{*turn, *options, body->value("stream", false)};
+    wanted.options.model = body->value("model", std::string());
+    wanted.options.parameters = engine_parameters(*body);
+    if (find_model(caller.service->document, wanted.options.model) == nullptr) {
+        why = refuse(result_code::no_target, "the service has no model of this name");
+        return std::nullopt;
+    }
+    wanted.turn.account = caller.full_name();
+    wanted.turn.deadline = wanted.options.deadline;
+    return wanted;
+}
+
+/// What a caller wants of a tool.
+struct tool_request {
+    call_options options;
+    std::string arguments;
+    std::uint64_t max_money = 0; ///< micro-units
+};
+
+std::optional<tool_request> read_tool(const httplib::Request& request, const caller_identity& caller, refusal& why)
+{
+    const auto body = read_object(request.body.empty() ? "{}" : request.body, why);
+    if (!body) {
+        return std::nullopt;
+    }
+    const auto options = read_options(request, caller, why);
+    if (!options) {
+        return std::nullopt;
+    }
+    return tool_request{*options, body->value("arguments", nlohmann::json::object()).dump(),
+                        body->value("max_cost_micro", std::uint64_t{0})};
+}
+
 } // namespace
 
 /// One streamed turn between the handler and the content provider.
@@ -78,9 +132,11 @@
 {
     refusal why;
     const auto body = read_object(request.body.empty() ? "{}" : request.body, why);
-    const auto caller =
-        body ? identify(request, body->value("service", request.get_header_value("X-Service")), m_board, why)
-             : std::nullopt;
+    if (!body) {
+        send_refusal(response, why);
+        return;
+    }
+    const auto caller = identify(request, body->value("service", request.get_header_value("X-Service")), m_board, why);
     if (!caller) {
         send_refusal(response, why);
         return;
@@ -115,10 +171,14 @@
         return;
     }
     wanted.program = *program;
-    const std::uint32_t partition = *m_router.partition_of(*program);
-    const answer_request answer = ask(partition, wanted);
+    const auto partition = m_router.partition_of(*program);
+    if (!partition) {
+        send_refusal(response, refuse(result_code::unknown_program, "the parent's partition does not exist"));
+        return;
+    }
+    const answer_request answer = ask(*partition, wanted);
     m_metrics.count("program", answer);
-    finish(request, partition, answer, response);
+    finish(request, *partition, answer, response);
 }
 
 bool caller_api::admit(const httplib::Request& request, const std::string& program, httplib::Response& response,
@@ -188,28 +248,18 @@
         return;
     }
     refusal why;
-    const auto body = read_object(request.body, why);
-    const auto options = body ? read_options(request, caller, why) : std::nullopt;
-    auto turn = options ? read_turn(request, *body, why) : std::nullopt;
-    if (!turn) {
+    auto wanted = read_chat(request, caller, why);
+    if (!wanted) {
         send_refusal(response, why);
         return;
     }
-    exchange->options = *options;
-    exchange->options.model = body->value("model", std::string());
-    exchange->options.parameters = engine_parameters(*body);
-    exchange->origin.model = exchange->options.model;
-    if (find_model(caller.service->document, exchange->options.model) == nullptr) {
-        send_refusal(response, refuse(result_code::no_target, "the service has no model of this name"));
-        return;
-    }
-    turn->program = exchange->origin.program;
-    turn->account = caller.full_name();
-    turn->deadline = exchange->options.deadline;
+    exchange->options = wanted->options;
+    exchange->origin.model = wanted->options.model;
+    wanted->turn.program = exchange->origin.program;
     exchange->session = std::make_shared<call_session>();
-    m_router.send(exchange->partition, *turn, exchange->session);
+    m_router.send(exchange->partition, wanted->turn, exchange->session);
 
-    if (!body->value("stream", false)) {
+    if (!wanted->stream) {
         const served_answer served = serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens);
         m_metrics.count("turn", served.answer, exchange->options, served.target);
         if (const auto* done = std::get_if<success>(&served.answer.result)) {
@@ -324,9 +374,8 @@
         return;
     }
     refusal why;
-    const auto body = read_object(request.body.empty() ? "{}" : request.body, why);
-    const auto options = body ? read_options(request, caller, why) : std::nullopt;
-    if (!options) {
+    const auto wanted = read_tool(request, caller, why);
+    if (!wanted) {
         send_refusal(response, why);
         return;
     }
@@ -336,13 +385,13 @@
     call.irreversible = !known->idempotent;
     call.key = request.get_header_value("Idempotency-Key");
     call.tool = name;
-    call.arguments = body->value("arguments", nlohmann::json::object()).dump();
-    call.max_money = body->value("max_cost_micro", std::uint64_t{0});
-    call.deadline = std::min(options->deadline, steady_now() + std::chrono::milliseconds(known->deadline_ms));
+    call.arguments = wanted->arguments;
+    call.max_money = wanted->max_money;
+    call.deadline = std::min(wanted->options.deadline, steady_now() + std::chrono::milliseconds(known->deadline_ms));
     auto session = std::make_shared<call_session>();
     m_router.send(partition, call, session);
-    const answer_request answer = serve(partition, *session, *options, ignore_tokens).answer;
-    m_metrics.count("tool", answer, *options, name);
+    const answer_request answer = serve(partition, *session, wanted->options, ignore_tokens).answer;
+    m_metrics.count("tool", answer, wanted->options, name);
     finish(request, partition, answer, response);
 }
 
--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -185,7 +185,9 @@
     const auto map = m_links.shared->targets.read();
     const auto members = m_links.shared->members.read();
     nlohmann::json list = nlohmann::json::array();
-    for (const auto& [id, target] : map->targets) {
+    for (const auto& item : map->targets) {
+        const std::string& id = item.first;
+        const known_target& target = item.second;
         const member* known = members->find(id);
         const auto group = map->groups->group_of(id);
         list.push_back({{"id", id},
--- a/src/peer/http_listener.cpp
+++ b/src/peer/http_listener.cpp
@@ -63,7 +63,7 @@
 
 std::optional<network_address> http_listener::start(const network_address& address)
 {
-    const auto bound = bind(address);
+    auto bound = bind(address);
     if (bound) {
         serve();
     }
--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -47,11 +47,14 @@
     if (!targets->groups) {
         return;
     }
-    for (const auto& [id, target] : targets->targets) {
-        const auto group = targets->groups->group_of(id);
-        const auto it = group ? m_groups.find(*group) : m_groups.end();
+    for (const auto& item : targets->targets) {
+        const auto group = targets->groups->group_of(item.first);
+        if (!group) {
+            continue;
+        }
+        const auto it = m_groups.find(*group);
         if (it != m_groups.end()) {
-            it->second.set_target(target.info, now);
+            it->second.set_target(item.second.info, now);
         }
     }
 }
--- a/src/roles/document_fetcher.h
+++ b/src/roles/document_fetcher.h
@@ -31,6 +31,8 @@
     /// `shared` and `counts` outlive this object.
     document_reader(document_sources sources, const board* shared, call_counts* counts);
     ~document_reader();
+    document_reader(const document_reader&) = delete;
+    document_reader& operator=(const document_reader&) = delete;
 
     /// Fetches one document, or nothing if the source does not have it or does not answer.
     std::optional<document_record> fetch(const document_fetch& wanted);
--- a/src/roles/load_poller.cpp
+++ b/src/roles/load_poller.cpp
@@ -15,20 +15,23 @@
 bool serves(const target_map& map, const std::string& target, const std::string& id)
 {
     const auto group = map.groups->group_of(target);
-    const auto order = group ? map.groups->dispatchers_of(*group) : std::vector<std::string>{};
+    if (!group) {
+        return false;
+    }
+    const auto order = map.groups->dispatchers_of(*group);
     return !order.empty() && order.front() == id;
 }
 
 target_loads poll(const target_map& map, const std::string& id, engine_client& engines)
 {
     target_loads message;
-    for (const auto& [target, known] : map.targets) {
-        if (!serves(map, target, id)) {
+    for (const auto& item : map.targets) {
+        if (!serves(map, item.first, id)) {
             continue;
         }
         failure why;
-        if (const auto load = engines.load(known.address, call_timeout, why)) {
-            message.reports.push_back({target, load->running, load->queued});
+        if (const auto load = engines.load(item.second.address, call_timeout, why)) {
+            message.reports.push_back({item.first, load->running, load->queued});
         }
     }
     return message;
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -30,8 +30,9 @@
     m_options = options;
     m_board = shared;
     m_sender = sender;
-    m_table.emplace(options.self, options.timing, std::uint16_t{0}, options.seed, steady_now());
-    m_addresses.emplace(options.address_ttl);
+    m_table =
+        std::make_unique<member_table>(options.self, options.timing, std::uint16_t{0}, options.seed, steady_now());
+    m_addresses = std::make_unique<address_lookup>(options.address_ttl);
     publish(steady_now());
     self->send(self, tick_atom::value);
 }
--- a/src/roles/membership_controller.h
+++ b/src/roles/membership_controller.h
@@ -61,8 +61,8 @@
     membership_options m_options;
     board* m_board = nullptr;
     datagram_sender* m_sender = nullptr;
-    std::optional<member_table> m_table;
-    std::optional<address_lookup> m_addresses;
+    std::unique_ptr<member_table> m_table;
+    std::unique_ptr<address_lookup> m_addresses;
 };
 
 /// The behaviour of the membership controller. `shared` and `sender` outlive the actor.
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -50,7 +50,7 @@
     m_options = options;
     m_peers = std::move(peers);
     m_board = shared;
-    m_owners.emplace(options.self);
+    m_owners = std::make_unique<partition_owners>(options.self);
     m_records.resize(options.partitions);
     m_started = steady_now();
 }
--- a/src/roles/ownership_controller.h
+++ b/src/roles/ownership_controller.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -67,7 +68,7 @@
     ownership_options m_options;
     caf::actor m_peers;
     board* m_board = nullptr;
-    std::optional<partition_owners> m_owners;
+    std::unique_ptr<partition_owners> m_owners;
     std::vector<caf::actor> m_partitions;
     std::vector<partition_record> m_records;
     std::vector<peer_state> m_last_peers;
--- a/src/roles/partition_controller.cpp
+++ b/src/roles/partition_controller.cpp
@@ -27,7 +27,7 @@
     m_self = self;
     m_links = std::move(links);
     m_partition = values.partition;
-    m_owner.emplace(values);
+    m_owner = std::make_unique<partition_owner>(values);
 }
 
 void partition_state::on_event(const partition_event& message)
--- a/src/roles/partition_controller.h
+++ b/src/roles/partition_controller.h
@@ -51,7 +51,7 @@
     caf::event_based_actor* m_self = nullptr;
     partition_links m_links;
     std::uint32_t m_partition = 0;
-    std::optional<partition_owner> m_owner;
+    std::unique_ptr<partition_owner> m_owner;
     std::uint64_t m_next_request = 1;
     std::map<request_id, std::shared_ptr<call_session>> m_requests;
     std::optional<timestamp> m_wake;
--- a/src/roles/peer_controller.cpp
+++ b/src/roles/peer_controller.cpp
@@ -54,7 +54,7 @@
         return it->second;
     }
     const auto parsed = parse_address(address);
-    const caf::actor worker =
+    caf::actor worker =
         self->spawn<caf::linked + caf::detached>(peer_worker, parsed.value_or(network_address{"0.0.0.0", 0}), token);
     self->state.workers.emplace(address, worker);
     return worker;
--- a/src/roles/role_process.cpp
+++ b/src/roles/role_process.cpp
@@ -109,7 +109,9 @@
 bool role_process::bind()
 {
     const std::string& ip = m_settings.http.listen.text;
-    m_socket = datagram_socket::bind({ip, m_settings.peer.datagram_port});
+    if (auto bound = datagram_socket::bind({ip, m_settings.peer.datagram_port})) {
+        m_socket = std::make_unique<datagram_socket>(std::move(*bound));
+    }
     const auto rpc = m_rpc_listener.bind({ip, m_settings.peer.rpc_port});
     const auto http = m_http.bind({ip, m_settings.http.port});
     if (!m_socket || !rpc || !http) {
@@ -194,7 +196,11 @@
 void role_process::on_datagram(const received_datagram& received, const caf::actor& slots)
 {
     const auto message = decode_datagram(received.bytes, m_key);
-    const auto body = message ? from_cbor_text(message->body) : std::nullopt;
+    if (!message) {
+        ++m_dropped_datagrams;
+        return;
+    }
+    const auto body = from_cbor_text(message->body);
     if (!body) {
         ++m_dropped_datagrams;
         return;
--- a/src/roles/role_process.h
+++ b/src/roles/role_process.h
@@ -76,7 +76,7 @@
     board m_board;
     call_counts m_counts;
     http_engine_client m_engines;
-    std::optional<datagram_socket> m_socket;
+    std::unique_ptr<datagram_socket> m_socket;
     std::unique_ptr<datagram_sender> m_sender;
     caf::actor_system_config m_actor_config;
     std::unique_ptr<caf::actor_system> m_actors;
--- a/src/roles/slot_controller.cpp
+++ b/src/roles/slot_controller.cpp
@@ -24,7 +24,7 @@
     m_self = self;
     m_board = shared;
     m_sender = sender;
-    m_holder.emplace(id);
+    m_holder = std::make_unique<slot_holder>(id);
     self->send(self, tick_atom::value);
 }
 
--- a/src/roles/slot_controller.h
+++ b/src/roles/slot_controller.h
@@ -35,7 +35,7 @@
     caf::event_based_actor* m_self = nullptr;
     const board* m_board = nullptr;
     datagram_sender* m_sender = nullptr;
-    std::optional<slot_holder> m_holder;
+    std::unique_ptr<slot_holder> m_holder;
     std::map<std::uint64_t, std::shared_ptr<slot_ticket>> m_tickets;
     std::map<std::string, std::string> m_dispatchers; ///< by group
 };
