Use one enum for the classes of work

Cause: dispatch and documents each had an enum with the same four values, and the entry process converted between them by index.

--- a/bench/callers.cpp
+++ b/bench/callers.cpp
@@ -399,7 +399,7 @@
 
 void callers::count_short(program& p)
 {
-    const bool urgent = p.priority <= request_class::interactive;
+    const bool urgent = p.priority <= service_class::interactive;
     if (!urgent || p.counted_short || alone_us(shape_of(p)) > run_recorder::short_work_us) {
         return;
     }
--- a/bench/callers.h
+++ b/bench/callers.h
@@ -48,7 +48,7 @@
         std::optional<std::size_t> parent;
         std::uint32_t account = 0;
         std::uint32_t entry = 0;
-        request_class priority = request_class::normal;
+        service_class priority = service_class::normal;
         timestamp started{0};
         bool ended = false;
         std::size_t open_agents = 0;
--- a/bench/demo_caller.cpp
+++ b/bench/demo_caller.cpp
@@ -75,7 +75,7 @@
                  {{"X-Program", wish.program},
                   {"X-Turn", std::to_string(wish.turn)},
                   {"X-History", "new"},
-                  {"X-Class", wish.request_class}},
+                  {"X-Class", wish.service_class}},
                  body.dump()});
 }
 
--- a/bench/demo_caller.h
+++ b/bench/demo_caller.h
@@ -21,7 +21,7 @@
 struct turn_wish {
     std::string program;
     std::string content;
-    std::string request_class = "normal";
+    std::string service_class = "normal";
     int turn = 0;
     int max_tokens = 48;
 };
--- a/bench/fake_engine.h
+++ b/bench/fake_engine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dispatch/request_class.h"
 #include "distribution.h"
+#include "util/service_class.h"
 #include "virtual_clock.h"
 
 #include <cstdint>
@@ -29,7 +29,7 @@
 /// One call as an engine sees it.
 struct engine_call {
     std::uint64_t id = 0;
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     std::uint64_t prefix = 0;
     std::uint32_t prompt = 0;
     std::uint32_t output = 0; ///< tokens until the answer is complete
--- a/bench/micro_dispatch.cpp
+++ b/bench/micro_dispatch.cpp
@@ -47,7 +47,7 @@
     m.service = "ruderbootzuteilung";
     m.model = "allocation";
     m.account = "account-" + std::to_string(request % 40);
-    m.priority = static_cast<request_class>(request % 3);
+    m.priority = static_cast<service_class>(request % 3);
     m.prompt_tokens = 4000;
     m.expected_output = 150;
     m.prefix = 1 + request % 1000;
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -42,7 +42,7 @@
 private:
     bool in_batches() const
     {
-        return m_workload.kinds.at(m_kind).priority == request_class::bulk && m_scenario == scenario::day;
+        return m_workload.kinds.at(m_kind).priority == service_class::bulk && m_scenario == scenario::day;
     }
 
     void next()
--- a/bench/run_recorder.cpp
+++ b/bench/run_recorder.cpp
@@ -20,16 +20,16 @@
 
 } // namespace
 
-void run_recorder::program_ended(request_class c, std::uint32_t account, timestamp started, timestamp ended,
+void run_recorder::program_ended(service_class c, std::uint32_t account, timestamp started, timestamp ended,
                                  bool given_up)
 {
     const auto latency = ended - started;
     const double seconds = given_up ? std::numeric_limits<double>::infinity() : to_s(latency);
-    (c == request_class::bulk ? m_bulk : m_foreground).push_back(seconds);
-    if (c == request_class::normal && account != heavy_account) {
+    (c == service_class::bulk ? m_bulk : m_foreground).push_back(seconds);
+    if (c == service_class::normal && account != heavy_account) {
         m_light.push_back(seconds);
     }
-    m_given_up += given_up && c != request_class::bulk ? 1 : 0;
+    m_given_up += given_up && c != service_class::bulk ? 1 : 0;
     if (in_crest(m_scenario, started)) {
         const bool in_time = !given_up && latency <= m_workload.target.at(index_of(c));
         m_crest_programs.at(index_of(c)) += 1;
@@ -37,9 +37,9 @@
     }
 }
 
-void run_recorder::first_token(request_class c, timestamp waited)
+void run_recorder::first_token(service_class c, timestamp waited)
 {
-    if (c != request_class::bulk) {
+    if (c != service_class::bulk) {
         m_first_token.push_back(to_s(waited));
     }
 }
@@ -55,7 +55,7 @@
     m_recomputed += std::min(known, prompt) - std::min({cached, known, prompt});
 }
 
-void run_recorder::refused(request_class c, timestamp waited)
+void run_recorder::refused(service_class c, timestamp waited)
 {
     m_refused.at(index_of(c)) += 1;
     m_refuse_time.push_back(to_s(waited));
@@ -82,10 +82,10 @@
     f.recomputed_share = ratio(m_recomputed, m_prompt_tokens);
     f.idle_held_tokens =
         ratio(std::accumulate(m_idle_held.begin(), m_idle_held.end(), 0.0), static_cast<double>(m_idle_held.size()));
-    f.served_safety = served(request_class::safety);
-    f.served_interactive = served(request_class::interactive);
-    f.served_normal = served(request_class::normal);
-    f.served_bulk = served(request_class::bulk);
+    f.served_safety = served(service_class::safety);
+    f.served_interactive = served(service_class::interactive);
+    f.served_normal = served(service_class::normal);
+    f.served_bulk = served(service_class::bulk);
     f.short_wait_p50_s = percentile(m_short_wait, 0.50);
     f.short_wait_p99_s = percentile(m_short_wait, 0.99);
     const double acquires = std::accumulate(m_acquires.begin() + 1, m_acquires.end(), 0.0);
@@ -97,7 +97,7 @@
     return f;
 }
 
-double run_recorder::served(request_class c) const
+double run_recorder::served(service_class c) const
 {
     return ratio(m_crest_served.at(index_of(c)), m_crest_programs.at(index_of(c)));
 }
--- a/bench/run_recorder.h
+++ b/bench/run_recorder.h
@@ -24,9 +24,9 @@
     explicit run_recorder(const workload& w, scenario s) : m_workload(w), m_scenario(s) {}
 
     /// A program ended, or was given up by its caller.
-    void program_ended(request_class c, std::uint32_t account, timestamp started, timestamp ended, bool given_up);
+    void program_ended(service_class c, std::uint32_t account, timestamp started, timestamp ended, bool given_up);
 
-    void first_token(request_class c, timestamp waited);
+    void first_token(service_class c, timestamp waited);
 
     /// A short call started, or was given up before, after `waited`, with long work before it or not.
     void short_call_started(timestamp waited, bool behind_long);
@@ -35,13 +35,13 @@
     void prompt_started(std::uint32_t prompt, std::uint32_t cached, std::uint32_t known);
 
     void idle_held(double tokens) { m_idle_held.push_back(tokens); }
-    void acquire_sent(request_class c) { ++m_acquires.at(index_of(c)); }
-    void refused(request_class c, timestamp waited);
+    void acquire_sent(service_class c) { ++m_acquires.at(index_of(c)); }
+    void refused(service_class c, timestamp waited);
 
     run_figures figures(const duration_histogram& gaps, double preempted, double granted) const;
 
 private:
-    double served(request_class c) const;
+    double served(service_class c) const;
 
     const workload& m_workload;
     scenario m_scenario;
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -23,12 +23,12 @@
 constexpr timestamp slow_end = seconds(540);
 
 /// Demand swings within seconds: urgent programs come in bursts.
-double surge_demand(request_class c, timestamp now)
+double surge_demand(service_class c, timestamp now)
 {
-    if (c == request_class::bulk) {
+    if (c == service_class::bulk) {
         return 2;
     }
-    const bool burst = c != request_class::normal && now % surge_period < surge_length;
+    const bool burst = c != service_class::normal && now % surge_period < surge_length;
     return burst ? largest_demand : 0.5;
 }
 
@@ -45,7 +45,7 @@
     return names.at(static_cast<std::size_t>(s));
 }
 
-double demand(scenario s, request_class c, timestamp now)
+double demand(scenario s, service_class c, timestamp now)
 {
     if (now >= arrivals_end(s)) {
         return 0;
@@ -61,9 +61,9 @@
     return 1 + (crest_demand - 1) * std::min({1.0, up, down});
 }
 
-double heavy_demand(scenario s, request_class c, timestamp now)
+double heavy_demand(scenario s, service_class c, timestamp now)
 {
-    return s == scenario::surge && c == request_class::normal && now < arrivals_end(s) ? 1 : 0;
+    return s == scenario::surge && c == service_class::normal && now < arrivals_end(s) ? 1 : 0;
 }
 
 timestamp arrivals_end(scenario s)
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <cstdint>
@@ -25,10 +25,10 @@
 constexpr double slowed_share = 0.2;
 
 /// Demand for programs of a class at a time, as a multiple of normal demand; 0 after the last arrival.
-double demand(scenario s, request_class c, timestamp now);
+double demand(scenario s, service_class c, timestamp now);
 
 /// Demand of the one heavy account beside that, as a multiple of normal demand.
-double heavy_demand(scenario s, request_class c, timestamp now);
+double heavy_demand(scenario s, service_class c, timestamp now);
 
 /// Upper bound of `demand` and `heavy_demand`.
 constexpr double largest_demand = 4;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -49,7 +49,7 @@
 void set_patience(workload& w)
 {
     std::ranges::transform(w.target, w.patience.begin(), [](timestamp target) { return target * patience_targets; });
-    w.patience.at(index_of(request_class::bulk)) = timestamp{0};
+    w.patience.at(index_of(service_class::bulk)) = timestamp{0};
 }
 
 program_shape make_sub_agent(const workload& w, std::size_t kind, random_source& random)
@@ -161,9 +161,9 @@
     add_engines(w, w.first_model, first);
     add_engines(w, w.second_model, second);
     w.kinds = {
-        {"safety notice", request_class::safety, 0.01, {1, 1}, {400, 800}, {}, {40, 80}, {}, 0.2, 0, {}, 0},
+        {"safety notice", service_class::safety, 0.01, {1, 1}, {400, 800}, {}, {40, 80}, {}, 0.2, 0, {}, 0},
         {"crew swap",
-         request_class::interactive,
+         service_class::interactive,
          0.45,
          {2, 6},
          {1000, 3000},
@@ -175,7 +175,7 @@
          {1, 2},
          0.02},
         {"coach question",
-         request_class::normal,
+         service_class::normal,
          0.2,
          {3, 10},
          {1500, 4000},
@@ -187,7 +187,7 @@
          {1, 3},
          0.03},
         {"weekly draft",
-         request_class::bulk,
+         service_class::bulk,
          0.34,
          {6, 15},
          {4000, 12000},
@@ -221,10 +221,10 @@
     add_engines(w, w.first_model, first);
     add_engines(w, w.second_model, second);
     w.kinds = {
-        {"humidity alarm", request_class::safety, 0.01, {1, 1}, {400, 900}, {}, {40, 90}, {}, 0.5, 0, {}, 0},
-        {"status screen", request_class::interactive, 0.2, {1, 1}, {500, 1500}, {}, {20, 80}, {}, 0.8, 0, {}, 0.01},
+        {"humidity alarm", service_class::safety, 0.01, {1, 1}, {400, 900}, {}, {40, 90}, {}, 0.5, 0, {}, 0},
+        {"status screen", service_class::interactive, 0.2, {1, 1}, {500, 1500}, {}, {20, 80}, {}, 0.8, 0, {}, 0.01},
         {"lot assessment",
-         request_class::normal,
+         service_class::normal,
          0.4,
          {4, 10},
          {2000, 6000},
@@ -236,7 +236,7 @@
          {1, 3},
          0.03},
         {"broker run",
-         request_class::normal,
+         service_class::normal,
          0.4,
          {12, 30},
          {2000, 5000},
@@ -248,7 +248,7 @@
          {1, 2},
          0.03},
         {"declaration draft",
-         request_class::bulk,
+         service_class::bulk,
          0.05,
          {3, 6},
          {3000, 8000},
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "dispatch/random_source.h"
-#include "dispatch/request_class.h"
 #include "fake_engine.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <cstdint>
@@ -20,7 +20,7 @@
 /// A kind of program: how many calls, how large, how urgent. No policy sees it.
 struct program_kind {
     std::string name;
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     double work_share = 0; ///< of the demand, in engine time
     range calls;
     range first_prompt;            ///< tokens
--- a/src/dispatch/affinity_choice.cpp
+++ b/src/dispatch/affinity_choice.cpp
@@ -27,7 +27,7 @@
 std::optional<std::size_t> affinity_choice::choose(const waiting_call& call, std::span<const target_view> targets,
                                                    timestamp now, random_source& /*random*/)
 {
-    const bool urgent = call.acquire.priority <= request_class::interactive;
+    const bool urgent = call.acquire.priority <= service_class::interactive;
     const bool may_hold = !urgent && now - call.arrived < longest_hold;
     std::optional<std::size_t> best;
     double best_cost = std::numeric_limits<double>::max();
--- a/src/dispatch/class_demand.cpp
+++ b/src/dispatch/class_demand.cpp
@@ -16,7 +16,7 @@
     }
 }
 
-double class_demand::above(request_class c) const
+double class_demand::above(service_class c) const
 {
     return std::accumulate(m_slots.begin(), m_slots.begin() + static_cast<std::ptrdiff_t>(index_of(c)), 0.0);
 }
--- a/src/dispatch/class_demand.h
+++ b/src/dispatch/class_demand.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 namespace lagoonferry {
@@ -16,7 +16,7 @@
     void observe(const per_class<double>& calls, timestamp now);
 
     /// Slots that classes more urgent than `c` need.
-    double above(request_class c) const;
+    double above(service_class c) const;
 
 private:
     timestamp m_half_life;
--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <cstdint>
--- a/src/dispatch/least_service_order.cpp
+++ b/src/dispatch/least_service_order.cpp
@@ -10,7 +10,7 @@
 queue_rank least_service_order::rank(const waiting_call& call, const account_shares& shares, timestamp now) const
 {
     const double waited = static_cast<double>((now - call.arrived).count()) * m_ageing_per_us;
-    const bool fair = m_account_weight > 0 && call.acquire.priority > request_class::interactive;
+    const bool fair = m_account_weight > 0 && call.acquire.priority > service_class::interactive;
     const double account = fair ? m_account_weight * shares.of(call.acquire.account, now) : 0;
     const auto received = static_cast<double>(call.acquire.service_received);
     return {static_cast<int>(index_of(call.acquire.priority)), received + account - waited};
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -288,7 +288,7 @@
     });
 }
 
-double slot_dispatcher::expected_wait_us(request_class c) const
+double slot_dispatcher::expected_wait_us(service_class c) const
 {
     double slots = 0;
     double in_flight = 0;
@@ -300,7 +300,7 @@
     }
     double ahead = 0;
     for (std::size_t n = 0; n <= index_of(c); ++n) {
-        ahead += m_queue.count(static_cast<request_class>(n));
+        ahead += m_queue.count(static_cast<service_class>(n));
     }
     const double missing = in_flight + ahead + 1 - slots;
     return missing <= 0 ? 0 : missing * m_typical_hold_us / std::max(1.0, slots);
@@ -314,7 +314,7 @@
 void slot_dispatcher::serve(timestamp now, output& out)
 {
     auto open = open_classes(now);
-    const auto can_serve = [&](std::size_t n) { return open[n] && m_queue.count(static_cast<request_class>(n)) > 0; };
+    const auto can_serve = [&](std::size_t n) { return open[n] && m_queue.count(static_cast<service_class>(n)) > 0; };
     if (!can_serve(0) && !can_serve(1) && !can_serve(2) && !can_serve(3)) {
         return;
     }
@@ -346,7 +346,7 @@
             continue;
         }
         for (std::size_t n = 0; n < class_count; ++n) {
-            open.at(n) = open.at(n) || has_room(target, static_cast<request_class>(n), now);
+            open.at(n) = open.at(n) || has_room(target, static_cast<service_class>(n), now);
         }
     }
     return open;
@@ -492,8 +492,8 @@
 
 void slot_dispatcher::preempt_for_urgent(timestamp now, output& out)
 {
-    std::uint32_t wanted = m_queue.count(request_class::safety) + m_queue.count(request_class::interactive);
-    if (wanted == 0 || open_classes(now)[index_of(request_class::interactive)]) {
+    std::uint32_t wanted = m_queue.count(service_class::safety) + m_queue.count(service_class::interactive);
+    if (wanted == 0 || open_classes(now)[index_of(service_class::interactive)]) {
         return;
     }
     m_slots.for_each([&](const slot_record& slot) {
@@ -514,7 +514,7 @@
 {
     slot_record* youngest = nullptr;
     m_slots.for_each([&](slot_record& slot) {
-        const bool candidate = slot.priority == request_class::bulk && slot.preempted.count() == 0;
+        const bool candidate = slot.priority == service_class::bulk && slot.preempted.count() == 0;
         if (candidate && (youngest == nullptr || slot.granted >= youngest->granted)) {
             youngest = &slot;
         }
@@ -533,7 +533,7 @@
     return target.info.state == target_state::live;
 }
 
-std::uint32_t slot_dispatcher::limit_of(const target_track& target, request_class c, timestamp now) const
+std::uint32_t slot_dispatcher::limit_of(const target_track& target, service_class c, timestamp now) const
 {
     if (m_settings.unlimited) {
         return std::numeric_limits<std::uint32_t>::max();
@@ -544,17 +544,17 @@
     return std::max(1U, static_cast<std::uint32_t>(whole * share));
 }
 
-bool slot_dispatcher::has_room(const target_track& target, request_class c, timestamp now) const
+bool slot_dispatcher::has_room(const target_track& target, service_class c, timestamp now) const
 {
     if (target.in_flight >= limit_of(target, c, now)) {
         return false;
     }
-    if (!m_settings.reserve_demand || c == request_class::safety) {
+    if (!m_settings.reserve_demand || c == service_class::safety) {
         return true;
     }
     const auto first = target.in_class.begin() + static_cast<std::ptrdiff_t>(index_of(c));
     const auto in_flight = std::accumulate(first, target.in_class.end(), 0U);
-    const double whole = limit_of(target, request_class::safety, now);
+    const double whole = limit_of(target, service_class::safety, now);
     const double reserved = m_settings.demand_margin * m_demand.above(c) * whole / std::max(1.0, m_all_limits);
     return in_flight < std::max(1.0, whole - reserved);
 }
@@ -567,10 +567,10 @@
         for (std::size_t n = 0; n < class_count; ++n) {
             calls.at(n) += target.in_class.at(n);
         }
-        m_all_limits += takes_calls(target) ? limit_of(target, request_class::safety, now) : 0;
+        m_all_limits += takes_calls(target) ? limit_of(target, service_class::safety, now) : 0;
     }
     for (std::size_t n = 0; n < class_count; ++n) {
-        calls.at(n) += m_queue.count(static_cast<request_class>(n));
+        calls.at(n) += m_queue.count(static_cast<service_class>(n));
     }
     m_demand.observe(calls, now);
 }
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -75,7 +75,7 @@
     void refuse(const slot_acquire& m, const slot_refuse& why, output& out);
     std::chrono::milliseconds retry_after(double wait_us);
     bool any_usable(const slot_acquire& m) const;
-    double expected_wait_us(request_class c) const;
+    double expected_wait_us(service_class c) const;
     double expected_run_us(const slot_acquire& m) const;
 
     void serve(timestamp now, output& out);
@@ -96,8 +96,8 @@
     void request_preempt(slot_record& slot, timestamp now, output& out);
 
     static bool takes_calls(const target_track& target);
-    std::uint32_t limit_of(const target_track& target, request_class c, timestamp now) const;
-    bool has_room(const target_track& target, request_class c, timestamp now) const;
+    std::uint32_t limit_of(const target_track& target, service_class c, timestamp now) const;
+    bool has_room(const target_track& target, service_class c, timestamp now) const;
     void update_demand(timestamp now);
     double step_us(const target_track& target, timestamp now) const;
     double prefill_us(const target_track& target) const;
--- a/src/dispatch/slot_messages.cpp
+++ b/src/dispatch/slot_messages.cpp
@@ -45,18 +45,18 @@
     }
 }
 
-void put_class(json& out, request_class c)
+void put_class(json& out, service_class c)
 {
     out["c"] = static_cast<unsigned>(index_of(c));
 }
 
-request_class get_class(const json& in)
+service_class get_class(const json& in)
 {
     const auto value = get<std::uint8_t>(in, "c");
     if (value >= class_count) {
         throw std::out_of_range("unknown class");
     }
-    return static_cast<request_class>(value);
+    return static_cast<service_class>(value);
 }
 
 void put_duration(json& out, const char* key, std::chrono::milliseconds value)
--- a/src/dispatch/slot_messages.h
+++ b/src/dispatch/slot_messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dispatch/request_class.h"
 #include "util/result_code.h"
+#include "util/service_class.h"
 
 #include <nlohmann/json.hpp>
 
@@ -25,7 +25,7 @@
     std::string service;
     std::string model;
     std::string account;
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     /// What the program has received so far: generated tokens plus a tenth of the prompt tokens that were computed.
     std::uint64_t service_received = 0;
     std::uint32_t prompt_tokens = 0;
@@ -97,7 +97,7 @@
     std::uint64_t slot = 0;
     std::uint64_t request = 0;
     std::string target;
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     std::uint64_t prefix = 0;
     std::uint32_t prompt_tokens = 0;
 };
--- a/src/dispatch/slot_table.h
+++ b/src/dispatch/slot_table.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <cstdint>
@@ -19,7 +19,7 @@
     std::string holder;
     std::string account;
     std::size_t target = 0;
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     std::uint64_t prefix = 0;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t expected_output = 0;
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -2,8 +2,8 @@
 
 #include "dispatch/concurrency_limit.h"
 #include "dispatch/latency_track.h"
-#include "dispatch/request_class.h"
 #include "dispatch/target_info.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <cstdint>
--- a/src/dispatch/waiting_queue.h
+++ b/src/dispatch/waiting_queue.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dispatch/queue_order.h"
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 
 #include <array>
 #include <cstdint>
@@ -29,7 +29,7 @@
     const std::vector<std::size_t>& sorted(const queue_order& order, const account_shares& shares, timestamp now);
 
     const std::vector<waiting_call>& calls() const { return m_calls; }
-    std::uint32_t count(request_class c) const { return m_count[index_of(c)]; }
+    std::uint32_t count(service_class c) const { return m_count[index_of(c)]; }
 
 private:
     std::vector<waiting_call> m_calls;
--- a/src/document/document_schema.cpp
+++ b/src/document/document_schema.cpp
@@ -104,7 +104,7 @@
     }
 
     template <class T>
-    void read_by_class(json_reader& in, std::string_view field, std::array<T, service_class_count>& result,
+    void read_by_class(json_reader& in, std::string_view field, std::array<T, class_count>& result,
                        void (document_reader::*read_item)(json_reader&, T&))
     {
         const json* object = in.object(field);
@@ -136,7 +136,7 @@
 
     void read_account_classes(json_reader& in, std::vector<service_class>& result)
     {
-        const json* list = in.list("classes", service_class_count);
+        const json* list = in.list("classes", class_count);
         if (list == nullptr) {
             return;
         }
--- a/src/document/service_document.h
+++ b/src/document/service_document.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "document/service_class.h"
+#include "util/service_class.h"
 
 #include <array>
 #include <cstdint>
@@ -103,10 +103,10 @@
     std::vector<account> accounts;
     std::vector<model> models;
     std::vector<tool> tools;
-    std::array<class_settings, service_class_count> classes;
-    std::array<class_priority, service_class_count> priorities;
+    std::array<class_settings, class_count> classes;
+    std::array<class_priority, class_count> priorities;
     budget_limits budgets;
-    std::array<objective, service_class_count> objectives;
+    std::array<objective, class_count> objectives;
 
     bool operator==(const service_document&) const = default;
 };
--- a/src/entry/call_options.h
+++ b/src/entry/call_options.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dispatch/request_class.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
 #include <string>
@@ -12,7 +12,7 @@
     std::string service;
     std::string model;
     std::string account; ///< `<service>/<account>`
-    request_class priority = request_class::normal;
+    service_class priority = service_class::normal;
     int engine_priority = 2;
     timestamp started{0}; ///< when the request arrived
     timestamp deadline{0};
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -11,11 +11,6 @@
     return std::chrono::duration_cast<std::chrono::seconds>(std::chrono::system_clock::now().time_since_epoch());
 }
 
-service_class class_of(const call_options& options)
-{
-    return static_cast<service_class>(index_of(options.priority));
-}
-
 } // namespace
 
 entry_metrics::entry_metrics()
@@ -44,17 +39,17 @@
         return;
     }
     if (refused->run == run_state::outcome_unknown) {
-        m_service.count_unknown_outcome(options.service, class_of(options), target);
+        m_service.count_unknown_outcome(options.service, options.priority, target);
     }
     else if (refused->run == run_state::not_run) {
-        m_service.count_refused(options.service, class_of(options), target);
+        m_service.count_refused(options.service, options.priority, target);
     }
 }
 
 void entry_metrics::count_first_token(const call_options& options, const std::string& target, timestamp latency,
                                       const class_settings& targets)
 {
-    m_service.count_first_token(options.service, class_of(options), target,
+    m_service.count_first_token(options.service, options.priority, target,
                                 std::chrono::duration_cast<std::chrono::milliseconds>(latency), targets);
 }
 
--- a/src/entry/request_reader.cpp
+++ b/src/entry/request_reader.cpp
@@ -86,9 +86,9 @@
     if (!deadline || *deadline == 0 || *deadline > longest_deadline_ms) {
         return fail<call_options>(why, "X-Deadline-Ms is not a number from 1 to 600000");
     }
-    const auto index = static_cast<std::size_t>(*wanted);
-    options.priority = static_cast<request_class>(index);
-    options.engine_priority = static_cast<int>(caller.service->document.priorities.at(index).engine_priority);
+    options.priority = *wanted;
+    options.engine_priority =
+        static_cast<int>(caller.service->document.priorities.at(index_of(*wanted)).engine_priority);
     options.started = steady_now();
     options.deadline = options.started + std::chrono::milliseconds(*deadline);
     return options;
--- a/src/report/burn_report.h
+++ b/src/report/burn_report.h
@@ -63,7 +63,7 @@
 };
 
 /// Objectives by service. A service that is missing gets the defaults of `objective`.
-using service_objectives = std::map<std::string, std::array<objective, service_class_count>>;
+using service_objectives = std::map<std::string, std::array<objective, class_count>>;
 
 /// Computes the report at the time of the last sample. Thread-safe.
 burn_report make_burn_report(const metric_history& history, const service_objectives& objectives);
--- a/src/report/metric_history.h
+++ b/src/report/metric_history.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "document/service_class.h"
 #include "report/event_cause.h"
 #include "util/failure.h"
+#include "util/service_class.h"
 
 #include <chrono>
 #include <compare>
--- a/src/report/service_metrics.h
+++ b/src/report/service_metrics.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "document/service_class.h"
 #include "document/service_document.h"
 #include "report/event_cause.h"
+#include "util/service_class.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
--- a/src/document/service_class.cpp
+++ b/src/util/service_class.cpp
@@ -1,4 +1,4 @@
-#include "document/service_class.h"
+#include "util/service_class.h"
 
 #include <algorithm>
 
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, service_class_count> class_names{"safety", "interactive", "normal", "bulk"};
+constexpr std::array<std::string_view, class_count> class_names{"safety", "interactive", "normal", "bulk"};
 
 } // namespace
 
--- a/src/document/service_class.h
+++ b/src/util/service_class.h
@@ -2,17 +2,28 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 
 namespace lagoonferry {
 
-/// The classes of work, in strict order: the first has the highest priority.
-enum class service_class { safety, interactive, normal, bulk };
+/// The classes of work, most urgent first. The value is the engine's `X-Priority`.
+enum class service_class : std::uint8_t { safety, interactive, normal, bulk };
 
 inline constexpr std::array all_service_classes{service_class::safety, service_class::interactive,
                                                 service_class::normal, service_class::bulk};
-inline constexpr std::size_t service_class_count = all_service_classes.size();
+inline constexpr std::size_t class_count = all_service_classes.size();
+
+/// One value for each class.
+template <class T>
+using per_class = std::array<T, class_count>;
+
+/// Index of a class in a `per_class` table.
+constexpr std::size_t index_of(service_class c)
+{
+    return static_cast<std::size_t>(c);
+}
 
 /// Returns the name as in documents, headers and metrics. Thread-safe.
 std::string_view to_string(service_class value);
--- a/tests/policy_bench_test.cpp
+++ b/tests/policy_bench_test.cpp
@@ -35,7 +35,7 @@
 {
     const engine_spec spec;
     observed_engine alone(spec);
-    alone.engine.submit({1, request_class::normal, 1, 2560, 101});
+    alone.engine.submit({1, service_class::normal, 1, 2560, 101});
     alone.run();
     const auto prefill = alone.times.at({engine_event::first_token, 1});
     const auto streamed = alone.times.at({engine_event::done, 1}) - prefill;
@@ -44,13 +44,13 @@
     CHECK(alone.engine.cached_prefix(1) == 2560 + 101);
 
     const auto again = alone.clock.now();
-    alone.engine.submit({2, request_class::normal, 1, 2661, 1});
+    alone.engine.submit({2, service_class::normal, 1, 2661, 1});
     alone.run();
     CHECK(alone.times.at({engine_event::first_token, 2}) - again < timestamp{20'000});
 
     observed_engine shared(spec);
     for (std::uint64_t n = 1; n <= 10; ++n) {
-        shared.engine.submit({n, request_class::normal, n, 10, 100});
+        shared.engine.submit({n, service_class::normal, n, 10, 100});
     }
     shared.run();
     CHECK(shared.times.at({engine_event::done, 1}) - shared.times.at({engine_event::first_token, 1}) > streamed);
@@ -62,10 +62,10 @@
     spec.batch = 1;
     spec.memory_tokens = 1000;
     observed_engine e(spec);
-    e.engine.submit({1, request_class::normal, 1, 300, 50});
-    e.engine.submit({2, request_class::bulk, 2, 300, 50});
-    e.engine.submit({3, request_class::safety, 3, 300, 50});
-    e.engine.submit({4, request_class::bulk, 4, 300, 1'000'000});
+    e.engine.submit({1, service_class::normal, 1, 300, 50});
+    e.engine.submit({2, service_class::bulk, 2, 300, 50});
+    e.engine.submit({3, service_class::safety, 3, 300, 50});
+    e.engine.submit({4, service_class::bulk, 4, 300, 1'000'000});
     e.clock.run_until(std::chrono::seconds(10), [] { return false; });
     CHECK(e.times.at({engine_event::started, 3}) < e.times.at({engine_event::started, 2}));
     CHECK(e.engine.cached_prefix(1) == 0);
--- a/tests/slot_dispatcher_test.cpp
+++ b/tests/slot_dispatcher_test.cpp
@@ -22,7 +22,7 @@
     return d;
 }
 
-slot_acquire call(std::uint64_t request, request_class c = request_class::normal, const std::string& holder = "entry-1")
+slot_acquire call(std::uint64_t request, service_class c = service_class::normal, const std::string& holder = "entry-1")
 {
     slot_acquire m;
     m.request = request;
@@ -74,11 +74,11 @@
 TEST_CASE("limits hold and a more urgent class is served first when a slot is free again")
 {
     auto d = dispatcher_with(1, 2);
-    const auto a = acquire(d, call(1, request_class::safety));
-    acquire(d, call(2, request_class::safety));
-    CHECK(acquire(d, call(3, request_class::normal)).empty());
-    CHECK(acquire(d, call(4, request_class::interactive)).empty());
-    CHECK(acquire(d, call(5, request_class::safety)).empty());
+    const auto a = acquire(d, call(1, service_class::safety));
+    acquire(d, call(2, service_class::safety));
+    CHECK(acquire(d, call(3, service_class::normal)).empty());
+    CHECK(acquire(d, call(4, service_class::interactive)).empty());
+    CHECK(acquire(d, call(5, service_class::safety)).empty());
     const auto granted = only<slot_grant>(d.handle(release_of(a.at(0).slot), warm));
     REQUIRE(granted.size() == 1);
     CHECK(granted[0].request == 5);
@@ -89,10 +89,10 @@
     auto d = dispatcher_with(1, 10);
     std::size_t bulk = 0;
     for (std::uint64_t n = 1; n <= 10; ++n) {
-        bulk += acquire(d, call(n, request_class::bulk)).size();
+        bulk += acquire(d, call(n, service_class::bulk)).size();
     }
     CHECK(bulk < 10);
-    CHECK(acquire(d, call(20, request_class::safety)).size() == 1);
+    CHECK(acquire(d, call(20, service_class::safety)).size() == 1);
 }
 
 TEST_CASE("inside a class the program with the least service goes first, but waiting earns credit")
@@ -186,8 +186,8 @@
 TEST_CASE("a deadline that cannot be met is refused at once, with different times to come back")
 {
     auto d = dispatcher_with(1, 2);
-    acquire(d, call(1, request_class::safety));
-    acquire(d, call(2, request_class::safety));
+    acquire(d, call(1, service_class::safety));
+    acquire(d, call(2, service_class::safety));
     std::vector<milliseconds> times;
     for (std::uint64_t n = 3; n < 6; ++n) {
         auto m = call(n);
@@ -207,8 +207,8 @@
     dispatch_settings settings;
     settings.queue_per_target = {4, 4, 4, 4};
     auto d = dispatcher_with(1, 2, settings);
-    acquire(d, call(1, request_class::safety));
-    acquire(d, call(2, request_class::safety));
+    acquire(d, call(1, service_class::safety));
+    acquire(d, call(2, service_class::safety));
     std::size_t refused = 0;
     for (std::uint64_t n = 10; n < 16; ++n) {
         refused += only<slot_refuse>(d.handle(call(n), warm)).size();
@@ -223,7 +223,7 @@
 {
     auto d = dispatcher_with(1, 10);
     acquire(d, call(1));
-    acquire(d, call(2, request_class::normal, "entry-2"));
+    acquire(d, call(2, service_class::normal, "entry-2"));
     d.handle(slot_progress{"entry-2", {}}, warm + seconds(5));
     d.tick(warm + seconds(10));
     CHECK(d.counters().slots == 2);
@@ -249,12 +249,12 @@
     auto d = dispatcher_with(1, 10);
     std::size_t granted = 0;
     for (std::uint64_t n = 1; n <= 10; ++n) {
-        granted += acquire(d, call(n, request_class::safety), start + seconds(1)).size();
+        granted += acquire(d, call(n, service_class::safety), start + seconds(1)).size();
     }
     CHECK(granted == 5);
     slot_holding report{"entry-2", {}, true};
     for (std::uint64_t n = 1; n <= 4; ++n) {
-        report.slots.push_back({1000 + n, n, "engine-0", request_class::normal, n, 100});
+        report.slots.push_back({1000 + n, n, "engine-0", service_class::normal, n, 100});
     }
     d.handle(report, start + seconds(1));
     CHECK(d.counters().adopted == 4);
@@ -279,9 +279,9 @@
     dispatch_settings settings;
     settings.class_share = {1, 1, 1, 1};
     auto d = dispatcher_with(1, 2, settings);
-    const auto a = acquire(d, call(1, request_class::bulk));
-    const auto b = acquire(d, call(2, request_class::bulk));
-    acquire(d, call(3, request_class::interactive));
+    const auto a = acquire(d, call(1, service_class::bulk));
+    const auto b = acquire(d, call(2, service_class::bulk));
+    acquire(d, call(3, service_class::interactive));
     const auto asked = only<slot_preempt>(d.tick(warm + milliseconds(50)));
     REQUIRE(asked.size() == 1);
     CHECK(only<slot_preempt>(d.tick(warm + milliseconds(100))).empty());
--- a/tests/slot_messages_test.cpp
+++ b/tests/slot_messages_test.cpp
@@ -15,7 +15,7 @@
     m.service = "ruderbootzuteilung";
     m.model = "allocation";
     m.account = "ruderclub-waedenswil";
-    m.priority = request_class::bulk;
+    m.priority = service_class::bulk;
     m.service_received = 1'000'000;
     m.prompt_tokens = 300'000;
     m.expected_output = 1000;
@@ -65,7 +65,7 @@
     CHECK(release.failed);
     CHECK(release.preempted);
 
-    const slot_holding report{"entry-1", {{7, 8, "engine-1", request_class::bulk, 9, 10}}, true};
+    const slot_holding report{"entry-1", {{7, 8, "engine-1", service_class::bulk, 9, 10}}, true};
     const auto holding = round_trip(report);
     CHECK(holding.complete);
     CHECK(nlohmann::json(holding) == nlohmann::json(report));
