Cancel unwanted engine calls, list programs, count ends of programs, mend redirects in the burn report

Causes and changes: - The end of a program left its running engine call alone: the action cancel_engine_call was only logged. It now reaches the session, whose token sink stops the stream. Redirects are decided before counting now. - A generous max_tokens was taken as the length of the answer, so a call with 4,000 tokens was refused as late at once on idle engines. Only limits up to 256 tokens serve as an estimate. - late_program was never counted.

--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -80,12 +80,14 @@
 Options:
 )",
                true, run_history},
-    client_row{"programs", "lists partitions of programs and their owners", R"(Usage:
+    client_row{"programs", "lists programs, or partitions and their owners", R"(Usage:
   lagoonferry programs [options]
 
-Lists the partitions of programs with their owners.
+Lists the programs of all entry instances, up to 1,000 of each instance.
 
 Options:
+  --partitions  list the partitions of programs with their owners instead
+  --after=PROGRAM  list programs with a greater identifier only
 )",
                true, run_programs},
     client_row{"targets", "lists targets and their states", R"(Usage:
--- a/src/client/document_commands.cpp
+++ b/src/client/document_commands.cpp
@@ -4,6 +4,7 @@
 #include "document/document_schema.h"
 #include "report/burn_text.h"
 #include "settings/label.h"
+#include "util/digest.h"
 
 #include <ostream>
 
@@ -13,6 +14,9 @@
 
 using nlohmann::json;
 
+constexpr std::size_t write_id_bytes = 16;
+constexpr int put_attempts = 3;
+
 std::string document_path(const std::string& service)
 {
     return "/control/documents/" + percent_encode(service);
@@ -134,8 +138,14 @@
     if (!client) {
         return exit_usage;
     }
-    const control_reply reply = client->send("PUT", document_path(check.document->service),
-                                             {{"If-Version", std::to_string(*version)}, {"X-Author", *author}}, *text);
+    const http_headers headers{
+        {"If-Version", std::to_string(*version)}, {"X-Author", *author}, {"X-Write-Id", random_hex(write_id_bytes)}};
+    const std::string path = document_path(check.document->service);
+    control_reply reply = client->send("PUT", path, headers, *text);
+    // The same write id makes a repetition harmless when the first answer was lost.
+    for (int n = 1; n < put_attempts && reply.end != call_end::answered; ++n) {
+        reply = client->send("PUT", path, headers, *text);
+    }
     if (!reply.done()) {
         return call.fail(reply);
     }
--- a/src/client/fleet_commands.cpp
+++ b/src/client/fleet_commands.cpp
@@ -2,6 +2,7 @@
 #include "client/text_table.h"
 
 #include <ostream>
+#include <set>
 #include <span>
 
 namespace lagoonferry {
@@ -45,6 +46,43 @@
     return exit_done;
 }
 
+int print_partitions(client_call& call, const json& body)
+{
+    std::vector<std::vector<std::string>> rows{{"partition", "owner"}};
+    for (const json& partition : body.value("own_partitions", json::array())) {
+        rows.push_back({partition.dump(), "this entry"});
+    }
+    const json others = body.value("other_partitions", json::object());
+    for (const auto& [partition, address] : others.items()) {
+        rows.push_back({partition, address.is_string() ? address.get<std::string>() : address.dump()});
+    }
+    print_table(call.io().out, rows);
+    return exit_done;
+}
+
+/// Adds the programs of the other entry instances that `body` names, and lists those that do not answer.
+void add_programs_of_others(const control_client& client, const std::string& path, json& body)
+{
+    std::set<std::string> addresses;
+    for (const json& address : body.value("other_partitions", json::object())) {
+        addresses.insert(address.get<std::string>());
+    }
+    json programs = body.value("programs", json::array());
+    json unreachable = json::array();
+    for (const std::string& address : addresses) {
+        const control_reply reply = client.get_from(address, path);
+        if (!reply.done()) {
+            unreachable.push_back(address);
+            continue;
+        }
+        const json found = reply.body.value("programs", json::array());
+        programs.insert(programs.end(), found.begin(), found.end());
+        body["more"] = body.value("more", false) || reply.body.value("more", false);
+    }
+    body["programs"] = std::move(programs);
+    body["unreachable"] = std::move(unreachable);
+}
+
 } // namespace
 
 int run_targets(client_call& call)
@@ -65,26 +103,36 @@
     if (!client) {
         return exit_usage;
     }
-    const control_reply reply = client->get("/control/programs");
+    const std::string after = call.text("--after").value_or("");
+    const std::string path = "/control/programs" + (after.empty() ? "" : "?after=" + percent_encode(after));
+    control_reply reply = client->get(path);
     if (!reply.done()) {
         return call.fail(reply);
     }
+    if (call.flag("--partitions") && !call.json()) {
+        return print_partitions(call, reply.body);
+    }
+    add_programs_of_others(*client, path, reply.body);
     if (call.json()) {
         call.print(reply.body);
         return exit_done;
     }
-    std::vector<std::vector<std::string>> rows{{"partition", "owner"}};
-    for (const json& partition : reply.body.value("own_partitions", json::array())) {
-        rows.push_back({partition.dump(), "this entry"});
-    }
-    const json others = reply.body.value("other_partitions", json::object());
-    for (const auto& [partition, address] : others.items()) {
-        rows.push_back({partition, address.is_string() ? address.get<std::string>() : address.dump()});
+    std::vector<std::vector<std::string>> rows{
+        {"program", "service", "account", "state", "class", "turns", "running", "tokens spent"}};
+    for (const json& item : reply.body.at("programs")) {
+        rows.push_back({cell_of(item, "program"), cell_of(item, "service"), cell_of(item, "account"),
+                        cell_of(item, "state"), cell_of(item, "class"), cell_of(item, "turns"),
+                        cell_of(item, "running"), cell_of(item.value("spent", json::object()), "tokens")});
     }
     print_table(call.io().out, rows);
+    for (const json& address : reply.body.at("unreachable")) {
+        call.io().err << "no answer from " << address.get<std::string>() << '\n';
+    }
+    if (reply.body.value("more", false)) {
+        call.io().err << "there are more programs; continue with --after=<program>\n";
+    }
     return exit_done;
 }
-
 int run_drain(client_call& call)
 {
     const std::string id = call.text("<id>").value_or("");
--- a/src/entry/call_session.h
+++ b/src/entry/call_session.h
@@ -2,6 +2,7 @@
 
 #include "program/action.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -21,7 +22,12 @@
     /// Waits for the next item. Every session ends with exactly one answer, so the wait is bounded by its deadline.
     item wait();
 
+    /// Says that the result of the running engine call is not wanted any more.
+    void cancel() { m_cancelled = true; }
+    bool cancelled() const { return m_cancelled; }
+
 private:
+    std::atomic<bool> m_cancelled = false;
     std::mutex m_mutex;
     std::condition_variable m_ready;
     std::deque<item> m_items;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -32,6 +32,12 @@
     std::atomic<std::uint32_t>& m_count;
 };
 
+std::int64_t wall_clock_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 const turn_runner::token_sink ignore_tokens = [](std::string_view) { return true; };
 
 /// What a caller wants in a chat completion.
@@ -141,6 +147,11 @@
         send_refusal(response, why);
         return;
     }
+    const auto options = read_options(request, *caller, why);
+    if (!options) {
+        send_refusal(response, why);
+        return;
+    }
     open_program wanted;
     wanted.parent = body->value("parent", std::string());
     wanted.account = caller->full_name();
@@ -151,6 +162,8 @@
         return;
     }
     wanted.limits = *limits;
+    wanted.priority = options->priority;
+    wanted.opened_ms = wall_clock_ms();
     wanted.mark_chunks = std::max<std::uint32_t>(1, percent / caller->service->document.budgets.mark_share_percent);
 
     const auto parent_partition = m_router.partition_of(wanted.parent);
@@ -221,8 +234,28 @@
     wanted.reason = "ended by the caller";
     if (admit(request, wanted.program, response, caller, partition)) {
         wanted.account = caller.full_name();
-        finish(request, partition, ask(partition, wanted), response);
+        const answer_request answer = ask(partition, wanted);
+        count_end(caller, answer);
+        finish(request, partition, answer, response);
+    }
+}
+
+void caller_api::count_end(const caller_identity& caller, const answer_request& answer)
+{
+    const auto* done = std::get_if<success>(&answer.result);
+    if (done == nullptr) {
+        return;
+    }
+    const nlohmann::json ended = nlohmann::json::parse(done->payload, nullptr, false);
+    const auto priority = parse_service_class(ended.value("class", std::string()));
+    const auto opened_ms = ended.value("opened_ms", std::int64_t{0});
+    if (!priority || opened_ms == 0 || ended.value("already_ended", true)) {
+        return;
     }
+    // Clocks of instances may differ a little after a takeover.
+    const std::chrono::milliseconds latency(std::max<std::int64_t>(0, wall_clock_ms() - opened_ms));
+    m_metrics.count_program(caller.service->record.service, *priority, ended.value("target", std::string()), latency,
+                            caller.service->document.classes.at(index_of(*priority)));
 }
 
 void caller_api::query_call(const httplib::Request& request, httplib::Response& response)
@@ -271,13 +304,14 @@
         return;
     }
     call_session::item first = exchange->session->wait();
-    if (const auto* answer = std::get_if<answer_request>(&first)) {
-        m_metrics.count("turn", *answer, exchange->options, {});
-        if (const auto* done = std::get_if<success>(&answer->result)) {
+    if (const auto* known = std::get_if<answer_request>(&first)) {
+        const answer_request answer = redirected(exchange->partition, *known);
+        m_metrics.count("turn", answer, exchange->options, {});
+        if (const auto* done = std::get_if<success>(&answer.result)) {
             response.set_content(replayed_stream(exchange->origin, *done), "text/event-stream");
             return;
         }
-        finish(request, exchange->partition, *answer, response);
+        finish(request, exchange->partition, answer, response);
         return;
     }
     exchange->work = std::get<start_engine_call>(std::move(first));
@@ -291,7 +325,7 @@
         const start_engine_call work = std::move(*exchange->work);
         exchange->work.reset();
         exchange->origin.target =
-            run_engine_call(exchange->partition, work, exchange->options,
+            run_engine_call(exchange->partition, *exchange->session, work, exchange->options,
                             [&](std::string_view token) { return write(stream_token(exchange->origin, token)); });
         const answer_request answer =
             serve(exchange->partition, *exchange->session, exchange->options, ignore_tokens).answer;
@@ -320,10 +354,12 @@
     response.set_chunked_content_provider("text/event-stream", provide, release);
 }
 
-std::string caller_api::run_engine_call(std::uint32_t partition, const start_engine_call& work,
-                                        const call_options& options, const turn_runner::token_sink& sink)
+std::string caller_api::run_engine_call(std::uint32_t partition, const call_session& session,
+                                        const start_engine_call& work, const call_options& options,
+                                        const turn_runner::token_sink& sink)
 {
-    const turn_result result = m_turns.run(work, options, sink);
+    const auto wanted = [&](std::string_view token) { return !session.cancelled() && sink(token); };
+    const turn_result result = m_turns.run(work, options, wanted);
     std::visit([&](const auto& value) { m_router.send(partition, value, nullptr); }, result);
     const auto* done = std::get_if<engine_completed>(&result);
     return done == nullptr ? std::string() : done->target;
@@ -336,11 +372,20 @@
     while (true) {
         const call_session::item next = session->wait();
         if (const auto* answer = std::get_if<answer_request>(&next)) {
-            return *answer;
+            return redirected(partition, *answer);
         }
     }
 }
 
+answer_request caller_api::redirected(std::uint32_t partition, answer_request answer) const
+{
+    auto* refused = std::get_if<refusal>(&answer.result);
+    if (refused != nullptr && refused->code == result_code::program_unavailable && m_router.owner_address(partition)) {
+        refused->code = result_code::moved;
+    }
+    return answer;
+}
+
 caller_api::served_answer caller_api::serve(std::uint32_t partition, call_session& session, const call_options& options,
                                             const turn_runner::token_sink& sink)
 {
@@ -348,10 +393,10 @@
     while (true) {
         const call_session::item next = session.wait();
         if (const auto* answer = std::get_if<answer_request>(&next)) {
-            return {*answer, target};
+            return {redirected(partition, *answer), target};
         }
         if (const auto* work = std::get_if<start_engine_call>(&next)) {
-            target = run_engine_call(partition, *work, options, sink);
+            target = run_engine_call(partition, session, *work, options, sink);
         }
         else {
             m_router.send(partition, m_tools.run(std::get<send_tool_call>(next)), nullptr);
@@ -412,11 +457,9 @@
         response.set_content(done->payload, "application/json");
         return;
     }
-    refusal value = std::get<refusal>(answer.result);
-    const bool elsewhere = value.code == result_code::program_unavailable && m_router.owner_address(partition);
-    if (value.code == result_code::moved || elsewhere) {
-        value.code = result_code::moved;
-        send_moved(request, partition, std::move(value), response);
+    const auto& value = std::get<refusal>(answer.result);
+    if (value.code == result_code::moved) {
+        send_moved(request, partition, value, response);
         return;
     }
     send_refusal(response, value);
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -66,9 +66,11 @@
                         const turn_runner::token_sink& sink);
 
     /// Runs one engine call and returns the engine that completed it.
-    std::string run_engine_call(std::uint32_t partition, const start_engine_call& work, const call_options& options,
-                                const turn_runner::token_sink& sink);
+    std::string run_engine_call(std::uint32_t partition, const call_session& session, const start_engine_call& work,
+                                const call_options& options, const turn_runner::token_sink& sink);
 
+    answer_request redirected(std::uint32_t partition, answer_request answer) const;
+    void count_end(const caller_identity& caller, const answer_request& answer);
     void stream_answer(const std::shared_ptr<turn_exchange>& exchange, httplib::Response& response);
     void finish(const httplib::Request& request, std::uint32_t partition, const answer_request& answer,
                 httplib::Response& response) const;
--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -3,6 +3,8 @@
 #include "blackboard/board.h"
 #include "document/document_put.h"
 #include "document/document_schema.h"
+#include "entry/call_session.h"
+#include "entry/partition_router.h"
 #include "entry/refusal_json.h"
 #include "platform/http_kv_store.h"
 #include "roles/ask.h"
@@ -14,8 +16,11 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <iterator>
 #include <thread>
+#include <vector>
 
 namespace lagoonferry {
 
@@ -24,6 +29,9 @@
 constexpr std::chrono::milliseconds platform_timeout{1000};
 constexpr timestamp put_deadline = std::chrono::seconds(5);
 constexpr std::uint64_t put_retry_ms = 2000;
+constexpr std::size_t shortest_write_id = 16; // shorter ones may be chosen twice
+constexpr std::size_t longest_write_id = 64;
+constexpr std::size_t listed_programs = 1000;
 
 std::uint64_t number_or_zero(const std::string& text)
 {
@@ -69,12 +77,38 @@
             {"load_percent", item.load_percent}};
 }
 
-std::optional<document_record> read_record(kv_store& store, const std::string& key)
+std::optional<document_record> record_of(const kv_read& found)
 {
-    const kv_read found = store.get(key);
     return found.status == kv_status::ok && found.entry.version != 0 ? parse_record(found.entry.value) : std::nullopt;
 }
 
+std::optional<document_record> read_record(kv_store& store, const std::string& key)
+{
+    return record_of(store.get(key));
+}
+
+refusal platform_down()
+{
+    return refuse(result_code::platform_unavailable, "the key-value service does not answer", put_retry_ms);
+}
+
+bool valid_write_id(std::string_view text)
+{
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; };
+    return text.size() >= shortest_write_id && text.size() <= longest_write_id && std::ranges::all_of(text, allowed);
+}
+
+/// Returns the programs that a partition's controller lists, or an empty list if it does not own the partition.
+nlohmann::json programs_of(const partition_router& router, std::uint32_t partition, const list_programs& wanted)
+{
+    const auto session = std::make_shared<call_session>();
+    router.send(partition, wanted, session);
+    const call_session::item answer = session->wait();
+    const auto* answered = std::get_if<answer_request>(&answer);
+    const auto* done = answered == nullptr ? nullptr : std::get_if<success>(&answered->result);
+    return done == nullptr ? nlohmann::json::array() : nlohmann::json::parse(done->payload).at("programs");
+}
+
 } // namespace
 
 void control_api::attach(httplib::Server& server)
@@ -118,7 +152,14 @@
     wanted.body = nlohmann::json::parse(request.body);
     wanted.author = request.get_header_value("X-Author");
     wanted.if_version = number_or_zero(request.get_header_value("If-Version"));
-    wanted.write_id = random_hex(16);
+    wanted.write_id = request.get_header_value("X-Write-Id");
+    if (wanted.write_id.empty()) {
+        wanted.write_id = random_hex(16);
+    }
+    else if (!valid_write_id(wanted.write_id)) {
+        send_refusal(response, refuse(result_code::malformed, "X-Write-Id is not 16 to 64 letters, digits, - or _"));
+        return;
+    }
     wanted.time_ms = wall_clock_ms();
     document_put put(wanted, steady_now() + put_deadline);
     http_kv_store store(m_links.platform, platform_timeout, *m_links.counts);
@@ -150,7 +191,12 @@
         return;
     }
     http_kv_store store(m_links.platform, platform_timeout, *m_links.counts);
-    const auto record = version == 0 ? std::nullopt : read_record(store, document_history_key(service, version));
+    const kv_read found = version == 0 ? kv_read{kv_status::ok, {}} : store.get(document_history_key(service, version));
+    if (found.status != kv_status::ok) {
+        send_refusal(response, platform_down());
+        return;
+    }
+    const auto record = record_of(found);
     if (!record) {
         send_refusal(response, refuse(result_code::unknown_service, "there is no such document or version"));
         return;
@@ -164,8 +210,7 @@
     http_kv_store store(m_links.platform, platform_timeout, *m_links.counts);
     const auto keys = store.list("document-history/" + service + '/');
     if (!keys) {
-        send_refusal(response,
-                     refuse(result_code::platform_unavailable, "the key-value service does not answer", put_retry_ms));
+        send_refusal(response, platform_down());
         return;
     }
     nlohmann::json versions = nlohmann::json::array();
@@ -214,14 +259,25 @@
     send_json(response, {{"instances", list}});
 }
 
-void control_api::programs(const httplib::Request& /*request*/, httplib::Response& response) const
+void control_api::programs(const httplib::Request& request, httplib::Response& response) const
 {
     const auto owners = m_links.shared->owners.read();
+    list_programs wanted;
+    wanted.after = request.get_param_value("after");
+    wanted.limit = listed_programs;
+    std::vector<nlohmann::json> list;
+    for (const std::uint32_t partition : owners->own) {
+        std::ranges::move(programs_of(*m_links.router, partition, wanted), std::back_inserter(list));
+    }
+    std::ranges::sort(list, {}, [](const nlohmann::json& item) { return item.at("program").get<std::string>(); });
+    const bool more = list.size() >= listed_programs;
+    list.resize(std::min(list.size(), listed_programs));
     nlohmann::json elsewhere = nlohmann::json::object();
     for (const auto& [partition, address] : owners->addresses) {
         elsewhere[std::to_string(partition)] = address;
     }
-    send_json(response, {{"own_partitions", owners->own}, {"other_partitions", elsewhere}});
+    send_json(response,
+              {{"programs", list}, {"more", more}, {"own_partitions", owners->own}, {"other_partitions", elsewhere}});
 }
 
 void control_api::drain(const httplib::Request& request, httplib::Response& response) const
--- a/src/entry/control_api.h
+++ b/src/entry/control_api.h
@@ -19,7 +19,7 @@
 
 struct board;
 class call_counts;
-class entry_metrics;
+class partition_router;
 
 /// What the operators' endpoints need from the process.
 struct control_links {
@@ -27,6 +27,7 @@
     std::function<caf::actor()> membership; ///< the membership controller, which starts after the routes are added
     caf::actor documents;
     const board* shared = nullptr;
+    const partition_router* router = nullptr;
     call_counts* counts = nullptr;
     std::string platform;     ///< address of the key-value service
     std::string operator_key; ///< empty: the endpoints refuse every request
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -53,6 +53,12 @@
                                 std::chrono::duration_cast<std::chrono::milliseconds>(latency), targets);
 }
 
+void entry_metrics::count_program(const std::string& service, service_class priority, const std::string& target,
+                                  std::chrono::milliseconds latency, const class_settings& targets)
+{
+    m_service.count_program(service, priority, target, latency, targets);
+}
+
 std::string entry_metrics::text() const
 {
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -28,6 +28,10 @@
     void count_first_token(const call_options& options, const std::string& target, timestamp latency,
                            const class_settings& targets);
 
+    /// Counts the end of a program against the target of its class. `target` answered its last turn and may be empty.
+    void count_program(const std::string& service, service_class priority, const std::string& target,
+                       std::chrono::milliseconds latency, const class_settings& targets);
+
     prometheus::Registry& registry() { return m_registry; }
 
     /// Returns the text form of all metrics.
--- a/src/entry/turn_runner.cpp
+++ b/src/entry/turn_runner.cpp
@@ -23,6 +23,7 @@
 // Rule of thumb for English text; it only weighs queue order and placement.
 constexpr std::size_t bytes_per_token = 4;
 
+constexpr std::uint64_t longest_estimate = 256; // tokens
 constexpr milliseconds prefix_pin{60'000};
 constexpr milliseconds longest_slot_wait{120'000};
 
@@ -140,7 +141,10 @@
     wanted.priority = options.priority;
     wanted.service_received = call.work->tokens_spent + call.tokens;
     wanted.prompt_tokens = estimated_tokens(call.work->messages);
-    wanted.expected_output = static_cast<std::uint32_t>(call.work->max_completion_tokens);
+    // A generous limit says nothing about the length of the answer; only a short one serves as an estimate.
+    if (call.work->max_completion_tokens <= longest_estimate) {
+        wanted.expected_output = static_cast<std::uint32_t>(call.work->max_completion_tokens);
+    }
     wanted.prefix = stable_hash(call.work->program);
     wanted.deadline = left_until(call.work->deadline, longest_slot_wait);
     wanted.excluded = call.excluded;
--- a/src/journal/entry.cpp
+++ b/src/journal/entry.cpp
@@ -14,8 +14,8 @@
 
 json write(const open_entry& it)
 {
-    return {{"p", it.program}, {"a", it.account}, {"s", it.service},
-            {"u", it.parent},  {"l", it.limits},  {"m", it.mark_chunks}};
+    return {{"p", it.program}, {"a", it.account},     {"s", it.service},  {"u", it.parent},
+            {"l", it.limits},  {"m", it.mark_chunks}, {"c", it.priority}, {"o", it.opened_ms}};
 }
 
 void read(const json& in, open_entry& it)
@@ -26,6 +26,13 @@
     in.at("u").get_to(it.parent);
     in.at("l").get_to(it.limits);
     in.at("m").get_to(it.mark_chunks);
+    // Entries of earlier versions have neither class nor time.
+    const auto priority = in.value("c", index_of(service_class::normal));
+    if (priority >= class_count) {
+        throw json::other_error::create(501, "the class of a program is not known", &in);
+    }
+    it.priority = all_service_classes.at(priority);
+    it.opened_ms = in.value("o", std::int64_t{0});
 }
 
 json write(const turn_entry& it)
@@ -115,7 +122,7 @@
 
 std::size_t string_bytes(const open_entry& it)
 {
-    return it.account.size() + it.service.size() + it.parent.size() + 48;
+    return it.account.size() + it.service.size() + it.parent.size() + 72;
 }
 
 std::size_t string_bytes(const turn_entry& it)
--- a/src/journal/entry.h
+++ b/src/journal/entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "journal/budget.h"
+#include "util/service_class.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -19,6 +20,8 @@
     std::string parent; ///< empty for a program without parent
     budget limits;
     std::uint32_t mark_chunks = 4; ///< a mark advances by 1 / mark_chunks of the limits
+    service_class priority = service_class::normal;
+    std::int64_t opened_ms = 0; ///< wall clock, since 1970
 
     bool operator==(const open_entry&) const = default;
 };
--- a/src/program/event.h
+++ b/src/program/event.h
@@ -5,8 +5,10 @@
 #include "journal/kv_call.h"
 #include "program/replica_messages.h"
 #include "util/result_code.h"
+#include "util/service_class.h"
 #include "util/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -27,6 +29,8 @@
     std::string service;
     budget limits;
     std::uint32_t mark_chunks = 4;
+    service_class priority = service_class::normal;
+    std::int64_t opened_ms = 0; ///< wall clock, since 1970
 };
 
 /// What a model call costs. Reserved for the largest possible use, settled by the reported use.
@@ -103,7 +107,8 @@
     std::uint64_t money = 0;
 };
 
-/// Ends a program and its children. Answered with JSON `{"program": id, "ended": reason}`.
+/// Ends a program and its children. Answered with JSON `{"program": id, "ended": reason, "already_ended": bool,
+/// "class": name, "opened_ms": time, "target": engine of its last turn here}`.
 struct end_program {
     request_id request = 0;
     std::string program;
@@ -118,6 +123,13 @@
     std::string account;
 };
 
+/// Answered with JSON `{"programs": [...], "more": bool}`, ordered by id, with those that have ended lately.
+struct list_programs {
+    request_id request = 0;
+    std::string after; ///< only programs with a greater id
+    std::size_t limit = 1000;
+};
+
 /// Answered like a repeated `begin_call` with the same key; never sends anything.
 struct query_call {
     request_id request = 0;
@@ -154,7 +166,7 @@
 };
 
 using event = std::variant<open_program, begin_turn, engine_completed, engine_failed, begin_call, call_finished,
-                           end_program, query_program, query_call, kv_reply, replicate_reply, fetch_reply,
-                           membership_changed, timer_fired, start_takeover, start_handover>;
+                           end_program, query_program, list_programs, query_call, kv_reply, replicate_reply,
+                           fetch_reply, membership_changed, timer_fired, start_takeover, start_handover>;
 
 } // namespace lagoonferry
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -104,6 +104,8 @@
     void on(const open_program& it);
     void on(const end_program& it);
     void on(const query_program& it);
+    void on(const list_programs& it);
+    nlohmann::json describe(const std::string& id, const program_state& program) const;
     std::optional<refusal> check_open(const open_program& it) const;
     std::optional<refusal> check_owned() const;
     std::optional<refusal> check_capacity() const;
--- a/src/program/owner_programs.cpp
+++ b/src/program/owner_programs.cpp
@@ -142,7 +142,8 @@
                 parent->mark_sequence = append(mark_entry{it.parent, *lowered});
             }
         }
-        program.opened = {it.program, it.account, it.service, it.parent, it.limits, it.mark_chunks};
+        program.opened = {it.program, it.account,     it.service,  it.parent,
+                          it.limits,  it.mark_chunks, it.priority, it.opened_ms};
         program.account = budget_account(it.limits, it.mark_chunks);
         program.open_sequence = append(program.opened);
     }
@@ -167,11 +168,17 @@
         refuse(it.request, std::move(*reason));
         return;
     }
+    const bool already_ended = find_program(it.program)->ended.has_value();
     end_with_children(it.program, it.reason);
     const program_state& program = *find_program(it.program);
     refusal late{
         result_code::not_stored, run_state::outcome_unknown, "no backup has acknowledged the end", retry_later_ms, {}};
-    const json payload{{"program", it.program}, {"ended", program.ended.value_or(end_entry{}).reason}};
+    const json payload{{"program", it.program},
+                       {"ended", program.ended.value_or(end_entry{}).reason},
+                       {"already_ended", already_ended},
+                       {"class", to_string(program.opened.priority)},
+                       {"opened_ms", program.opened.opened_ms},
+                       {"target", program.last_target}};
     answer_when_stored({it.request,
                         program.end_sequence,
                         m_now + m_settings.store_timeout,
@@ -272,17 +279,42 @@
         return;
     }
     const program_state& program = *find_program(it.program);
-    const auto running = std::ranges::count_if(
-        m_calls, [&it](const auto& pair) { return pair.second.program == it.program && !pair.second.answered; });
+    json payload = describe(it.program, program);
     const bool history = !program.turns.empty() && is_stored(program.turn_sequence);
-    json payload{{"program", it.program},
-                 {"state", program_status(program)},
-                 {"turns", stored_turns(program)},
-                 {"digest", history ? as_turn(program.turns.back()).digest : std::string()},
-                 {"limits", budget_json(program.opened.limits)},
-                 {"spent", budget_json(program.ended ? program.ended->spent : program.account.committed())},
-                 {"running", running}};
+    payload["digest"] = history ? as_turn(program.turns.back()).digest : std::string();
+    answer(it.request, success{payload.dump(), 0});
+}
+
+void partition_owner::core::on(const list_programs& it)
+{
+    if (auto reason = check_owned()) {
+        refuse(it.request, std::move(*reason));
+        return;
+    }
+    json programs = json::array();
+    auto next = m_programs.upper_bound(it.after);
+    for (; next != m_programs.end() && programs.size() < it.limit; ++next) {
+        json program = describe(next->first, next->second);
+        program["account"] = next->second.opened.account;
+        program["service"] = next->second.opened.service;
+        programs.push_back(std::move(program));
+    }
+    const json payload{{"programs", std::move(programs)}, {"more", next != m_programs.end()}};
     answer(it.request, success{payload.dump(), 0});
 }
 
+json partition_owner::core::describe(const std::string& id, const program_state& program) const
+{
+    const auto running = std::ranges::count_if(
+        m_calls, [&id](const auto& pair) { return pair.second.program == id && !pair.second.answered; });
+    return {{"program", id},
+            {"state", program_status(program)},
+            {"class", to_string(program.opened.priority)},
+            {"opened_ms", program.opened.opened_ms},
+            {"turns", stored_turns(program)},
+            {"limits", budget_json(program.opened.limits)},
+            {"spent", budget_json(program.ended ? program.ended->spent : program.account.committed())},
+            {"running", running}};
+}
+
 } // namespace lagoonferry
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -183,6 +183,7 @@
     program_state& program = *find_program(call->program);
     if (!it.target.empty()) {
         program.targets.insert(it.target);
+        program.last_target = it.target;
     }
     settle_call(*call, cost_of(it.usage, call->turn.price));
     auto answer = canonical_message(it.answer);
--- a/src/program/program_state.h
+++ b/src/program/program_state.h
@@ -46,6 +46,7 @@
     std::string running_turn; ///< call id, or empty
     std::map<std::string, key_state, std::less<>> keys;
     std::set<std::string> targets; ///< engines that may hold memory for the program
+    std::string last_target;       ///< of the last turn in this process
     bool unavailable = false;      ///< the recorded history is longer than what could be recovered
     std::optional<end_entry> ended;
     std::uint64_t end_sequence = 0;
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -185,7 +185,7 @@
     m_callers->attach(server);
     m_control = std::make_unique<control_api>(control_links{
         &m_process.actors(), [this] { return m_process.membership(); }, m_process.documents(), &m_process.shared(),
-        &m_process.counts(), m_process.platform_address(), m_process.values().keys.operators.reveal()});
+        &*m_router, &m_process.counts(), m_process.platform_address(), m_process.values().keys.operators.reveal()});
     m_control->attach(server);
     server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
         response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
--- a/src/roles/partition_controller.cpp
+++ b/src/roles/partition_controller.cpp
@@ -101,6 +101,7 @@
 {
     const auto it = m_requests.find(call.request);
     if (it != m_requests.end()) {
+        m_engine_calls[call.call] = it->second;
         it->second->post(call);
         return;
     }
@@ -115,6 +116,10 @@
 void partition_state::carry_out(const cancel_engine_call& call)
 {
     log(log_part::program, log_level::info, "Engine call is no longer wanted.", field("call", call.call));
+    const auto it = m_engine_calls.find(call.call);
+    if (it != m_engine_calls.end()) {
+        it->second->cancel();
+    }
 }
 
 void partition_state::carry_out(const send_tool_call& call)
@@ -141,6 +146,7 @@
     }
     const std::shared_ptr<call_session> session = std::move(it->second);
     m_requests.erase(it);
+    std::erase_if(m_engine_calls, [&session](const auto& item) { return item.second == session; });
     session->post(answer);
 }
 
--- a/src/roles/partition_controller.h
+++ b/src/roles/partition_controller.h
@@ -54,6 +54,7 @@
     std::unique_ptr<partition_owner> m_owner;
     std::uint64_t m_next_request = 1;
     std::map<request_id, std::shared_ptr<call_session>> m_requests;
+    std::map<std::string, std::shared_ptr<call_session>> m_engine_calls; ///< by call id, until their requests end
     std::optional<timestamp> m_wake;
 };
 
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -233,23 +233,33 @@
     fake_entry entry;
     desk operators;
     const std::string to = "--entry=" + closed_address() + "," + entry.address();
+    const std::string unreachable = closed_address();
     entry.answers["GET /control/instances"] =
         R"({"instances":[{"id":"entry-1","role":"entry","state":"alive","address":"127.0.0.1:80","failure_domain":"a",
             "load_percent":12,"presumed_down":false}]})";
     entry.answers["GET /control/targets"] = R"({"targets":[{"id":"alloc-1","state":"leaving"}]})";
-    entry.answers["GET /control/programs"] = R"({"own_partitions":[1,7],"other_partitions":{"2":"127.0.0.1:81"}})";
+    entry.answers["GET /control/programs"] =
+        R"({"programs":[{"program":"1-aa","service":"boats","account":"boats/captains","state":"open","class":"normal",
+            "turns":3,"running":1,"spent":{"tokens":77,"calls":3,"money":0}}],"more":false,
+            "own_partitions":[1,7],"other_partitions":{"2":")" +
+        unreachable + R"("}})";
     entry.answers["GET /control/documents/boats/history"] =
         R"({"service":"boats","versions":[{"version":1,"author":"ada","time_ms":0}]})";
     entry.answers["POST /control/drain"] = R"({"id":"alloc-1","state":"leaving"})";
     CHECK(operators.run("instances", {to}).out.find("entry-1  entry  alive  127.0.0.1:80  a") != std::string::npos);
     CHECK(operators.run("targets", {to}).out.find("leaving") != std::string::npos);
-    CHECK(operators.run("programs", {to}).out.find("2          127.0.0.1:81") != std::string::npos);
+    CHECK(operators.run("programs", {to, "--partitions"}).out.find("2          " + unreachable) != std::string::npos);
+    const run_result programs = operators.run("programs", {to});
+    CHECK(programs.out.find("1-aa     boats    boats/captains  open   normal  3      1        77") !=
+          std::string::npos);
+    CHECK(programs.err == "no answer from " + unreachable + "\n");
     CHECK(operators.run("history", {to, "boats"}).out.find("1        ada     1970-01-01") != std::string::npos);
     const run_result drained = operators.run("drain", {to, "alloc-1"});
     CHECK_MESSAGE(drained.out == "alloc-1 is leaving\n", drained.err);
     CHECK(json::parse(entry.requests.back().body) == json{{"id", "alloc-1"}});
     const run_result as_json = operators.run("programs", {to, "--json"});
     CHECK(json::parse(as_json.out)["own_partitions"] == json{1, 7});
+    CHECK(json::parse(as_json.out)["unreachable"] == json::array({unreachable}));
 }
 
 TEST_CASE("burn reads the metrics of every entry twice, or appends them to a file of samples")
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -1,5 +1,7 @@
 #include "local_system.h"
 
+#include "client/client_io.h"
+#include "client/commands.h"
 #include "util/digest.h"
 
 #include <doctest/doctest.h>
@@ -17,7 +19,7 @@
 
 constexpr auto caller_key = "caller-test-key";
 constexpr auto operator_key = "operator-test-key-1";
-constexpr int standin_count = 6;
+constexpr int other_standins = 4; // key-value service, instance list, weight store, tool
 constexpr auto poll_pause = 20ms;
 
 nlohmann::json target(const std::string& id, const std::string& address, const char* kind)
@@ -65,7 +67,7 @@
     return true;
 }
 
-local_system::local_system()
+local_system::local_system(int engines) : m_engines(engines)
 {
     start_standins();
     for (int n = 1; n <= 3; ++n) {
@@ -99,9 +101,10 @@
 void local_system::start_standins()
 {
     m_standins = std::make_unique<child_process>(
-        "lagoonferry_standins", std::vector<std::string>{"all", "--engines=2", "--tools=1", "--tool=book_boat=0",
-                                                         "--model=allocation", "--decode-speed=200"});
-    for (int n = 0; n < standin_count; ++n) {
+        "lagoonferry_standins",
+        std::vector<std::string>{"all", "--engines=" + std::to_string(m_engines), "--tools=1", "--tool=book_boat=0",
+                                 "--model=allocation", "--decode-speed=200"});
+    for (int n = 0; n < other_standins + m_engines; ++n) {
         const auto line = m_standins->read_listening(20s);
         REQUIRE(line);
         std::istringstream words(*line);
@@ -176,6 +179,11 @@
                 {"deadline_ms", 3000},
                 {"retries", idempotent ? 2 : 0}};
     };
+    nlohmann::json engines;
+    for (int n = 0; n < m_engines; ++n) {
+        const std::string id = "engine-" + std::to_string(n);
+        engines.push_back(target(id, m_addresses.at(id), "engine"));
+    }
     nlohmann::json priorities;
     int priority = 0;
     for (const char* name : {"safety", "interactive", "normal", "bulk"}) {
@@ -194,11 +202,7 @@
                {"weight", 1},
                {"max_programs", 1000},
                {"classes", {"normal"}}}}},
-            {"models",
-             {{{"name", "allocation"},
-               {"targets",
-                {target("engine-0", m_addresses.at("engine-0"), "engine"),
-                 target("engine-1", m_addresses.at("engine-1"), "engine")}}}}},
+            {"models", {{{"name", "allocation"}, {"targets", engines}}}},
             {"tools", {tool("list_boats", true), tool("book_boat", false)}},
             {"classes", per_class({{"first_token_ms", 1500}, {"between_tokens_ms", 72}, {"program_ms", 60000}})},
             {"priorities", priorities},
@@ -233,6 +237,29 @@
     return send(m_addresses.at(entry), method, path, body, headers, operator_key);
 }
 
+std::optional<std::string> local_system::client(const std::string& entry, const std::string& name,
+                                                std::vector<std::string> args,
+                                                const std::function<void()>& while_waiting)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto variable = [](const std::string& wanted) -> std::optional<std::string> {
+        return wanted == "LAGOONFERRY_OPERATOR_KEY" ? std::optional<std::string>(operator_key) : std::nullopt;
+    };
+    client_io io = process_io();
+    client_io own{out,
+                  err,
+                  variable,
+                  io.read_file,
+                  io.write_file,
+                  [&](std::chrono::seconds) { while_waiting(); },
+                  io.wall_clock_ms};
+    args.push_back("--entry=" + m_addresses.at(entry));
+    const int status = run_client_command(name, args, own);
+    CHECK_MESSAGE(status == 0, err.str());
+    return status == 0 ? std::optional(out.str()) : std::nullopt;
+}
+
 http_answer local_system::call_any(const std::string& method, const std::string& path, const nlohmann::json& body,
                                    const std::map<std::string, std::string>& headers)
 {
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -27,7 +27,7 @@
     static constexpr auto service = "boat-assignment";
 
     /// Starts all processes, stores a service document and waits until every entry instance serves it.
-    local_system();
+    explicit local_system(int engines = 2);
 
     /// Ends all processes at once; tests of the planned stop send their own signal.
     ~local_system();
@@ -59,7 +59,8 @@
     /// Returns the instance that owns a program.
     std::string owner_of(const std::string& program);
 
-    /// Sets a fault of a stand-in ("kv", "instances", "engine-0", "engine-1", "tool-0"), or clears its faults.
+    /// Sets a fault of a stand-in ("kv", "instances", "engine-0", "engine-1" and so on, "tool-0"), or clears its
+    /// faults.
     void set_fault(const std::string& standin, const nlohmann::json& fault);
     void clear_faults(const std::string& standin);
 
@@ -83,11 +84,18 @@
 
     nlohmann::json document() const;
 
+    /// Runs a command of the operators' client against an entry instance and returns its standard output, or nothing if
+    /// it fails. `while_waiting` runs in place of its pauses.
+    std::optional<std::string> client(
+        const std::string& entry, const std::string& name, std::vector<std::string> args,
+        const std::function<void()>& while_waiting = [] {});
+
 private:
     void start_standins();
     void start_dispatcher();
     std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain) const;
 
+    int m_engines;
     std::map<std::string, std::string> m_addresses;
     std::string m_seed;
     std::unique_ptr<child_process> m_standins;
