Hold the partition router of the entry process by pointer

Cause: clang-tidy reports the access to an optional that start() fills. Change: a unique pointer, as for the other parts that start() creates.

--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -76,7 +76,7 @@
     caf::actor m_ownership;
     caf::actor m_slots;
     std::vector<caf::actor> m_platform;
-    std::optional<partition_router> m_router;
+    std::unique_ptr<partition_router> m_router;
     std::unique_ptr<turn_runner> m_turns;
     std::unique_ptr<tool_runner> m_tool_runner;
     std::unique_ptr<caller_api> m_callers;
@@ -90,7 +90,7 @@
     }
     spawn_workers();
     const std::vector<caf::actor> partitions = spawn_partitions();
-    m_router.emplace(&m_process.shared(), partitions);
+    m_router = std::make_unique<partition_router>(&m_process.shared(), partitions);
     m_turns = std::make_unique<turn_runner>(&m_process.shared(), m_slots, &m_process.engines(),
                                             static_cast<std::uint64_t>(steady_now().count()));
     m_turns->set_observer(
@@ -185,7 +185,7 @@
     m_callers->attach(server);
     m_control = std::make_unique<control_api>(control_links{
         &m_process.actors(), [this] { return m_process.membership(); }, m_process.documents(), &m_process.shared(),
-        &*m_router, &m_process.counts(), m_process.platform_address(), m_process.values().keys.operators.reveal()});
+        m_router.get(), &m_process.counts(), m_process.platform_address(), m_process.values().keys.operators.reveal()});
     m_control->attach(server);
     server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
         response.set_content(m_metrics.text(), "text/plain; version=0.0.4");
--- a/tests/process/operator_process_test.cpp
+++ b/tests/process/operator_process_test.cpp
@@ -115,7 +115,7 @@
     const auto text = system.client("entry-1", "burn", {"--json", "--interval-s=1"}, load);
     REQUIRE(text);
     const auto report = nlohmann::json::parse(*text);
-    MESSAGE(report.dump(2));
+    INFO(report.dump(2));
     REQUIRE(report.at("classes").size() == 1);
     const auto& found = report.at("classes").at(0);
     CHECK(found.at("causes").at(0).at("name") == "late_first_token");
