Add a TCP relay stand-in and what process tests need to place a failure exactly

Cause: a process test could neither cut one instance off from the key-value service, nor see what that service holds while its calls are disturbed, nor tell whether a fault with a count was used.

Change: "lagoonferry_standins relay" forwards TCP connections and passes, resets, drops or delays them (POST /mode). GET /inspect/<key> of the key-value stand-in answers a value untouched by faults, and GET /faults answers how many rules still apply. The fixture takes options: confirmation time, tool deadline, further entries, relays.

--- a/standins/fault_plan.cpp
+++ b/standins/fault_plan.cpp
@@ -99,6 +99,12 @@
     return effect;
 }
 
+std::size_t fault_plan::size() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_rules.size();
+}
+
 fault fault_plan::standing() const
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/fault_plan.h
+++ b/standins/fault_plan.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <limits>
@@ -36,6 +37,9 @@
     /// Returns the fault of one call and uses up one of its rule's count.
     fault take(const std::string& method, const std::string& path);
 
+    /// Returns the number of rules that still apply to further calls.
+    std::size_t size() const;
+
     /// Returns the fault of the newest rule without method, path and count, for behaviour outside of calls.
     fault standing() const;
 
--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -19,6 +19,9 @@
             answer_error(response, 400, error.what());
         }
     });
+    m_listener->Get("/faults", [this](const httplib::Request&, httplib::Response& response) {
+        answer_json(response, {{"rules", m_faults.size()}});
+    });
     m_listener->Delete("/faults",
                        [this](const httplib::Request&, httplib::Response& response, const httplib::ContentReader&) {
                            m_faults.clear();
--- a/standins/http_server.h
+++ b/standins/http_server.h
@@ -17,7 +17,7 @@
 class listener;
 
 /// HTTP server with the fault interface that every stand-in shares: `POST /faults` adds a rule, `DELETE /faults`
-/// removes all rules. Handlers run on one thread for each connection.
+/// removes all rules, `GET /faults` answers how many still apply. Handlers run on one thread for each connection.
 class http_server {
 public:
     using handler = std::function<void(const httplib::Request&, httplib::Response&, const fault&)>;
--- a/standins/kv_server.cpp
+++ b/standins/kv_server.cpp
@@ -46,6 +46,7 @@
     m_http.on("DELETE", "/kv/(.+)", [this](const request& req, response& res, const fault&) { erase(req, res); });
     m_http.on("GET", "/kv", [this](const request& req, response& res, const fault&) { list(req, res); });
     m_http.on("GET", "/watch", [this](const request& req, response& res, const fault&) { watch(req, res); });
+    m_http.on("GET", "/inspect/(.+)", [this](const request& req, response& res, const fault&) { inspect(req, res); });
     m_http.on("GET", "/stats", [this](const request&, response& res, const fault&) { stats(res); });
     m_http.on("POST", "/limits", [this](const request& req, response& res, const fault&) {
         const auto body = nlohmann::json::parse(req.body);
@@ -163,6 +164,13 @@
     answer_json(res, {{"position", m_state.position()}, {"changes", std::move(list)}});
 }
 
+void kv_server::inspect(const request& req, response& res)
+{
+    const std::lock_guard lock(m_mutex);
+    const kv_entry entry = m_state.get(req.matches[1].str());
+    answer_json(res, {{"version", entry.version}, {"value", entry.value}});
+}
+
 void kv_server::stats(response& res)
 {
     const std::lock_guard lock(m_mutex);
--- a/standins/kv_server.h
+++ b/standins/kv_server.h
@@ -37,6 +37,8 @@
     void erase(const request& req, response& res);
     void list(const request& req, response& res);
     void watch(const request& req, response& res);
+    /// Answers a value for a test: not counted, not limited, and unaffected by faults of the path "/kv".
+    void inspect(const request& req, response& res);
     void stats(response& res);
     void set_limits(const kv_limits& limits);
     void expire();
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -37,8 +37,14 @@
         return exit_port_taken;
     }
     for (const standin_address& it : standins.addresses()) {
-        const bool named = opts->kind == standin_kind::all;
-        std::cout << "listening " << (named ? it.kind + ' ' + it.name + ' ' : "") << it.address << std::endl;
+        std::string prefix;
+        if (opts->kind == standin_kind::all) {
+            prefix = it.kind + ' ' + it.name + ' ';
+        }
+        else if (opts->kind == standin_kind::relay) {
+            prefix = it.name + ' ';
+        }
+        std::cout << "listening " << prefix << it.address << std::endl;
     }
     int received = 0;
     sigwait(&signals, &received);
--- a/standins/options.cpp
+++ b/standins/options.cpp
@@ -23,6 +23,7 @@
   lagoonferry_standins tool [options] [--tool=<name=ms>]...
   lagoonferry_standins instances [options]
   lagoonferry_standins weights [options] [--weight=<name=bytes>]...
+  lagoonferry_standins relay --target=<address> [options]
   lagoonferry_standins all [options] [--model=<name>]... [--tool=<name=ms>]... [--weight=<name=bytes>]...
   lagoonferry_standins --help
 
@@ -44,6 +45,8 @@
   --lag-ms=<n>              Lag of the instance list [default: 0].
   --weight=<name=bytes>     Weights and their size.
   --weight-reads-per-second=<n>  Rate limit of the weight store; 0 is off [default: 0].
+  --target=<address>        Address to which a relay forwards TCP connections. It prints where it accepts them in a
+                            first line "listening relay <address>", and its control address in a second one.
   --engines=<n>             Engines of "all" [default: 4].
   --tools=<n>               Tool services of "all" [default: 1].
   --failure-domains=<n>     Failure domains over which "all" spreads targets in the instance list [default: 3].
@@ -110,7 +113,8 @@
     constexpr std::array kinds{
         std::pair("kv", standin_kind::kv),           std::pair("engine", standin_kind::engine),
         std::pair("tool", standin_kind::tool),       std::pair("instances", standin_kind::instances),
-        std::pair("weights", standin_kind::weights), std::pair("all", standin_kind::all)};
+        std::pair("weights", standin_kind::weights), std::pair("relay", standin_kind::relay),
+        std::pair("all", standin_kind::all)};
     return std::ranges::find_if(kinds, [&](const auto& it) { return args.at(it.first).asBool(); })->second;
 }
 
@@ -131,6 +135,9 @@
     out.instances_lag = std::chrono::milliseconds(static_cast<std::int64_t>(number(args, "--lag-ms", 0)));
     out.weights = pairs<weights_server::size_map>(args, "--weight");
     out.weight_reads_per_second = number(args, "--weight-reads-per-second", 0);
+    if (args.at("--target")) {
+        out.relay_target = args.at("--target").asString();
+    }
     return out;
 }
 
--- a/standins/options.h
+++ b/standins/options.h
@@ -13,7 +13,7 @@
 
 namespace lagoonferry::standin {
 
-enum class standin_kind { kv, engine, tool, instances, weights, all };
+enum class standin_kind { kv, engine, tool, instances, weights, relay, all };
 
 /// The command line of the stand-ins.
 struct options {
@@ -30,6 +30,7 @@
     std::chrono::milliseconds instances_lag{0};
     weights_server::size_map weights;
     double weight_reads_per_second = 0;
+    std::string relay_target; ///< "<ip>:<port>" for `relay`
 };
 
 /// Parses the command line. Prints the usage and exits on `--help` or a command line of another form (status 2).
--- a/standins/standin_set.cpp
+++ b/standins/standin_set.cpp
@@ -8,6 +8,9 @@
     if (!add_single(opts)) {
         return false;
     }
+    if (opts.kind == relay && !add_relay(opts)) {
+        return false;
+    }
     const std::size_t engines = opts.kind == engine ? 1 : opts.engines;
     const std::size_t tools = opts.kind == tool ? 1 : opts.tools;
     if ((opts.kind == all || opts.kind == engine) && !add_engines(opts, engines)) {
@@ -56,6 +59,16 @@
     return true;
 }
 
+bool standin_set::add_relay(const options& opts)
+{
+    m_relay = std::make_unique<relay_server>(opts.relay_target);
+    if (!m_relay->start(opts.host)) {
+        return false;
+    }
+    m_addresses.push_back({"relay", "relay", m_relay->address()});
+    return add(opts, "relay", "control", m_relay->http());
+}
+
 bool standin_set::add_single(const options& opts)
 {
     using enum standin_kind;
--- a/standins/standin_set.h
+++ b/standins/standin_set.h
@@ -4,6 +4,7 @@
 #include "instances_server.h"
 #include "kv_server.h"
 #include "options.h"
+#include "relay_server.h"
 #include "tool_server.h"
 #include "weights_server.h"
 
@@ -34,6 +35,7 @@
     bool add(const options& opts, const std::string& kind, const std::string& name, http_server& server);
     bool add_engines(const options& opts, std::size_t count);
     bool add_tools(const options& opts, std::size_t count);
+    bool add_relay(const options& opts);
     bool add_single(const options& opts);
     void register_targets(const options& opts);
 
@@ -41,6 +43,7 @@
     std::unique_ptr<kv_server> m_kv;
     std::unique_ptr<instances_server> m_instances;
     std::unique_ptr<weights_server> m_weights;
+    std::unique_ptr<relay_server> m_relay;
     std::vector<std::unique_ptr<engine_server>> m_engines;
     std::vector<std::unique_ptr<tool_server>> m_tools;
 };
--- /dev/null
+++ b/standins/tcp_relay.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace lagoonferry::standin {
+
+/// What a relay does with its connections.
+enum class relay_mode {
+    pass,
+    refuse, ///< present and new connections are reset
+    drop,   ///< nothing is forwarded; what was sent meanwhile follows later, as TCP's retransmissions do
+    delay   ///< each piece of data is forwarded after the delay
+};
+
+/// Forwards TCP connections to one address, with faults of the network between both. Thread-safe.
+class tcp_relay {
+public:
+    /// `target` is "<ip>:<port>".
+    explicit tcp_relay(std::string target);
+    ~tcp_relay();
+    tcp_relay(const tcp_relay&) = delete;
+    tcp_relay& operator=(const tcp_relay&) = delete;
+
+    /// Accepts connections on `host` and a free port when it returns true.
+    bool start(const std::string& host);
+
+    /// Applies to present and new connections.
+    void set_mode(relay_mode mode, std::chrono::milliseconds delay = {});
+
+    /// Ends all connections. Called by the destructor.
+    void stop();
+
+    /// "<ip>:<port>" once started.
+    const std::string& address() const { return m_address; }
+
+    /// The connections accepted so far.
+    std::size_t accepted() const { return m_accepted; }
+
+private:
+    void run();
+    void serve(int client);
+    void pump(int client, int server);
+    bool forward(int from, int to);
+    bool stopped() const { return m_stopping; }
+
+    const std::string m_target;
+    std::string m_address;
+    int m_listener = -1;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<relay_mode> m_mode = relay_mode::pass;
+    std::atomic<std::chrono::milliseconds> m_delay{};
+    std::atomic<std::size_t> m_accepted = 0;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::list<std::thread> m_connections;
+    std::thread m_thread;
+};
+
+} // namespace lagoonferry::standin
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -51,8 +51,33 @@
             response->get_header_value("Location")};
 }
 
+nlohmann::json turn_body(const std::string& content)
+{
+    return {{"model", "allocation"}, {"max_tokens", 16}, {"messages", {{{"role", "user"}, {"content", content}}}}};
+}
+
+std::map<std::string, std::string> turn_headers(const std::string& program, int number)
+{
+    return {{"X-Program", program}, {"X-Turn", std::to_string(number)}, {"X-History", "new"}};
+}
+
+nlohmann::json booking_body()
+{
+    return {{"arguments", {{"boat", "eight"}}}};
+}
+
+std::map<std::string, std::string> booking_headers(const std::string& program, const std::string& key)
+{
+    return {{"X-Program", program}, {"Idempotency-Key", key}};
+}
+
 } // namespace
 
+std::uint32_t partition_of(const std::string& program)
+{
+    return static_cast<std::uint32_t>(std::stoul(program));
+}
+
 bool wait_until(const std::function<bool()>& condition, std::chrono::milliseconds limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
@@ -65,12 +90,15 @@
     return true;
 }
 
-local_system::local_system()
+local_system::local_system(system_options options) : m_options(std::move(options))
 {
     start_standins();
     for (int n = 1; n <= 3; ++n) {
         start_entry("entry-" + std::to_string(n), "fd-" + std::to_string(n));
     }
+    for (const auto& [id, failure_domain] : m_options.further_entries) {
+        start_entry(id, failure_domain);
+    }
     start_dispatcher();
     REQUIRE(wait_until([this] {
         return operate("entry-1", "PUT", std::string("/control/documents/") + service, document(),
@@ -113,21 +141,41 @@
     }
 }
 
-std::vector<std::string> local_system::common_arguments(const std::string& id, const std::string& failure_domain) const
+std::string local_system::kv_address_of(const std::string& id)
+{
+    const std::string address = m_addresses.at("kv");
+    if (!m_options.kv_relays) {
+        return address;
+    }
+    auto relay = std::make_unique<child_process>("lagoonferry_standins",
+                                                 std::vector<std::string>{"relay", "--target=" + address});
+    constexpr std::string_view relay_prefix = "relay ";
+    constexpr std::string_view control_prefix = "control ";
+    const auto relayed = relay->read_listening(20s);
+    const auto control = relay->read_listening(20s);
+    REQUIRE(relayed);
+    REQUIRE(control);
+    m_addresses["kv-relay-" + id] = control->substr(control_prefix.size());
+    m_relays[id] = std::move(relay);
+    return relayed->substr(relay_prefix.size());
+}
+
+std::vector<std::string> local_system::common_arguments(const std::string& id, const std::string& failure_domain)
 {
     std::vector<std::string> arguments{"--instance-id=" + id,
                                        "--failure-domain=" + failure_domain,
                                        "--http-port=0",
                                        "--datagram-port=0",
                                        "--rpc-port=0",
-                                       "--kv-address=" + m_addresses.at("kv"),
+                                       "--kv-address=" + kv_address_of(id),
                                        "--instances-address=" + m_addresses.at("instances"),
                                        "--heartbeat-ms=100",
                                        "--suspicion-ms=1000",
                                        "--presumed-down-ms=2000",
                                        "--address-ttl-ms=500",
                                        "--instance-poll-ms=300",
-                                       "--intent-confirmation-ms=1000",
+                                       "--intent-confirmation-ms=" +
+                                           std::to_string(m_options.intent_confirmation.count()),
                                        "--partitions=6",
                                        "--log-level=off"};
     if (!m_seed.empty()) {
@@ -173,7 +221,7 @@
         return {{"name", name},
                 {"targets", {target(std::string(name) + "-1", m_addresses.at("tool-0"), "tool")}},
                 {"idempotent", idempotent},
-                {"deadline_ms", 3000},
+                {"deadline_ms", m_options.tool_deadline.count()},
                 {"retries", idempotent ? 2 : 0}};
     };
     nlohmann::json priorities;
@@ -262,16 +310,40 @@
 
 http_answer local_system::turn(const std::string& program, int number, const std::string& content)
 {
-    return call_any(
-        "POST", "/v1/chat/completions",
-        {{"model", "allocation"}, {"max_tokens", 16}, {"messages", {{{"role", "user"}, {"content", content}}}}},
-        {{"X-Program", program}, {"X-Turn", std::to_string(number)}, {"X-History", "new"}});
+    return call_any("POST", "/v1/chat/completions", turn_body(content), turn_headers(program, number));
 }
 
 http_answer local_system::book(const std::string& program, const std::string& key)
 {
-    return call_any("POST", "/v1/tools/book_boat", {{"arguments", {{"boat", "eight"}}}},
-                    {{"X-Program", program}, {"Idempotency-Key", key}});
+    return call_any("POST", "/v1/tools/book_boat", booking_body(), booking_headers(program, key));
+}
+
+http_answer local_system::turn_at(const std::string& entry, const std::string& program, int number,
+                                  const std::string& content)
+{
+    return call(entry, "POST", "/v1/chat/completions", turn_body(content), turn_headers(program, number));
+}
+
+http_answer local_system::book_at(const std::string& entry, const std::string& program, const std::string& key)
+{
+    return call(entry, "POST", "/v1/tools/book_boat", booking_body(), booking_headers(program, key));
+}
+
+head_record local_system::head_of(std::uint32_t partition)
+{
+    const http_answer answer = ask_standin("kv", "GET", "/inspect/" + head_key(partition));
+    REQUIRE(answer.status == 200);
+    const auto head = decode_head(answer.body.at("value").get<std::string>());
+    REQUIRE(head);
+    return *head;
+}
+
+void local_system::wait_until_flushed(const std::string& program)
+{
+    REQUIRE(wait_until([&] {
+        const head_record head = head_of(partition_of(program));
+        return !head.tail.empty() && std::holds_alternative<outcome_entry>(head.tail.back());
+    }));
 }
 
 std::string local_system::owner_of(const std::string& program)
@@ -298,6 +370,11 @@
     REQUIRE(ask_standin(standin, "DELETE", "/faults").status == 200);
 }
 
+void local_system::set_kv_relay(const std::string& entry, const std::string& mode)
+{
+    REQUIRE(ask_standin("kv-relay-" + entry, "POST", "/mode", {{"mode", mode}}).status == 200);
+}
+
 int local_system::executions(const std::string& program, const std::string& key)
 {
     const http_answer answer = ask_standin("tool-0", "GET", "/executions");
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -2,6 +2,8 @@
 
 #include "child_process.h"
 
+#include "journal/head_record.h"
+
 #include <nlohmann/json.hpp>
 
 #include <functional>
@@ -20,6 +22,14 @@
     std::string location;
 };
 
+/// What a test changes in its processes.
+struct system_options {
+    std::chrono::milliseconds intent_confirmation{1000};
+    std::chrono::milliseconds tool_deadline{3000};
+    std::map<std::string, std::string> further_entries{}; ///< failure domain by id
+    bool kv_relays = false; ///< a relay between each entry instance and the key-value service
+};
+
 /// Three entry processes in different failure domains, one dispatcher and all stand-ins on loopback, with short
 /// timeouts. Every process ends with the object.
 class local_system {
@@ -27,7 +37,7 @@
     static constexpr auto service = "boat-assignment";
 
     /// Starts all processes, stores a service document and waits until every entry instance serves it.
-    local_system();
+    explicit local_system(system_options options = {});
 
     /// Ends all processes at once; tests of the planned stop send their own signal.
     ~local_system();
@@ -56,6 +66,17 @@
     /// Books a boat anywhere.
     http_answer book(const std::string& program, const std::string& key);
 
+    /// Runs one turn, or books a boat, at one instance.
+    http_answer turn_at(const std::string& entry, const std::string& program, int number, const std::string& content);
+    http_answer book_at(const std::string& entry, const std::string& program, const std::string& key);
+
+    /// Returns the head record of a partition as the key-value service holds it, whatever faults its calls have.
+    head_record head_of(std::uint32_t partition);
+
+    /// Waits until the head record contains the outcome of every call, so that nothing is left to be written. The
+    /// program must have called a tool last.
+    void wait_until_flushed(const std::string& program);
+
     /// Returns the instance that owns a program.
     std::string owner_of(const std::string& program);
 
@@ -63,6 +84,9 @@
     void set_fault(const std::string& standin, const nlohmann::json& fault);
     void clear_faults(const std::string& standin);
 
+    /// Sets the mode of the relay between an entry instance and the key-value service.
+    void set_kv_relay(const std::string& entry, const std::string& mode);
+
     /// Returns how often the booking tool ran with an idempotency key of a program.
     int executions(const std::string& program, const std::string& key);
 
@@ -86,15 +110,21 @@
 private:
     void start_standins();
     void start_dispatcher();
-    std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain) const;
+    std::string kv_address_of(const std::string& id);
+    std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain);
 
+    system_options m_options;
     std::map<std::string, std::string> m_addresses;
     std::string m_seed;
     std::unique_ptr<child_process> m_standins;
     std::unique_ptr<child_process> m_dispatcher;
+    std::map<std::string, std::unique_ptr<child_process>> m_relays;
     std::map<std::string, std::unique_ptr<child_process>> m_entries;
 };
 
+/// Returns the partition in a program's identifier.
+std::uint32_t partition_of(const std::string& program);
+
 /// Repeats `condition` until it holds or `limit` has passed; returns whether it held.
 bool wait_until(const std::function<bool()>& condition,
                 std::chrono::milliseconds limit = std::chrono::milliseconds(20'000));
