Test a kill between the stored intent and the call, and make the lost-reply test lose the reply

Cause: no process test killed an owner in the window between the recorded intent and the call. The lost-reply test gave a regular expression as path of its fault, but paths are prefixes, so no reply was ever lost.

Change: the new test lets the write of the intent take effect, hides its reply and its read-back, and kills the owner; both successors answer "outcome unknown" and the tool counts no execution. The lost-reply test uses the head's path, waits until only the intent is left to write, and checks that the fault was used.

--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -83,6 +84,47 @@
     CHECK(system.executions(program, "b1") == 1);
 }
 
+TEST_CASE("an owner killed between its stored intent and the call leaves a call that never runs")
+{
+    // The owner must neither give up the intent nor end the call before it is killed.
+    local_system system({.intent_confirmation = 20s, .tool_deadline = 20s});
+    const std::string program = system.open_program();
+    REQUIRE(system.book(program, "b0").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.wait_until_flushed(program);
+
+    // The next write of the head takes effect, and the owner hears of it neither by the reply nor by reading back.
+    const std::string path = "/kv/" + lagoonferry::head_key(partition_of(program));
+    system.set_fault("kv", {{"lose_reply", true}, {"hang", true}, {"method", "PUT"}, {"path", path}});
+    system.set_fault("kv", {{"hang", true}, {"method", "GET"}, {"path", path}});
+    std::thread booking([&] { system.book_at(owner, program, "b1"); });
+    const bool recorded = wait_until([&] {
+        return std::ranges::any_of(system.head_of(partition_of(program)).tail, [](const lagoonferry::entry& it) {
+            const auto* intent = std::get_if<lagoonferry::intent_entry>(&it);
+            return intent != nullptr && intent->key == "b1";
+        });
+    });
+    CHECK(recorded);
+    CHECK(system.executions(program, "b1") == 0);
+    system.entry(owner).send_signal(SIGKILL);
+    booking.join();
+    system.clear_faults("kv");
+
+    const http_answer again = system.book(program, "b1");
+    CHECK(error_name(again) == "outcome_unknown");
+    CHECK(run_of(again) == "outcome_unknown");
+    CHECK(error_name(system.call_any("GET", "/v1/calls/" + program + "/b1")) == "outcome_unknown");
+    CHECK(system.book(program, "b0").status == 200);
+    CHECK(system.executions(program, "b0") == 1);
+
+    // Nor does a later successor send it.
+    system.entry(system.owner_of(program)).send_signal(SIGKILL);
+    CHECK(run_of(system.book(program, "b1")) == "outcome_unknown");
+    CHECK(system.book(program, "b2").status == 200);
+    CHECK(system.executions(program, "b2") == 1);
+    CHECK(system.executions(program, "b1") == 0);
+}
+
 TEST_CASE("an owner that is paused past its timeout and resumed serves nothing it no longer owns")
 {
     local_system system;
@@ -144,8 +186,13 @@
 {
     local_system system;
     const std::string program = system.open_program();
-    REQUIRE(system.turn(program, 1, "first").status == 200);
-    system.set_fault("kv", {{"lose_reply", true}, {"method", "PUT"}, {"path", "/kv/partition/.*"}, {"count", 1}});
+    REQUIRE(system.book(program, "b0").status == 200);
+    system.wait_until_flushed(program);
+    const std::string path = "/kv/" + lagoonferry::head_key(partition_of(program));
+    system.set_fault("kv", {{"lose_reply", true}, {"method", "PUT"}, {"path", path}, {"count", 1}});
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.ask_standin("kv", "GET", "/faults").body.value("rules", -1) == 0);
+    CHECK(system.executions(program, "b1") == 1);
     CHECK(system.book(program, "b1").status == 200);
     CHECK(system.executions(program, "b1") == 1);
 }
