Test a successor that is killed during its takeover

Cause: the existing second failure happened after the first takeover was done.

Change: the head accepts exactly one write after the owner's death, the seal of the successor; the successor is then killed. The third instance seals again and goes on with the whole history and one execution of each booking. The successor is chosen so that it is no backup of the partition: otherwise two of three copies are lost and the design lets the program end as unavailable.

--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -1,5 +1,7 @@
 #include "local_system.h"
 
+#include "membership/placement.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -36,6 +38,24 @@
     return held;
 }
 
+/// Returns who takes a partition over after its owner's end, unless it is one of the partition's backups: then the
+/// end of both would lose a copy of the history.
+std::string successor_outside_backups(local_system& system, std::uint32_t partition)
+{
+    const lagoonferry::head_record head = system.head_of(partition);
+    std::vector<lagoonferry::member> others;
+    for (const std::string& id : system.entry_ids()) {
+        lagoonferry::member other;
+        other.id = id;
+        if (id != head.owner.id) {
+            others.push_back(other);
+        }
+    }
+    const std::string successor = lagoonferry::placement(others).successor(partition, {}).value_or("");
+    const bool backup = std::ranges::find(head.backups, successor, &lagoonferry::backup_ref::id) != head.backups.end();
+    return backup || head.backups.size() < 2 ? "" : successor;
+}
+
 } // namespace
 
 TEST_CASE("an owner killed between two turns loses no turn and repeats no booking")
@@ -197,6 +217,47 @@
     CHECK(system.executions(program, "b1") == 1);
 }
 
+TEST_CASE("a successor killed during its takeover leaves the program to a third instance")
+{
+    // Two instances share each failure domain, so that some partition has a successor that is none of its backups.
+    local_system system({.further_entries = {{"entry-4", "fd-1"}, {"entry-5", "fd-2"}, {"entry-6", "fd-3"}}});
+    std::string program;
+    std::string successor;
+    REQUIRE(wait_until([&] {
+        program = system.open_program();
+        successor = successor_outside_backups(system, partition_of(program));
+        return !successor.empty();
+    }));
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    REQUIRE(system.book(program, "b1").status == 200);
+    const std::string owner = system.owner_of(program);
+    const std::uint32_t partition = partition_of(program);
+    const std::uint64_t epoch = system.head_of(partition).epoch;
+
+    // Of all writes to the head, only the one that seals it takes effect; its writer does not get further.
+    const std::string path = "/kv/" + lagoonferry::head_key(partition);
+    system.set_fault("kv", {{"outage", true}, {"method", "PUT"}, {"path", path}});
+    system.entry(owner).send_signal(SIGKILL);
+    system.set_fault("kv", {{"lose_reply", true}, {"hang", true}, {"method", "PUT"}, {"path", path}, {"count", 1}});
+    CHECK(wait_until([&] { return system.head_of(partition).epoch == epoch + 1; }));
+    CHECK(system.head_of(partition).owner.id == successor);
+    CHECK(system.head_of(partition).ready_epoch == epoch);
+    system.entry(successor).send_signal(SIGKILL);
+    system.clear_faults("kv");
+
+    const std::string second = content_of(system.turn(program, 2, "second"));
+    const std::string third = system.owner_of(program);
+    CHECK(third != owner);
+    CHECK(third != successor);
+    CHECK(system.head_of(partition).epoch == epoch + 2);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+    CHECK(content_of(system.turn(program, 2, "second")) == second);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+    CHECK(system.book(program, "b2").status == 200);
+    CHECK(system.executions(program, "b2") == 1);
+}
+
 TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
 {
     local_system system;
