Test an entry instance that is cut off from the key-value service alone

Change: a relay resets, or drops, the connections between one owner and the key-value service for more than twice the presumed-down time. Turns go on, bookings are refused as not run and never run, the partition does not move, and the refused booking runs once when it is repeated after the cut.

--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -38,6 +38,27 @@
     return held;
 }
 
+// As in the arguments and the document of local_system.
+constexpr std::chrono::milliseconds presumed_down = 2000ms;
+
+bool is_refused_as_not_run(const http_answer& answer)
+{
+    return error_name(answer) == "platform_unavailable" && run_of(answer) == "not_run";
+}
+
+/// Runs turns of a program at its owner, from turn 1 on, until `length` has passed. Returns their number.
+int run_turns_for(local_system& system, const std::string& owner, const std::string& program,
+                  std::chrono::milliseconds length)
+{
+    const auto end = std::chrono::steady_clock::now() + length;
+    int number = 0;
+    while (std::chrono::steady_clock::now() < end) {
+        ++number;
+        REQUIRE(system.turn_at(owner, program, number, "turn " + std::to_string(number)).status == 200);
+    }
+    return number;
+}
+
 /// Returns who takes a partition over after its owner's end, unless it is one of the partition's backups: then the
 /// end of both would lose a copy of the history.
 std::string successor_outside_backups(local_system& system, std::uint32_t partition)
@@ -258,6 +279,38 @@
     CHECK(system.executions(program, "b2") == 1);
 }
 
+TEST_CASE("an instance cut off from the key-value service runs turns, and refuses bookings that never run")
+{
+    for (const char* cut : {"refuse", "drop"}) {
+        CAPTURE(cut);
+        local_system system({.kv_relays = true});
+        const std::string program = system.open_program();
+        REQUIRE(system.book(program, "b0").status == 200);
+        const std::string owner = system.owner_of(program);
+        const std::uint32_t partition = partition_of(program);
+        const std::uint64_t epoch = system.head_of(partition).epoch;
+        system.wait_until_flushed(program);
+
+        system.set_kv_relay(owner, cut);
+        CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+        const int turns = run_turns_for(system, owner, program, 2 * presumed_down);
+        CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+        CHECK(system.executions(program, "b1") == 0);
+        CHECK(system.head_of(partition).epoch == epoch);
+
+        // Another booking runs before the refused one is repeated, so that a late write of its intent has settled.
+        system.set_kv_relay(owner, "pass");
+        CHECK(wait_until([&] { return system.book_at(owner, program, "b2").status == 200; }));
+        CHECK(system.executions(program, "b2") == 1);
+        CHECK(system.executions(program, "b1") == 0);
+        CHECK(system.book_at(owner, program, "b1").status == 200);
+        CHECK(system.book_at(owner, program, "b1").status == 200);
+        CHECK(system.executions(program, "b1") == 1);
+        CHECK(system.turn_at(owner, program, turns + 1, "next").status == 200);
+        CHECK(system.head_of(partition).epoch == epoch);
+    }
+}
+
 TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
 {
     local_system system;
