Test a key-value service that is slow for four times the presumed-down time

Change: each call takes 1.5 s, longer than the entry's timeout of a call and the confirmation time. Turns go on, bookings are refused as not run within the tool's deadline and do not run later, and no head changes its epoch.

--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -40,6 +40,8 @@
 
 // As in the arguments and the document of local_system.
 constexpr std::chrono::milliseconds presumed_down = 2000ms;
+constexpr std::chrono::milliseconds tool_deadline = 3000ms;
+constexpr std::uint32_t partition_count = 6;
 
 bool is_refused_as_not_run(const http_answer& answer)
 {
@@ -59,6 +61,15 @@
     return number;
 }
 
+std::vector<std::uint64_t> epochs_of(local_system& system)
+{
+    std::vector<std::uint64_t> epochs;
+    for (std::uint32_t partition = 0; partition < partition_count; ++partition) {
+        epochs.push_back(system.head_of(partition).epoch);
+    }
+    return epochs;
+}
+
 /// Returns who takes a partition over after its owner's end, unless it is one of the partition's backups: then the
 /// end of both would lose a copy of the history.
 std::string successor_outside_backups(local_system& system, std::uint32_t partition)
@@ -311,6 +322,36 @@
     }
 }
 
+TEST_CASE("a key-value service that is slow for long stops no turn, runs no booking twice and moves no partition")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    REQUIRE(system.book(program, "b0").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.wait_until_flushed(program);
+    const std::vector<std::uint64_t> epochs = epochs_of(system);
+
+    // Longer than the confirmation of an intent may take and than the entry's timeout for one call.
+    system.set_fault("kv", {{"slow_ms", 1500}});
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+    CHECK(std::chrono::steady_clock::now() - begun < tool_deadline);
+    const int turns = run_turns_for(system, owner, program, 4 * presumed_down);
+    CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+    CHECK(system.executions(program, "b1") == 0);
+    CHECK(epochs_of(system) == epochs);
+
+    system.clear_faults("kv");
+    CHECK(wait_until([&] { return system.book_at(owner, program, "b2").status == 200; }));
+    CHECK(system.executions(program, "b2") == 1);
+    CHECK(system.executions(program, "b1") == 0);
+    CHECK(system.book_at(owner, program, "b1").status == 200);
+    CHECK(system.book_at(owner, program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+    CHECK(system.turn_at(owner, program, turns + 1, "next").status == 200);
+    CHECK(epochs_of(system) == epochs);
+}
+
 TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
 {
     local_system system;
