Test the release of engine memory after a takeover

Change: one program is open and one has ended without a release having reached the engines when their owner is killed. The engines' own count of held tokens is zero after the takeover for the ended one, and after the end at the successor for the other one.

--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -352,6 +352,37 @@
     CHECK(epochs_of(system) == epochs);
 }
 
+TEST_CASE("after a takeover the engine memory of programs that end, or had ended before, is released")
+{
+    local_system system;
+    const std::string open = system.open_program();
+    const std::string owner = system.owner_of(open);
+    REQUIRE(system.turn(open, 1, "first").status == 200);
+    std::string ended;
+    REQUIRE(wait_until([&] {
+        ended = system.open_program();
+        return system.call(owner, "GET", "/v1/programs/" + ended).status == 200;
+    }));
+    REQUIRE(system.turn(ended, 1, "first").status == 200);
+
+    // The owner dies after the end of a program and before its release reaches the engines.
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        system.set_fault(engine, {{"outage", true}, {"method", "DELETE"}, {"path", "/v1/cache"}});
+    }
+    REQUIRE(system.call(owner, "DELETE", "/v1/programs/" + ended).status == 200);
+    CHECK(held_tokens(system, open) > 0);
+    CHECK(held_tokens(system, ended) > 0);
+    system.entry(owner).send_signal(SIGKILL);
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        system.clear_faults(engine);
+    }
+
+    // Engines drop unused programs after 60 s themselves; the limits here are shorter.
+    CHECK(wait_until([&] { return held_tokens(system, ended) == 0; }));
+    CHECK(system.call_any("DELETE", "/v1/programs/" + open).status == 200);
+    CHECK(wait_until([&] { return held_tokens(system, open) == 0; }));
+}
+
 TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
 {
     local_system system;
