--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -1,7 +1,10 @@
 #include "local_system.h"
 
+#include "membership/placement.h"
+
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -35,6 +38,56 @@
     return held;
 }
 
+// As in the arguments and the document of local_system.
+constexpr std::chrono::milliseconds presumed_down = 2000ms;
+constexpr std::chrono::milliseconds tool_deadline = 3000ms;
+constexpr std::uint32_t partition_count = 6;
+
+bool is_refused_as_not_run(const http_answer& answer)
+{
+    return error_name(answer) == "platform_unavailable" && run_of(answer) == "not_run";
+}
+
+/// Runs turns of a program at its owner, from turn 1 on, until `length` has passed. Returns their number.
+int run_turns_for(local_system& system, const std::string& owner, const std::string& program,
+                  std::chrono::milliseconds length)
+{
+    const auto end = std::chrono::steady_clock::now() + length;
+    int number = 0;
+    while (std::chrono::steady_clock::now() < end) {
+        ++number;
+        REQUIRE(system.turn_at(owner, program, number, "turn " + std::to_string(number)).status == 200);
+    }
+    return number;
+}
+
+std::vector<std::uint64_t> epochs_of(local_system& system)
+{
+    std::vector<std::uint64_t> epochs;
+    for (std::uint32_t partition = 0; partition < partition_count; ++partition) {
+        epochs.push_back(system.head_of(partition).epoch);
+    }
+    return epochs;
+}
+
+/// Returns who takes a partition over after its owner's end, unless it is one of the partition's backups: then the
+/// end of both would lose a copy of the history.
+std::string successor_outside_backups(local_system& system, std::uint32_t partition)
+{
+    const lagoonferry::head_record head = system.head_of(partition);
+    std::vector<lagoonferry::member> others;
+    for (const std::string& id : system.entry_ids()) {
+        lagoonferry::member other;
+        other.id = id;
+        if (id != head.owner.id) {
+            others.push_back(other);
+        }
+    }
+    const std::string successor = lagoonferry::placement(others).successor(partition, {}).value_or("");
+    const bool backup = std::ranges::find(head.backups, successor, &lagoonferry::backup_ref::id) != head.backups.end();
+    return backup || head.backups.size() < 2 ? "" : successor;
+}
+
 } // namespace
 
 TEST_CASE("an owner killed between two turns loses no turn and repeats no booking")
@@ -83,6 +136,47 @@
     CHECK(system.executions(program, "b1") == 1);
 }
 
+TEST_CASE("an owner killed between its stored intent and the call leaves a call that never runs")
+{
+    // The owner must neither give up the intent nor end the call before it is killed.
+    local_system system({.intent_confirmation = 20s, .tool_deadline = 20s});
+    const std::string program = system.open_program();
+    REQUIRE(system.book(program, "b0").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.wait_until_flushed(program);
+
+    // The next write of the head takes effect, and the owner hears of it neither by the reply nor by reading back.
+    const std::string path = "/kv/" + lagoonferry::head_key(partition_of(program));
+    system.set_fault("kv", {{"lose_reply", true}, {"hang", true}, {"method", "PUT"}, {"path", path}});
+    system.set_fault("kv", {{"hang", true}, {"method", "GET"}, {"path", path}});
+    std::thread booking([&] { system.book_at(owner, program, "b1"); });
+    const bool recorded = wait_until([&] {
+        return std::ranges::any_of(system.head_of(partition_of(program)).tail, [](const lagoonferry::entry& it) {
+            const auto* intent = std::get_if<lagoonferry::intent_entry>(&it);
+            return intent != nullptr && intent->key == "b1";
+        });
+    });
+    CHECK(recorded);
+    CHECK(system.executions(program, "b1") == 0);
+    system.entry(owner).send_signal(SIGKILL);
+    booking.join();
+    system.clear_faults("kv");
+
+    const http_answer again = system.book(program, "b1");
+    CHECK(error_name(again) == "outcome_unknown");
+    CHECK(run_of(again) == "outcome_unknown");
+    CHECK(error_name(system.call_any("GET", "/v1/calls/" + program + "/b1")) == "outcome_unknown");
+    CHECK(system.book(program, "b0").status == 200);
+    CHECK(system.executions(program, "b0") == 1);
+
+    // Nor does a later successor send it.
+    system.entry(system.owner_of(program)).send_signal(SIGKILL);
+    CHECK(run_of(system.book(program, "b1")) == "outcome_unknown");
+    CHECK(system.book(program, "b2").status == 200);
+    CHECK(system.executions(program, "b2") == 1);
+    CHECK(system.executions(program, "b1") == 0);
+}
+
 TEST_CASE("an owner that is paused past its timeout and resumed serves nothing it no longer owns")
 {
     local_system system;
@@ -144,10 +238,149 @@
 {
     local_system system;
     const std::string program = system.open_program();
-    REQUIRE(system.turn(program, 1, "first").status == 200);
-    system.set_fault("kv", {{"lose_reply", true}, {"method", "PUT"}, {"path", "/kv/partition/.*"}, {"count", 1}});
+    REQUIRE(system.book(program, "b0").status == 200);
+    system.wait_until_flushed(program);
+    const std::string path = "/kv/" + lagoonferry::head_key(partition_of(program));
+    system.set_fault("kv", {{"lose_reply", true}, {"method", "PUT"}, {"path", path}, {"count", 1}});
     CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.ask_standin("kv", "GET", "/faults").body.value("rules", -1) == 0);
     CHECK(system.executions(program, "b1") == 1);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+}
+
+TEST_CASE("a successor killed during its takeover leaves the program to a third instance")
+{
+    // Two instances share each failure domain, so that some partition has a successor that is none of its backups.
+    local_system system({.further_entries = {{"entry-4", "fd-1"}, {"entry-5", "fd-2"}, {"entry-6", "fd-3"}}});
+    std::string program;
+    std::string successor;
+    REQUIRE(wait_until([&] {
+        program = system.open_program();
+        successor = successor_outside_backups(system, partition_of(program));
+        return !successor.empty();
+    }));
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    REQUIRE(system.book(program, "b1").status == 200);
+    const std::string owner = system.owner_of(program);
+    const std::uint32_t partition = partition_of(program);
+    const std::uint64_t epoch = system.head_of(partition).epoch;
+
+    // Of all writes to the head, only the one that seals it takes effect; its writer does not get further.
+    const std::string path = "/kv/" + lagoonferry::head_key(partition);
+    system.set_fault("kv", {{"outage", true}, {"method", "PUT"}, {"path", path}});
+    system.entry(owner).send_signal(SIGKILL);
+    system.set_fault("kv", {{"lose_reply", true}, {"hang", true}, {"method", "PUT"}, {"path", path}, {"count", 1}});
+    CHECK(wait_until([&] { return system.head_of(partition).epoch == epoch + 1; }));
+    CHECK(system.head_of(partition).owner.id == successor);
+    CHECK(system.head_of(partition).ready_epoch == epoch);
+    system.entry(successor).send_signal(SIGKILL);
+    system.clear_faults("kv");
+
+    const std::string second = content_of(system.turn(program, 2, "second"));
+    const std::string third = system.owner_of(program);
+    CHECK(third != owner);
+    CHECK(third != successor);
+    CHECK(system.head_of(partition).epoch == epoch + 2);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+    CHECK(content_of(system.turn(program, 2, "second")) == second);
+    CHECK(system.book(program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+    CHECK(system.book(program, "b2").status == 200);
+    CHECK(system.executions(program, "b2") == 1);
+}
+
+TEST_CASE("an instance cut off from the key-value service runs turns, and refuses bookings that never run")
+{
+    for (const char* cut : {"refuse", "drop"}) {
+        CAPTURE(cut);
+        local_system system({.kv_relays = true});
+        const std::string program = system.open_program();
+        REQUIRE(system.book(program, "b0").status == 200);
+        const std::string owner = system.owner_of(program);
+        const std::uint32_t partition = partition_of(program);
+        const std::uint64_t epoch = system.head_of(partition).epoch;
+        system.wait_until_flushed(program);
+
+        system.set_kv_relay(owner, cut);
+        CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+        const int turns = run_turns_for(system, owner, program, 2 * presumed_down);
+        CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+        CHECK(system.executions(program, "b1") == 0);
+        CHECK(system.head_of(partition).epoch == epoch);
+
+        // Another booking runs before the refused one is repeated, so that a late write of its intent has settled.
+        system.set_kv_relay(owner, "pass");
+        CHECK(wait_until([&] { return system.book_at(owner, program, "b2").status == 200; }));
+        CHECK(system.executions(program, "b2") == 1);
+        CHECK(system.executions(program, "b1") == 0);
+        CHECK(system.book_at(owner, program, "b1").status == 200);
+        CHECK(system.book_at(owner, program, "b1").status == 200);
+        CHECK(system.executions(program, "b1") == 1);
+        CHECK(system.turn_at(owner, program, turns + 1, "next").status == 200);
+        CHECK(system.head_of(partition).epoch == epoch);
+    }
+}
+
+TEST_CASE("a key-value service that is slow for long stops no turn, runs no booking twice and moves no partition")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    REQUIRE(system.book(program, "b0").status == 200);
+    const std::string owner = system.owner_of(program);
+    system.wait_until_flushed(program);
+    const std::vector<std::uint64_t> epochs = epochs_of(system);
+
+    // Longer than the confirmation of an intent may take and than the entry's timeout for one call.
+    system.set_fault("kv", {{"slow_ms", 1500}});
+    const auto begun = std::chrono::steady_clock::now();
+    CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+    CHECK(std::chrono::steady_clock::now() - begun < tool_deadline);
+    const int turns = run_turns_for(system, owner, program, 4 * presumed_down);
+    CHECK(is_refused_as_not_run(system.book_at(owner, program, "b1")));
+    CHECK(system.executions(program, "b1") == 0);
+    CHECK(epochs_of(system) == epochs);
+
+    system.clear_faults("kv");
+    CHECK(wait_until([&] { return system.book_at(owner, program, "b2").status == 200; }));
+    CHECK(system.executions(program, "b2") == 1);
+    CHECK(system.executions(program, "b1") == 0);
+    CHECK(system.book_at(owner, program, "b1").status == 200);
+    CHECK(system.book_at(owner, program, "b1").status == 200);
+    CHECK(system.executions(program, "b1") == 1);
+    CHECK(system.turn_at(owner, program, turns + 1, "next").status == 200);
+    CHECK(epochs_of(system) == epochs);
+}
+
+TEST_CASE("after a takeover the engine memory of programs that end, or had ended before, is released")
+{
+    local_system system;
+    const std::string open = system.open_program();
+    const std::string owner = system.owner_of(open);
+    REQUIRE(system.turn(open, 1, "first").status == 200);
+    std::string ended;
+    REQUIRE(wait_until([&] {
+        ended = system.open_program();
+        return system.call(owner, "GET", "/v1/programs/" + ended).status == 200;
+    }));
+    REQUIRE(system.turn(ended, 1, "first").status == 200);
+
+    // The owner dies after the end of a program and before its release reaches the engines.
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        system.set_fault(engine, {{"outage", true}, {"method", "DELETE"}, {"path", "/v1/cache"}});
+    }
+    REQUIRE(system.call(owner, "DELETE", "/v1/programs/" + ended).status == 200);
+    CHECK(held_tokens(system, open) > 0);
+    CHECK(held_tokens(system, ended) > 0);
+    system.entry(owner).send_signal(SIGKILL);
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        system.clear_faults(engine);
+    }
+
+    // Engines drop unused programs after 60 s themselves; the limits here are shorter.
+    CHECK(wait_until([&] { return held_tokens(system, ended) == 0; }));
+    CHECK(system.call_any("DELETE", "/v1/programs/" + open).status == 200);
+    CHECK(wait_until([&] { return held_tokens(system, open) == 0; }));
 }
 
 TEST_CASE("of two operators who race on one document, one wins and the other learns the newer version")
--- a/tests/process/operator_process_test.cpp
+++ b/tests/process/operator_process_test.cpp
@@ -96,7 +96,9 @@
     constexpr int engines = 6;
     constexpr int callers = 24;
     const std::set<std::string> slowed{"engine-1", "engine-4"};
-    local_system system(engines);
+    system_options options;
+    options.engines = engines;
+    local_system system(options);
     for (const std::string& engine : slowed) {
         system.set_fault(engine, {{"path", "/v1/chat/completions"}, {"slow_ms", 2500}});
     }
