Replace a restarted owner as soon as its new start is known

Cause: entry_role did not set owner_settings::incarnation, so heads named incarnation 0 and a restarted owner was replaced only after its claims had been missing for 6 s. A process that came back after it was taken for gone announced an incarnation that its own replica store refused. Change: heads, backups and claims name the start of the process. check_owner compares it with the start that membership knows. The ownership controller reads the head record before a takeover and decides from it.

--- a/src/membership/partition_owners.cpp
+++ b/src/membership/partition_owners.cpp
@@ -13,12 +13,12 @@
     learn(m_self, m_own);
 }
 
-void partition_owners::learn(std::string_view owner, std::span<const owned_partition> partitions)
+void partition_owners::learn(std::string_view owner, std::span<const owned_partition> partitions, std::uint64_t start)
 {
     for (const owned_partition& owned : partitions) {
         known_owner& heard = m_heard[owned.partition];
         if (owned.epoch >= heard.epoch) {
-            heard = {std::string(owner), owned.epoch};
+            heard = {std::string(owner), owned.epoch, start};
         }
     }
 }
--- a/src/membership/partition_owners.h
+++ b/src/membership/partition_owners.h
@@ -16,6 +16,7 @@
 struct known_owner {
     std::string id;
     std::uint64_t epoch = 0;
+    std::uint64_t start = 0; ///< of the process that claimed it, see `process_start`
 
     bool operator==(const known_owner&) const = default;
 };
@@ -28,8 +29,8 @@
     /// Sets the partitions that this process owns.
     void set_own(std::vector<owned_partition> own);
 
-    /// Takes the partitions that a heartbeat of `owner` names.
-    void learn(std::string_view owner, std::span<const owned_partition> partitions);
+    /// Takes the partitions that a heartbeat of `owner` names. `start` is the start of that process.
+    void learn(std::string_view owner, std::span<const owned_partition> partitions, std::uint64_t start = 0);
 
     /// Returns the owner with the highest epoch heard of, or nothing.
     std::optional<known_owner> find(std::uint32_t partition) const;
--- /dev/null
+++ b/src/membership/takeover_choice.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "membership/member.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+/// The fields of a partition's head record that decide who owns it.
+struct head_view {
+    std::uint64_t epoch = 0; ///< 0: the partition has never been owned
+    std::string owner;
+    std::uint64_t owner_incarnation = 0; ///< start of the owner's process; 0: a handover is not taken over yet
+    std::vector<std::string> backups;
+};
+
+enum class owner_check {
+    usable,
+    awaited, ///< the owner is the successor of a handover and has not taken over yet
+    failed,  ///< another process may take the partition over now
+};
+
+/// Judges the owner that a head, or a claim in a heartbeat, names. `known` is what membership knows of that id, or
+/// nothing when it is unknown, gone or presumed down. An owner that runs with a later start has lost the partition. An
+/// earlier start than the head's only shows that membership lags behind the head. Thread-safe.
+owner_check check_owner(const head_view& head, const std::optional<member>& known);
+
+} // namespace lagoonferry
--- a/src/program/owner_settings.h
+++ b/src/program/owner_settings.h
@@ -26,7 +26,7 @@
 struct owner_settings {
     std::uint32_t partition = 0;
     instance_ref self;
-    std::uint64_t incarnation = 0; ///< of this process, as in its heartbeats
+    std::uint64_t incarnation = 0; ///< of this process: its start, see `process_start`
     std::string failure_domain;
     std::string writer; ///< unique for each object, for example 8 random bytes as hex; part of every write id
     journal_settings journal;
--- a/src/program/replica_store.h
+++ b/src/program/replica_store.h
@@ -26,8 +26,9 @@
 /// the part of the owner's log that is not yet in the key-value service. Does no I/O; one thread at a time.
 class replica_store {
 public:
-    /// `incarnation` identifies this process start and must be the number that heartbeats carry: a successor takes a
-    /// copy for complete only if it comes from the incarnation named in the head record.
+    /// `incarnation` identifies this process start and must be the number that peers derive from heartbeats
+    /// (`process_start`): a successor takes a copy for complete only if it comes from the incarnation named in the head
+    /// record.
     replica_store(std::string id, std::uint64_t incarnation, replica_limits limits = {}, replica_faults faults = {});
 
     /// Stores a batch. Refuses lower epochs, batches for another incarnation or behind a gap, and texts whose digest
--- a/src/roles/dispatch_role.cpp
+++ b/src/roles/dispatch_role.cpp
@@ -36,7 +36,7 @@
     }
     const std::string id = start.values->identity.instance_id.text();
     const caf::actor dispatch = process.keep(
-        process.actors().spawn(dispatch_controller, id, process.incarnation(), &process.shared(), &process.sender()));
+        process.actors().spawn(dispatch_controller, id, process.start_time(), &process.shared(), &process.sender()));
     process.start({}, dispatch);
     process.keep(
         process.actors().spawn<caf::detached>(load_poller, id, dispatch, &process.shared(), &process.engines()));
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -112,15 +112,17 @@
                                                                         platform_timeout, &m_process.counts())));
     }
     m_peers = m_process.keep(actors.spawn(peer_controller, m_process.key().rpc_token()));
-    m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.incarnation()));
+    m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.start_time()));
     m_releases =
         m_process.keep(actors.spawn<caf::detached>(release_controller, &m_process.shared(), &m_process.engines()));
     m_slots = m_process.keep(actors.spawn(slot_controller, m_id, &m_process.shared(), &m_process.sender()));
     ownership_options options;
     options.self = m_id;
+    options.start_time = m_process.start_time();
     options.partitions = m_process.values().partitions.count;
     options.presumed_down = milliseconds(m_process.values().timing.presumed_down_ms);
-    m_ownership = m_process.keep(actors.spawn(ownership_controller, options, m_peers, &m_process.shared()));
+    m_ownership = m_process.keep(
+        actors.spawn(ownership_controller, options, ownership_links{m_peers, m_platform.front()}, &m_process.shared()));
 }
 
 owner_settings entry_role::settings_of(std::uint32_t partition) const
@@ -131,6 +133,7 @@
     result.partition = partition;
     const member_address& address = m_process.self().address;
     result.self = {m_id, to_string(network_address{address.ip, address.rpc_port})};
+    result.incarnation = m_process.start_time();
     result.failure_domain = values.identity.failure_domain.text();
     result.writer = random_hex(writer_bytes);
     result.backup_wait = milliseconds(values.timing.replica_wait_ms);
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -73,7 +73,9 @@
         m_sender->send(received.from, datagram_kind::heartbeat, to_json(answer));
     }
     if (m_links.ownership && !received.message.partitions.empty()) {
-        m_self->send(m_links.ownership, heard_partitions{sender, received.message.partitions});
+        m_self->send(m_links.ownership,
+                     heard_partitions{sender, process_start(received.message.sender.about.incarnation),
+                                      received.message.partitions});
     }
     if (!received.message.documents.empty()) {
         m_self->send(m_links.documents, heard_documents{sender, received.message.documents});
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -96,6 +96,7 @@
 /// Partitions that a peer owns, as its heartbeat says.
 struct heard_partitions {
     std::string owner;
+    std::uint64_t owner_start = 0; ///< see `process_start`
     std::vector<owned_partition> partitions;
 };
 
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -1,17 +1,22 @@
 #include "roles/ownership_controller.h"
 
 #include "blackboard/board.h"
+#include "journal/head_record.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace lagoonferry {
 
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval{250};
+// Longer than the timeout of the platform workers, which answer in every case.
+constexpr std::chrono::seconds platform_timeout{60};
+
 constexpr timestamp takeover_retry = std::chrono::seconds(1);
 
 // A partition whose owner is unknown is left alone this long after the start, so that heartbeats can name its owner.
@@ -29,7 +34,7 @@
 {
     peer_state peer;
     peer.instance = {item.id, rpc_address(item)};
-    peer.incarnation = item.incarnation;
+    peer.incarnation = process_start(item.incarnation);
     peer.failure_domain = item.failure_domain;
     peer.leaving = item.state == member_state::leaving;
     return peer;
@@ -41,14 +46,21 @@
            a.leaving == b.leaving && a.listed == b.listed;
 }
 
+head_view view_of(const head_record& head)
+{
+    head_view view{head.epoch, head.owner.id, head.owner_incarnation, {}};
+    std::ranges::transform(head.backups, std::back_inserter(view.backups), &backup_ref::id);
+    return view;
+}
+
 } // namespace
 
-void ownership_state::start(caf::event_based_actor* self, const ownership_options& options, caf::actor peers,
+void ownership_state::start(caf::event_based_actor* self, const ownership_options& options, ownership_links links,
                             board* shared)
 {
     m_self = self;
     m_options = options;
-    m_peers = std::move(peers);
+    m_links = std::move(links);
     m_board = shared;
     m_owners = std::make_unique<partition_owners>(options.self);
     m_records.resize(options.partitions);
@@ -124,22 +136,67 @@
         }
         return;
     }
-    if (!owner_is_usable(partition, now) && now >= m_started + settle_time && now >= record.next_takeover &&
-        places.successor(partition, {}) == m_options.self) {
-        take_over(partition, now);
+    const bool candidate = record.lost_here || places.successor(partition, {}) == m_options.self;
+    if (candidate && !claim_holds(partition, now) && now >= m_started + settle_time && now >= record.next_takeover) {
+        read_head(partition, now);
     }
 }
 
-bool ownership_state::owner_is_usable(std::uint32_t partition, timestamp now) const
+// A claim older than the limit proves nothing: the successor of a handover may have failed. The head decides then.
+bool ownership_state::claim_holds(std::uint32_t partition, timestamp now) const
 {
     const auto owner = m_owners->find(partition);
-    if (!owner || owner->id == m_options.self) {
+    if (!owner || owner->id == m_options.self || now - m_records[partition].claimed >= m_options.presumed_down) {
+        return false;
+    }
+    return check_owner({owner->epoch, owner->id, owner->start, {}}, reachable(owner->id)) == owner_check::usable;
+}
+
+void ownership_state::read_head(std::uint32_t partition, timestamp now)
+{
+    m_records[partition].next_takeover = now + takeover_retry;
+    kv_call call;
+    call.key = head_key(partition);
+    m_self->request(m_links.platform, platform_timeout, platform_request{call})
+        .then([this, partition](const kv_reply& reply) { on_head(partition, reply); }, [](const caf::error&) {});
+}
+
+void ownership_state::on_head(std::uint32_t partition, const kv_reply& reply)
+{
+    const timestamp now = steady_now();
+    partition_record& record = m_records[partition];
+    const auto head = reply.version == 0 ? std::optional(head_record{}) : decode_head(reply.value);
+    if (record.owned || reply.status != kv_status::ok || !head) {
+        return;
+    }
+    if (owner_has_failed(partition, view_of(*head), now)) {
+        take_over(partition, now);
+    }
+}
+
+bool ownership_state::owner_has_failed(std::uint32_t partition, const head_view& head, timestamp now)
+{
+    partition_record& record = m_records[partition];
+    if (head.owner == m_options.self &&
+        (head.owner_incarnation == 0 || head.owner_incarnation == m_options.start_time)) {
+        return true; // A takeover of this process did not end.
+    }
+    switch (check_owner(head, reachable(head.owner))) {
+    case owner_check::usable:
+        m_owners->learn(head.owner, std::array{owned_partition{partition, head.epoch}}, head.owner_incarnation);
+        record.claimed = now;
+        record.lost_here = false;
         return false;
+    case owner_check::awaited:
+        if (record.awaited_epoch != head.epoch) {
+            record.awaited_epoch = head.epoch;
+            record.awaited_since = now;
+        }
+        return now - record.awaited_since >= m_options.presumed_down;
+    case owner_check::failed:
+        break;
     }
-    // An owner that restarts under its identity, or whose successor fails during a handover, is alive without owning
-    // the partition. It stops naming it in its heartbeats.
-    const bool claimed = now - m_records[partition].claimed < m_options.presumed_down;
-    return claimed && reachable(owner->id).has_value();
+    return true;
 }
 
 std::optional<member> ownership_state::reachable(const std::string& id) const
@@ -155,6 +212,7 @@
 void ownership_state::take_over(std::uint32_t partition, timestamp now)
 {
     m_records[partition].next_takeover = now + takeover_retry;
+    log(log_part::program, log_level::info, "Taking a partition over.", field("partition", partition));
     m_self->send(m_partitions[partition], partition_event{start_takeover{}, nullptr});
 }
 
@@ -176,8 +234,9 @@
     record.epoch = status.epoch;
     record.handing_over = false;
     record.misplaced_since = timestamp{0};
+    record.lost_here = !status.owned && status.owner_id.empty();
     if (!status.hand_over_to.empty()) {
-        m_self->send(m_peers, takeover_call{status.hand_over_to, status.partition});
+        m_self->send(m_links.peers, takeover_call{status.hand_over_to, status.partition});
         record.next_takeover = steady_now() + m_options.presumed_down;
     }
     std::vector<owned_partition> own;
@@ -193,7 +252,7 @@
 
 void ownership_state::on_heard(const heard_partitions& message)
 {
-    m_owners->learn(message.owner, message.partitions);
+    m_owners->learn(message.owner, message.partitions, message.owner_start);
     for (const owned_partition& item : message.partitions) {
         const auto owner = item.partition < m_records.size() ? m_owners->find(item.partition) : std::nullopt;
         if (owner && owner->id == message.owner) {
@@ -245,9 +304,9 @@
 }
 
 caf::behavior ownership_controller(caf::stateful_actor<ownership_state>* self, const ownership_options& options,
-                                   const caf::actor& peers, board* shared)
+                                   const ownership_links& links, board* shared)
 {
-    self->state.start(self, options, peers, shared);
+    self->state.start(self, options, links, shared);
     return {
         [self](const partition_actors& message) { self->state.set_partitions(message.actors); },
         [self](tick_atom) { self->state.on_tick(); },
--- a/src/roles/ownership_controller.h
+++ b/src/roles/ownership_controller.h
@@ -2,6 +2,7 @@
 
 #include "membership/partition_owners.h"
 #include "membership/placement.h"
+#include "membership/takeover_choice.h"
 #include "roles/messages.h"
 
 #include <caf/actor.hpp>
@@ -21,15 +22,21 @@
 
 struct ownership_options {
     std::string self;
+    std::uint64_t start_time = 0; ///< of this process, see `process_start`
     std::uint32_t partitions = 32;
     timestamp presumed_down = std::chrono::seconds(6);
 };
 
+struct ownership_links {
+    caf::actor peers;    ///< `takeover_call`
+    caf::actor platform; ///< `platform_request` -> `kv_reply`
+};
+
 /// Decides when this instance takes partitions over and when it hands them over, from the placement on live members.
 /// Safety does not depend on it: the head record decides who owns a partition.
 class ownership_state {
 public:
-    void start(caf::event_based_actor* self, const ownership_options& options, caf::actor peers, board* shared);
+    void start(caf::event_based_actor* self, const ownership_options& options, ownership_links links, board* shared);
 
     /// Sets the controllers of the partitions, by number. Precondition: called once, before the first tick.
     void set_partitions(std::vector<caf::actor> partitions);
@@ -51,14 +58,21 @@
         std::uint64_t epoch = 0;
         timestamp next_takeover{0};
         timestamp misplaced_since{0};
-        timestamp claimed{0}; ///< when its owner last named it in a heartbeat
+        timestamp claimed{0};   ///< when its owner last named it in a heartbeat, or a head named a usable owner
+        bool lost_here = false; ///< ended here without a known successor; the head may still name this process
+        std::uint64_t awaited_epoch = 0; ///< of a head whose owner has not taken a handover over yet
+        timestamp awaited_since{0};
     };
 
     void send_membership();
     void consider(std::uint32_t partition, const placement& places, timestamp now);
+    /// Reads the head record, which decides whether to take over.
+    void read_head(std::uint32_t partition, timestamp now);
+    void on_head(std::uint32_t partition, const kv_reply& reply);
+    bool owner_has_failed(std::uint32_t partition, const head_view& head, timestamp now);
     void take_over(std::uint32_t partition, timestamp now);
     void hand_over(std::uint32_t partition, const std::string& successor);
-    bool owner_is_usable(std::uint32_t partition, timestamp now) const;
+    bool claim_holds(std::uint32_t partition, timestamp now) const;
 
     /// Returns an entry instance that is not presumed down, also a leaving one, which still serves its partitions.
     std::optional<member> reachable(const std::string& id) const;
@@ -66,7 +80,7 @@
 
     caf::event_based_actor* m_self = nullptr;
     ownership_options m_options;
-    caf::actor m_peers;
+    ownership_links m_links;
     board* m_board = nullptr;
     std::unique_ptr<partition_owners> m_owners;
     std::vector<caf::actor> m_partitions;
@@ -77,6 +91,6 @@
 
 /// The behaviour of the ownership controller. `shared` outlives the actor.
 caf::behavior ownership_controller(caf::stateful_actor<ownership_state>* self, const ownership_options& options,
-                                   const caf::actor& peers, board* shared);
+                                   const ownership_links& links, board* shared);
 
 } // namespace lagoonferry
--- a/src/roles/role_process.cpp
+++ b/src/roles/role_process.cpp
@@ -83,7 +83,7 @@
       m_rpc(m_key.rpc_token()), m_rpc_listener(rpc_limits()), m_http(limits_of(values.http))
 {
     m_self.id = values.identity.instance_id.text();
-    m_self.incarnation = start_milliseconds();
+    m_self.incarnation = first_incarnation(start_milliseconds());
     m_self.role = role;
     m_self.failure_domain = values.identity.failure_domain.text();
     m_self.address.ip = advertised_ip(values.http).text;
--- a/src/roles/role_process.h
+++ b/src/roles/role_process.h
@@ -59,7 +59,10 @@
     const member& self() const { return m_self; }
     const caf::actor& membership() const { return m_membership; }
     const caf::actor& documents() const { return m_documents; }
-    std::uint64_t incarnation() const { return m_self.incarnation; }
+
+    /// Start of this process in milliseconds since 1970. It identifies the memory of the process: copies and partitions
+    /// of another start are lost.
+    std::uint64_t start_time() const { return process_start(m_self.incarnation); }
 
     /// Address of the key-value service as text.
     std::string platform_address() const;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -4,6 +4,7 @@
 #include "membership/member_table.h"
 #include "membership/partition_owners.h"
 #include "membership/placement.h"
+#include "membership/takeover_choice.h"
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -504,6 +505,33 @@
     CHECK(owners.find(2) == known_owner{"b", 1});
 }
 
+TEST_CASE("an owner that restarted under its id has lost its partitions as soon as its new start is known")
+{
+    member_table table = table_of(0);
+    member owner = entry_member(1);
+    owner.incarnation = first_incarnation(5'000);
+    table.receive(heartbeat_of(owner, 1), seconds(1));
+    const head_view head{7, owner.id, process_start(owner.incarnation), {}};
+    const auto check = [&](const head_view& view) { return check_owner(view, table.find(owner.id)); };
+    CHECK(check(head) == owner_check::usable);
+    CHECK(check({8, owner.id, 0, {}}) == owner_check::awaited);
+    CHECK(check({0, "", 0, {}}) == owner_check::failed);
+    CHECK(check_owner(head, std::nullopt) == owner_check::failed);
+
+    // It came back after it was taken for gone: the same process, which still has its memory.
+    ++owner.incarnation;
+    table.receive(heartbeat_of(owner, 1), seconds(2));
+    CHECK(check(head) == owner_check::usable);
+
+    // Another start. No heartbeat is missing: the owner was heard a moment ago.
+    owner.incarnation = first_incarnation(5'001);
+    table.receive(heartbeat_of(owner, 1), seconds(3));
+    CHECK(table.judge(owner.id, seconds(3)) == member_judgement::heard);
+    CHECK(check(head) == owner_check::failed);
+    CHECK(check({9, owner.id, 5'001, {}}) == owner_check::usable);
+    CHECK(check({10, owner.id, 5'002, {}}) == owner_check::usable);
+}
+
 TEST_CASE("each failure domain has one holder of a duty, which changes only when the holder goes")
 {
     std::vector<member> members = entries(12);
