Make owners and backups that share partitions contacts of each other

Cause: set_contacts was never called, so above 24 processes a failed owner was presumed down only after 6 s for each 8 processes. All partitions chose their backups in the order of ids. Change: partitions report the backups of their head, backups read the head of the partitions whose copies they keep, and sharing_members computes the contacts. Peers are ordered by each partition's placement. The placement is computed again only after a change of the alive members.

--- a/src/blackboard/board.h
+++ b/src/blackboard/board.h
@@ -86,9 +86,10 @@
     board_entry<target_map> targets;                                ///< membership controller
     board_entry<std::vector<document_version>> announced_documents; ///< document controller
     board_entry<std::vector<owned_partition>> announced_partitions; ///< ownership controller
-    board_entry<std::map<std::string, group_status>> dispatch;      ///< dispatch controller, by group
-    board_entry<std::uint32_t> load_percent;                        ///< the HTTP interface
-    board_entry<bool> stopping;                                     ///< the process, on a planned stop
+    board_entry<std::set<std::string, std::less<>>> contacts;  ///< ownership controller: share partitions with this
+    board_entry<std::map<std::string, group_status>> dispatch; ///< dispatch controller, by group
+    board_entry<std::uint32_t> load_percent;                   ///< the HTTP interface
+    board_entry<bool> stopping;                                ///< the process, on a planned stop
 };
 
 } // namespace lagoonferry
--- a/src/membership/placement.cpp
+++ b/src/membership/placement.cpp
@@ -32,6 +32,13 @@
     return backups_in(ordered(partition), *it);
 }
 
+std::vector<std::string> placement::order(std::uint32_t partition) const
+{
+    std::vector<std::string> ids;
+    std::ranges::transform(ordered(partition), std::back_inserter(ids), &candidate::id);
+    return ids;
+}
+
 std::optional<std::string> placement::successor(std::uint32_t partition, std::span<const std::string> backups) const
 {
     const auto order = ordered(partition);
--- a/src/membership/placement.h
+++ b/src/membership/placement.h
@@ -33,6 +33,9 @@
     /// Returns backups for the partition of a given owner, which keeps them apart from its failure domain.
     std::vector<std::string> backups_for(std::uint32_t partition, std::string_view owner) const;
 
+    /// Returns all entries in the order in which the partition prefers them.
+    std::vector<std::string> order(std::uint32_t partition) const;
+
     /// Returns who takes over a partition whose owner is presumed down: the first of its backups that is among the
     /// entries, because it has the replica, or else the first entry by score. Nothing without entries.
     std::optional<std::string> successor(std::uint32_t partition, std::span<const std::string> backups) const;
--- a/src/membership/takeover_choice.cpp
+++ b/src/membership/takeover_choice.cpp
@@ -1,7 +1,23 @@
 #include "membership/takeover_choice.h"
 
+#include <algorithm>
+
 namespace lagoonferry {
 
+std::set<std::string, std::less<>> sharing_members(std::string_view self, std::span<const head_view> heads)
+{
+    std::set<std::string, std::less<>> result;
+    for (const head_view& head : heads) {
+        if (head.owner == self || std::ranges::find(head.backups, self) != head.backups.end()) {
+            result.insert(head.owner);
+            result.insert(head.backups.begin(), head.backups.end());
+        }
+    }
+    result.erase(std::string(self));
+    result.erase(std::string());
+    return result;
+}
+
 owner_check check_owner(const head_view& head, const std::optional<member>& known)
 {
     if (head.epoch == 0 || !known) {
--- a/src/membership/takeover_choice.h
+++ b/src/membership/takeover_choice.h
@@ -4,7 +4,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lagoonferry {
@@ -23,6 +26,10 @@
     failed,  ///< another process may take the partition over now
 };
 
+/// Returns the members that share a partition with `self`: for each head that names `self` as its owner or as a backup,
+/// the other members that it names. They are the contacts of the member table. Thread-safe.
+std::set<std::string, std::less<>> sharing_members(std::string_view self, std::span<const head_view> heads);
+
 /// Judges the owner that a head, or a claim in a heartbeat, names. `known` is what membership knows of that id, or
 /// nothing when it is unknown, gone or presumed down. An owner that runs with a later start has lost the partition. An
 /// earlier start than the head's only shows that membership lags behind the head. Thread-safe.
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -30,6 +30,12 @@
     return std::exchange(m_actions, {});
 }
 
+std::vector<backup_ref> partition_owner::core::backups() const
+{
+    const bool owned = m_phase == owner_phase::ready || m_phase == owner_phase::handing_over;
+    return owned ? m_journal.head().backups : std::vector<backup_ref>{};
+}
+
 std::optional<timestamp> partition_owner::core::next_wake() const
 {
     wake_time wakes(m_now);
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -29,6 +29,7 @@
 
     owner_phase phase() const { return m_phase; }
     std::uint64_t epoch() const { return m_phase == owner_phase::idle ? 0 : m_journal.epoch(); }
+    std::vector<backup_ref> backups() const;
     const owner_counters& counters() const { return m_counters; }
 
 private:
--- a/src/program/partition_owner.cpp
+++ b/src/program/partition_owner.cpp
@@ -30,6 +30,11 @@
     return m_core->epoch();
 }
 
+std::vector<backup_ref> partition_owner::backups() const
+{
+    return m_core->backups();
+}
+
 owner_counters partition_owner::counters() const
 {
     return m_core->counters();
--- a/src/program/partition_owner.h
+++ b/src/program/partition_owner.h
@@ -53,6 +53,9 @@
     /// The epoch of the present ownership, or 0.
     std::uint64_t epoch() const;
 
+    /// The backups that the head record names while the partition is owned, else none.
+    std::vector<backup_ref> backups() const;
+
     owner_counters counters() const;
 
 private:
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -169,6 +169,9 @@
     m_process.rpc().add("replicate", [this](const nlohmann::json& parameters) {
         const replica_request request{parameters.get<replicate_request>()};
         const auto reply = ask<replicate_reply>(m_process.actors(), m_replicas, request);
+        if (reply && reply->status == replicate_status::accepted) {
+            caf::anon_send(m_ownership, copy_received{request.message.partition, request.message.epoch});
+        }
         return reply ? nlohmann::json(*reply) : throw std::invalid_argument("the replica store does not answer");
     });
     m_process.rpc().add("fetch", [this](const nlohmann::json& parameters) {
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -41,6 +41,7 @@
 {
     const timestamp now = steady_now();
     m_table->set_own_load(*m_board->load_percent.read());
+    m_table->set_contacts(*m_board->contacts.read(), now);
     add_document_targets(now);
     send_heartbeats(now);
     publish(now);
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -88,6 +88,18 @@
     std::string hand_over_to; ///< RPC address of the successor after a finished handover
 };
 
+/// The head record of an owned partition names other backups than before.
+struct partition_backups {
+    std::uint32_t partition = 0;
+    std::vector<backup_ref> backups;
+};
+
+/// The process has stored a batch for a partition as its backup.
+struct copy_received {
+    std::uint32_t partition = 0;
+    std::uint64_t epoch = 0;
+};
+
 /// Asks the process to take a partition over, because its owner hands it over.
 struct takeover_request {
     std::uint32_t partition = 0;
@@ -160,6 +172,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::slot_datagram)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heartbeat_datagram)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_status)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_backups)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::copy_received)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::drain_request)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_documents)
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -14,6 +14,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval{250};
+// A backup reads the head of its partition again after this time, because the list of backups can change. With 4,096
+// copies in the fleet these are 68 reads a second.
+constexpr timestamp head_age = std::chrono::seconds(60);
+
+// The head names a new backup only after that backup has caught up.
+constexpr timestamp unlisted_head_age = std::chrono::seconds(5);
+
 // Longer than the timeout of the platform workers, which answer in every case.
 constexpr std::chrono::seconds platform_timeout{60};
 
@@ -81,18 +88,37 @@
         m_self->delayed_send(m_self, tick_interval, tick_atom::value);
         return;
     }
+    update_placement();
     send_membership();
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        consider(partition, now);
+    }
+    publish_contacts();
+    m_board->announced_partitions.write(m_owners->next_heartbeat(max_heartbeat_partitions));
+    publish();
+    m_self->delayed_send(m_self, tick_interval, tick_atom::value);
+}
+
+// Placing 2,048 partitions on 340 members takes tens of milliseconds, so it is repeated only after a change.
+void ownership_state::update_placement()
+{
     const auto members = m_board->members.read();
     std::vector<member> alive;
     std::ranges::copy_if(members->entries, std::back_inserter(alive),
                          [](const member& item) { return item.state == member_state::alive; });
-    const placement places(alive);
+    const auto same_place = [](const member& a, const member& b) {
+        return a.id == b.id && a.capacity == b.capacity && a.failure_domain == b.failure_domain;
+    };
+    if (!m_best.empty() && std::ranges::equal(alive, m_alive, same_place)) {
+        return;
+    }
+    m_alive = std::move(alive);
+    m_places = placement(m_alive);
+    m_best.clear();
     for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
-        consider(partition, places, now);
+        const auto place = m_places.of(partition);
+        m_best.push_back(place ? place->owner : std::string());
     }
-    m_board->announced_partitions.write(m_owners->next_heartbeat(max_heartbeat_partitions));
-    publish();
-    m_self->delayed_send(m_self, tick_interval, tick_atom::value);
 }
 
 void ownership_state::send_membership()
@@ -110,21 +136,68 @@
     if (std::ranges::equal(peers, m_last_peers, same)) {
         return;
     }
-    m_last_peers = peers;
-    for (const caf::actor& partition : m_partitions) {
-        m_self->send(partition, partition_event{membership_changed{peers}, nullptr});
+    m_last_peers = std::move(peers);
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        if (m_records[partition].active) {
+            send_peers(partition);
+        }
+    }
+}
+
+// Each partition prefers other backups. In the same order for all, a few members would keep the copies of the fleet.
+void ownership_state::send_peers(std::uint32_t partition)
+{
+    const std::vector<std::string> order = m_places.order(partition);
+    std::map<std::string_view, std::size_t> ranks;
+    for (const std::string& id : order) {
+        ranks.emplace(id, ranks.size());
     }
+    std::vector<peer_state> peers = m_last_peers;
+    std::ranges::stable_sort(peers, {}, [&](const peer_state& peer) {
+        const auto it = ranks.find(peer.instance.id);
+        return it == ranks.end() ? ranks.size() : it->second;
+    });
+    m_self->send(m_partitions[partition], partition_event{membership_changed{std::move(peers)}, nullptr});
 }
 
-void ownership_state::consider(std::uint32_t partition, const placement& places, timestamp now)
+void ownership_state::publish_contacts()
+{
+    std::vector<head_view> heads;
+    for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
+        if (m_records[partition].owned || is_backup(partition)) {
+            heads.push_back(m_records[partition].head);
+        }
+    }
+    m_board->contacts.write(sharing_members(m_options.self, heads));
+}
+
+// A claim with a higher epoch than the head's shows that the head is out of date.
+bool ownership_state::is_backup(std::uint32_t partition) const
+{
+    const partition_record& record = m_records[partition];
+    const auto owner = m_owners->find(partition);
+    return !record.owned && std::ranges::find(record.head.backups, m_options.self) != record.head.backups.end() &&
+           (!owner || owner->epoch <= record.head.epoch);
+}
+
+bool ownership_state::wants_head(std::uint32_t partition, timestamp now) const
+{
+    const partition_record& record = m_records[partition];
+    if (record.copy_epoch == 0) {
+        return false;
+    }
+    const timestamp age = is_backup(partition) ? head_age : unlisted_head_age;
+    return record.head_read.count() == 0 || now - record.head_read >= age;
+}
+
+void ownership_state::consider(std::uint32_t partition, timestamp now)
 {
     partition_record& record = m_records[partition];
-    const auto place = places.of(partition);
-    if (!place || record.handing_over) {
+    if (m_best[partition].empty() || record.handing_over) {
         return;
     }
     if (record.owned) {
-        const bool misplaced = place->owner != m_options.self;
+        const bool misplaced = m_best[partition] != m_options.self;
         if (!misplaced) {
             record.misplaced_since = timestamp{0};
         }
@@ -132,12 +205,13 @@
             record.misplaced_since = now;
         }
         else if (now - record.misplaced_since >= misplaced_time) {
-            hand_over(partition, place->owner);
+            hand_over(partition, m_best[partition]);
         }
         return;
     }
-    const bool candidate = record.lost_here || places.successor(partition, {}) == m_options.self;
-    if (candidate && !claim_holds(partition, now) && now >= m_started + settle_time && now >= record.next_takeover) {
+    const bool candidate = record.lost_here || m_best[partition] == m_options.self || is_backup(partition);
+    const bool ownerless = candidate && !claim_holds(partition, now) && now >= m_started + settle_time;
+    if ((ownerless || wants_head(partition, now)) && now >= record.next_takeover) {
         read_head(partition, now);
     }
 }
@@ -169,7 +243,12 @@
     if (record.owned || reply.status != kv_status::ok || !head) {
         return;
     }
-    if (owner_has_failed(partition, view_of(*head), now)) {
+    record.head = view_of(*head);
+    record.head_read = now;
+    if (!is_backup(partition)) {
+        record.copy_epoch = 0; // A copy that is still in use receives another batch, which asks for the head again.
+    }
+    if (now >= m_started + settle_time && owner_has_failed(partition, record.head, now)) {
         take_over(partition, now);
     }
 }
@@ -213,6 +292,8 @@
 {
     m_records[partition].next_takeover = now + takeover_retry;
     log(log_part::program, log_level::info, "Taking a partition over.", field("partition", partition));
+    m_records[partition].active = true;
+    send_peers(partition);
     m_self->send(m_partitions[partition], partition_event{start_takeover{}, nullptr});
 }
 
@@ -231,6 +312,10 @@
 {
     partition_record& record = m_records.at(status.partition);
     record.owned = status.owned;
+    record.active = status.owned;
+    record.copy_epoch = 0;
+    record.head = {status.epoch, status.owned ? m_options.self : std::string(), m_options.start_time, {}};
+    record.head_read = timestamp{0};
     record.epoch = status.epoch;
     record.handing_over = false;
     record.misplaced_since = timestamp{0};
@@ -250,6 +335,20 @@
     publish();
 }
 
+void ownership_state::on_backups(const partition_backups& message)
+{
+    std::vector<std::string> ids;
+    std::ranges::transform(message.backups, std::back_inserter(ids), &backup_ref::id);
+    m_records.at(message.partition).head.backups = std::move(ids);
+}
+
+void ownership_state::on_copy(const copy_received& message)
+{
+    if (message.partition < m_records.size() && !m_records[message.partition].owned) {
+        m_records[message.partition].copy_epoch = message.epoch;
+    }
+}
+
 void ownership_state::on_heard(const heard_partitions& message)
 {
     m_owners->learn(message.owner, message.partitions, message.owner_start);
@@ -263,7 +362,8 @@
 
 void ownership_state::on_takeover(const takeover_request& request)
 {
-    if (request.partition < m_records.size() && !m_records[request.partition].owned) {
+    // Peers must be complete before a takeover; the sender asks again, or the head is read later.
+    if (request.partition < m_records.size() && !m_records[request.partition].owned && !m_best.empty()) {
         take_over(request.partition, steady_now());
     }
 }
@@ -311,6 +411,8 @@
         [self](const partition_actors& message) { self->state.set_partitions(message.actors); },
         [self](tick_atom) { self->state.on_tick(); },
         [self](const partition_status& status) { self->state.on_status(status); },
+        [self](const partition_backups& message) { self->state.on_backups(message); },
+        [self](const copy_received& message) { self->state.on_copy(message); },
         [self](const heard_partitions& message) { self->state.on_heard(message); },
         [self](const takeover_request& request) { self->state.on_takeover(request); },
         [self](stop_atom) { return static_cast<std::uint64_t>(self->state.on_stop()); },
--- a/src/roles/ownership_controller.h
+++ b/src/roles/ownership_controller.h
@@ -42,6 +42,11 @@
     void set_partitions(std::vector<caf::actor> partitions);
 
     void on_tick();
+    /// Notes the backups of an owned partition, which are contacts.
+    void on_backups(const partition_backups& message);
+
+    /// Notes that this instance keeps a copy for the owner of a partition.
+    void on_copy(const copy_received& message);
     void on_status(const partition_status& status);
     void on_heard(const heard_partitions& message);
 
@@ -54,6 +59,7 @@
 private:
     struct partition_record {
         bool owned = false;
+        bool active = false; ///< owned, or a takeover runs; only then its controller is told of peers
         bool handing_over = false;
         std::uint64_t epoch = 0;
         timestamp next_takeover{0};
@@ -62,10 +68,18 @@
         bool lost_here = false; ///< ended here without a known successor; the head may still name this process
         std::uint64_t awaited_epoch = 0; ///< of a head whose owner has not taken a handover over yet
         timestamp awaited_since{0};
+        head_view head;               ///< as last read, or as the partition's own controller told
+        timestamp head_read{0};       ///< 0: never
+        std::uint64_t copy_epoch = 0; ///< of the last batch that this process stored as a backup
     };
 
+    void update_placement();
     void send_membership();
-    void consider(std::uint32_t partition, const placement& places, timestamp now);
+    void send_peers(std::uint32_t partition);
+    void publish_contacts();
+    bool is_backup(std::uint32_t partition) const;
+    bool wants_head(std::uint32_t partition, timestamp now) const;
+    void consider(std::uint32_t partition, timestamp now);
     /// Reads the head record, which decides whether to take over.
     void read_head(std::uint32_t partition, timestamp now);
     void on_head(std::uint32_t partition, const kv_reply& reply);
@@ -86,6 +100,9 @@
     std::vector<caf::actor> m_partitions;
     std::vector<partition_record> m_records;
     std::vector<peer_state> m_last_peers;
+    std::vector<member> m_alive;
+    placement m_places{{}};
+    std::vector<std::string> m_best; ///< the best placed owner of each partition; empty without entries
     timestamp m_started{0};
 };
 
--- a/src/roles/partition_controller.cpp
+++ b/src/roles/partition_controller.cpp
@@ -54,9 +54,19 @@
     for (const action& next : m_owner->handle(input, steady_now())) {
         std::visit([this](const auto& value) { carry_out(value); }, next);
     }
+    report_backups();
     schedule();
 }
 
+void partition_state::report_backups()
+{
+    std::vector<backup_ref> backups = m_owner->backups();
+    if (backups != m_backups) {
+        m_backups = std::move(backups);
+        m_self->send(m_links.ownership, partition_backups{m_partition, m_backups});
+    }
+}
+
 void partition_state::schedule()
 {
     const auto next = m_owner->next_wake();
--- a/src/roles/partition_controller.h
+++ b/src/roles/partition_controller.h
@@ -36,6 +36,7 @@
 
 private:
     void feed(const event& input);
+    void report_backups();
     void schedule();
     void carry_out(const kv_call& call);
     void carry_out(const send_replicate& message);
@@ -52,6 +53,7 @@
     partition_links m_links;
     std::uint32_t m_partition = 0;
     std::unique_ptr<partition_owner> m_owner;
+    std::vector<backup_ref> m_backups; ///< as last reported to `ownership`
     std::uint64_t m_next_request = 1;
     std::map<request_id, std::shared_ptr<call_session>> m_requests;
     std::optional<timestamp> m_wake;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -448,6 +448,49 @@
     CHECK(time <= seconds(9));
 }
 
+TEST_CASE("in a fleet of 340 the backups of a failed owner presume it down within 7 s, and no live contact")
+{
+    constexpr std::uint32_t partitions = 2'048;
+    fleet all(340, 2);
+    std::vector<member> members;
+    std::ranges::transform(all.tables, std::back_inserter(members), [](const auto& table) { return table->self(); });
+    const placement places(members);
+    std::vector<head_view> heads;
+    for (std::uint32_t p = 0; p < partitions; ++p) {
+        const auto placed = *places.of(p);
+        heads.push_back({1, placed.owner, 1, placed.backups});
+    }
+    std::size_t most = 0;
+    for (const auto& table : all.tables) {
+        const auto contacts = sharing_members(table->self().id, heads);
+        most = std::max(most, contacts.size());
+        table->set_contacts(contacts, all.now);
+    }
+    all.run(seconds(8));
+    for (int n = 0; n < 20; ++n) {
+        all.run(seconds(1));
+        for (const auto& table : all.tables) {
+            REQUIRE(table->usable(member_role::entry, all.now).size() == 340);
+        }
+    }
+    const std::string failed = entry_member(5).id;
+    std::set<std::size_t> backups;
+    for (const head_view& head : heads) {
+        for (const std::string& id : head.owner == failed ? head.backups : std::vector<std::string>{}) {
+            backups.insert(std::stoul(id.substr(6)));
+        }
+    }
+    REQUIRE(backups.size() >= 2);
+    all.down[5] = true;
+    const timestamp time = all.time_until_all([&](std::size_t n) {
+        return !backups.contains(n) || all.tables[n]->judge(failed, all.now) == member_judgement::presumed_down;
+    });
+    MESSAGE("with up to " << most << " contacts, a failed owner is presumed down by its " << backups.size()
+                          << " backups after " << time.count() / 1000 << " ms");
+    CHECK(time >= seconds(5));
+    CHECK(time <= seconds(7));
+}
+
 TEST_CASE("partitions are placed by capacity, in different failure domains, and few move with a member")
 {
     std::vector<member> members = entries(9);
