Stop a process whose id a newer one has taken, and note signs of life

Cause: member_table::superseded and heard_from had no callers. Change: the membership controller logs that a newer process runs with its id and requests a stop, which skips the drain and the handover of partitions. Authenticated slot messages count as signs of life of their sender. Test: 'a process whose id a newer one has taken stops, and the programs it owned go on' starts a second process with the owner's id.

--- a/src/blackboard/board.h
+++ b/src/blackboard/board.h
@@ -89,7 +89,8 @@
     board_entry<std::set<std::string, std::less<>>> contacts;  ///< ownership controller: share partitions with this
     board_entry<std::map<std::string, group_status>> dispatch; ///< dispatch controller, by group
     board_entry<std::uint32_t> load_percent;                   ///< the HTTP interface
-    board_entry<bool> stopping;                                ///< the process, on a planned stop
+    board_entry<bool> superseded; ///< membership controller: a newer process runs with this id
+    board_entry<bool> stopping;   ///< the process, on a planned stop
 };
 
 } // namespace lagoonferry
--- a/src/roles/dispatch_role.cpp
+++ b/src/roles/dispatch_role.cpp
@@ -43,8 +43,11 @@
     wait_for_stop_signal();
     log(log_part::main, log_level::info, "Stopping.", field("id", id));
     process.shared().stopping.write(true);
-    caf::anon_send(process.membership(), drain_request{});
-    std::this_thread::sleep_for(leave_time);
+    // The holders of a superseded process have turned to the newer one, which has its id.
+    if (!*process.shared().superseded.read()) {
+        caf::anon_send(process.membership(), drain_request{});
+        std::this_thread::sleep_for(leave_time);
+    }
     process.stop();
     return exit_done;
 }
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -208,10 +208,14 @@
     log(log_part::main, log_level::info, "Stopping.", field("id", m_id));
     const timestamp begun = steady_now();
     m_process.shared().stopping.write(true);
-    caf::anon_send(m_process.membership(), drain_request{});
+    // The newer process has the id, so a handover would name a successor for partitions that it takes over itself.
+    const bool superseded = *m_process.shared().superseded.read();
+    if (!superseded) {
+        caf::anon_send(m_process.membership(), drain_request{});
+    }
     const timestamp cached_until = begun + milliseconds(m_process.values().timing.address_ttl_ms);
     while (steady_now() < begun + longest_stop) {
-        const std::uint64_t partitions = hand_over_partitions();
+        const std::uint64_t partitions = superseded ? 0 : hand_over_partitions();
         const bool alone = m_process.shared().members.read()->entries.empty();
         if (steady_now() >= cached_until && m_callers->active() == 0 && (partitions == 0 || alone)) {
             break;
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -2,6 +2,7 @@
 
 #include "blackboard/board.h"
 #include "peer/datagram_sender.h"
+#include "roles/stop_signal.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
@@ -41,6 +42,7 @@
 {
     const timestamp now = steady_now();
     m_table->set_own_load(*m_board->load_percent.read());
+    stop_if_superseded();
     m_table->set_contacts(*m_board->contacts.read(), now);
     add_document_targets(now);
     send_heartbeats(now);
@@ -48,6 +50,17 @@
     m_self->delayed_send(m_self, m_options.heartbeat, tick_atom::value);
 }
 
+void membership_state::stop_if_superseded()
+{
+    if (!m_table->superseded() || *m_board->superseded.read()) {
+        return;
+    }
+    log(log_part::membership, log_level::error, "A newer process runs with the id of this one; stopping.",
+        field("id", m_options.self.id), field("incarnation", m_table->self().incarnation));
+    m_board->superseded.write(true);
+    request_stop();
+}
+
 void membership_state::send_heartbeats(timestamp now)
 {
     heartbeat message =
@@ -83,6 +96,11 @@
     }
 }
 
+void membership_state::on_heard(const heard_member& message)
+{
+    m_table->heard_from(message.id, steady_now());
+}
+
 void membership_state::on_instances(const listed_instances& message)
 {
     const timestamp now = steady_now();
@@ -173,6 +191,7 @@
     return {
         [self](tick_atom) { self->state.on_tick(); },
         [self](const heartbeat_datagram& received) { self->state.on_heartbeat(received); },
+        [self](const heard_member& message) { self->state.on_heard(message); },
         [self](const listed_instances& message) { self->state.on_instances(message); },
         [self](const drain_request& request) { return self->state.on_drain(request); },
     };
--- a/src/roles/membership_controller.h
+++ b/src/roles/membership_controller.h
@@ -44,12 +44,16 @@
                datagram_sender* sender);
     void on_tick();
     void on_heartbeat(const heartbeat_datagram& received);
+
+    /// Takes another authenticated message of a process as a sign of life.
+    void on_heard(const heard_member& message);
     void on_instances(const listed_instances& message);
 
     /// Marks a member or target as leaving. Returns false for an unknown id.
     bool on_drain(const drain_request& request);
 
 private:
+    void stop_if_superseded();
     void send_heartbeats(timestamp now);
     void publish(timestamp now);
     void publish_targets();
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -105,6 +105,11 @@
     std::uint32_t partition = 0;
 };
 
+/// An authenticated message other than a heartbeat has come from a process.
+struct heard_member {
+    std::string id;
+};
+
 /// Partitions that a peer owns, as its heartbeat says.
 struct heard_partitions {
     std::string owner;
@@ -183,6 +188,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::listed_documents)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::fetched_document)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::target_loads)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_member)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_partitions)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_call)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_actors)
--- a/src/roles/role_process.cpp
+++ b/src/roles/role_process.cpp
@@ -213,6 +213,7 @@
     }
     if (slots && body->is_object() && body->contains("g") && body->contains("m") && body->at("g").is_string()) {
         if (const auto parsed = decode_slot_message(body->at("m"))) {
+            caf::anon_send(m_membership, heard_member{message->sender});
             caf::anon_send(slots, slot_datagram{message->sender, body->at("g").get<std::string>(), *parsed});
         }
     }
--- a/src/roles/stop_signal.cpp
+++ b/src/roles/stop_signal.cpp
@@ -1,6 +1,7 @@
 #include "roles/stop_signal.h"
 
 #include <csignal>
+#include <unistd.h>
 
 namespace lagoonferry {
 
@@ -32,4 +33,9 @@
     return number;
 }
 
+void request_stop()
+{
+    ::kill(::getpid(), SIGTERM);
+}
+
 } // namespace lagoonferry
--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -208,6 +208,18 @@
     CHECK(content_of(system.turn(program, 1, "say 200 tokens")) == content_of(running));
 }
 
+TEST_CASE("a process whose id a newer one has taken stops, and the programs it owned go on")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    const std::string owner = system.owner_of(program);
+    const auto former = system.start_second(owner, "fd-" + owner.substr(owner.find('-') + 1));
+    CHECK(former->wait_for_exit(20s) == 0);
+    CHECK(system.turn(program, 2, "second").status == 200);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+}
+
 TEST_CASE("a leaving target gets no new work within 5 s, and the end of a program releases engine memory")
 {
     local_system system;
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -158,6 +158,13 @@
     m_entries[id] = std::move(process);
 }
 
+std::unique_ptr<child_process> local_system::start_second(const std::string& id, const std::string& failure_domain)
+{
+    std::unique_ptr<child_process> former = std::move(m_entries.at(id));
+    start_entry(id, failure_domain);
+    return former;
+}
+
 void local_system::start_dispatcher()
 {
     std::vector<std::string> arguments = common_arguments("dispatch-1", "fd-1");
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -77,6 +77,9 @@
     /// Starts an entry process with a given id; used by the constructor and for restarts.
     void start_entry(const std::string& id, const std::string& failure_domain);
 
+    /// Starts another entry process with the id of a running one, which goes on. Returns the former process.
+    std::unique_ptr<child_process> start_second(const std::string& id, const std::string& failure_domain);
+
     /// Sends a request to an entry instance with the operator key.
     http_answer operate(const std::string& entry, const std::string& method, const std::string& path,
                         const nlohmann::json& body = {}, const std::map<std::string, std::string>& headers = {});
