Let the backup that holds the copy take over

Cause: placement::successor was called without backups, so the best placed member took over and had to fetch every copy. Change: the reader of a failed owner's head passes the backups that run with the start the head names, and asks the chosen one if it is another process. Test: 'a backup that restarted has no copy, so the other backup takes over'.

--- a/src/membership/takeover_choice.cpp
+++ b/src/membership/takeover_choice.cpp
@@ -8,9 +8,11 @@
 {
     std::set<std::string, std::less<>> result;
     for (const head_view& head : heads) {
-        if (head.owner == self || std::ranges::find(head.backups, self) != head.backups.end()) {
+        if (head.owner == self || std::ranges::find(head.backups, self, &head_backup::id) != head.backups.end()) {
             result.insert(head.owner);
-            result.insert(head.backups.begin(), head.backups.end());
+            for (const head_backup& backup : head.backups) {
+                result.insert(backup.id);
+            }
         }
     }
     result.erase(std::string(self));
@@ -18,6 +20,18 @@
     return result;
 }
 
+std::vector<std::string> copy_holders(const head_view& head, std::span<const member> members)
+{
+    std::vector<std::string> holders;
+    for (const head_backup& backup : head.backups) {
+        const auto it = std::ranges::find(members, backup.id, &member::id);
+        if (it != members.end() && process_start(it->incarnation) == backup.incarnation) {
+            holders.push_back(backup.id);
+        }
+    }
+    return holders;
+}
+
 owner_check check_owner(const head_view& head, const std::optional<member>& known)
 {
     if (head.epoch == 0 || !known) {
--- a/src/membership/takeover_choice.h
+++ b/src/membership/takeover_choice.h
@@ -12,12 +12,18 @@
 
 namespace lagoonferry {
 
+/// A backup and the start of its process that holds the copy; see `process_start`.
+struct head_backup {
+    std::string id;
+    std::uint64_t incarnation = 0;
+};
+
 /// The fields of a partition's head record that decide who owns it.
 struct head_view {
     std::uint64_t epoch = 0; ///< 0: the partition has never been owned
     std::string owner;
     std::uint64_t owner_incarnation = 0; ///< start of the owner's process; 0: a handover is not taken over yet
-    std::vector<std::string> backups;
+    std::vector<head_backup> backups;
 };
 
 enum class owner_check {
@@ -30,6 +36,10 @@
 /// the other members that it names. They are the contacts of the member table. Thread-safe.
 std::set<std::string, std::less<>> sharing_members(std::string_view self, std::span<const head_view> heads);
 
+/// Returns the backups that have the copy: those among `members` that run with the start that the head names.
+/// Thread-safe.
+std::vector<std::string> copy_holders(const head_view& head, std::span<const member> members);
+
 /// Judges the owner that a head, or a claim in a heartbeat, names. `known` is what membership knows of that id, or
 /// nothing when it is unknown, gone or presumed down. An owner that runs with a later start has lost the partition. An
 /// earlier start than the head's only shows that membership lags behind the head. Thread-safe.
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -53,10 +53,19 @@
            a.leaving == b.leaving && a.listed == b.listed;
 }
 
+std::vector<head_backup> backups_of(const std::vector<backup_ref>& backups)
+{
+    std::vector<head_backup> result;
+    std::ranges::transform(backups, std::back_inserter(result), [](const backup_ref& backup) {
+        return head_backup{backup.id, backup.incarnation};
+    });
+    return result;
+}
+
 head_view view_of(const head_record& head)
 {
     head_view view{head.epoch, head.owner.id, head.owner_incarnation, {}};
-    std::ranges::transform(head.backups, std::back_inserter(view.backups), &backup_ref::id);
+    view.backups = backups_of(head.backups);
     return view;
 }
 
@@ -109,10 +118,11 @@
     const auto same_place = [](const member& a, const member& b) {
         return a.id == b.id && a.capacity == b.capacity && a.failure_domain == b.failure_domain;
     };
-    if (!m_best.empty() && std::ranges::equal(alive, m_alive, same_place)) {
+    const bool same = !m_best.empty() && std::ranges::equal(alive, m_alive, same_place);
+    m_alive = std::move(alive);
+    if (same) {
         return;
     }
-    m_alive = std::move(alive);
     m_places = placement(m_alive);
     m_best.clear();
     for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
@@ -176,7 +186,8 @@
 {
     const partition_record& record = m_records[partition];
     const auto owner = m_owners->find(partition);
-    return !record.owned && std::ranges::find(record.head.backups, m_options.self) != record.head.backups.end() &&
+    return !record.owned &&
+           std::ranges::find(record.head.backups, m_options.self, &head_backup::id) != record.head.backups.end() &&
            (!owner || owner->epoch <= record.head.epoch);
 }
 
@@ -249,7 +260,7 @@
         record.copy_epoch = 0; // A copy that is still in use receives another batch, which asks for the head again.
     }
     if (now >= m_started + settle_time && owner_has_failed(partition, record.head, now)) {
-        take_over(partition, now);
+        replace_owner(partition, now);
     }
 }
 
@@ -288,6 +299,27 @@
     return it->known;
 }
 
+void ownership_state::replace_owner(std::uint32_t partition, timestamp now)
+{
+    const head_view& head = m_records[partition].head;
+    if (head.owner == m_options.self && head.owner_incarnation != 0 && head.owner_incarnation == m_options.start_time) {
+        return take_over(partition, now);
+    }
+    const std::vector<std::string> holders = copy_holders(head, m_alive);
+    const auto successor = m_places.successor(partition, holders);
+    if (!successor) {
+        return;
+    }
+    if (*successor == m_options.self || (holders.empty() && head.owner == m_options.self)) {
+        return take_over(partition, now);
+    }
+    // Without holders the best placed member reads the head itself.
+    const auto next = holders.empty() ? std::nullopt : reachable(*successor);
+    if (next) {
+        m_self->send(m_links.peers, takeover_call{rpc_address(*next), partition});
+    }
+}
+
 void ownership_state::take_over(std::uint32_t partition, timestamp now)
 {
     m_records[partition].next_takeover = now + takeover_retry;
@@ -337,9 +369,7 @@
 
 void ownership_state::on_backups(const partition_backups& message)
 {
-    std::vector<std::string> ids;
-    std::ranges::transform(message.backups, std::back_inserter(ids), &backup_ref::id);
-    m_records.at(message.partition).head.backups = std::move(ids);
+    m_records.at(message.partition).head.backups = backups_of(message.backups);
 }
 
 void ownership_state::on_copy(const copy_received& message)
--- a/src/roles/ownership_controller.h
+++ b/src/roles/ownership_controller.h
@@ -84,6 +84,9 @@
     void read_head(std::uint32_t partition, timestamp now);
     void on_head(std::uint32_t partition, const kv_reply& reply);
     bool owner_has_failed(std::uint32_t partition, const head_view& head, timestamp now);
+
+    /// Takes a failed owner's partition over, or asks the backup that should do it.
+    void replace_owner(std::uint32_t partition, timestamp now);
     void take_over(std::uint32_t partition, timestamp now);
     void hand_over(std::uint32_t partition, const std::string& successor);
     bool claim_holds(std::uint32_t partition, timestamp now) const;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -458,7 +458,10 @@
     std::vector<head_view> heads;
     for (std::uint32_t p = 0; p < partitions; ++p) {
         const auto placed = *places.of(p);
-        heads.push_back({1, placed.owner, 1, placed.backups});
+        heads.push_back({1, placed.owner, 1, {}});
+        for (const std::string& id : placed.backups) {
+            heads.back().backups.push_back({id, 1});
+        }
     }
     std::size_t most = 0;
     for (const auto& table : all.tables) {
@@ -476,8 +479,8 @@
     const std::string failed = entry_member(5).id;
     std::set<std::size_t> backups;
     for (const head_view& head : heads) {
-        for (const std::string& id : head.owner == failed ? head.backups : std::vector<std::string>{}) {
-            backups.insert(std::stoul(id.substr(6)));
+        for (const head_backup& backup : head.owner == failed ? head.backups : std::vector<head_backup>{}) {
+            backups.insert(std::stoul(backup.id.substr(6)));
         }
     }
     REQUIRE(backups.size() >= 2);
@@ -532,6 +535,27 @@
     CHECK_FALSE(placement({}).successor(7, placed.backups));
 }
 
+TEST_CASE("a backup that restarted has no copy, so the other backup takes over")
+{
+    std::vector<member> members = entries(9);
+    for (member& item : members) {
+        item.incarnation = first_incarnation(5'000);
+    }
+    const auto placed = *placement(members).of(7);
+    const head_view head{3, placed.owner, 5'000, {{placed.backups[0], 5'000}, {placed.backups[1], 5'000}}};
+    std::erase_if(members, [&](const member& item) { return item.id == placed.owner; });
+    const auto successor = [&] { return placement(members).successor(7, copy_holders(head, members)); };
+    CHECK(successor() == placed.backups[0]);
+    member& first = *std::ranges::find(members, placed.backups[0], &member::id);
+    ++first.incarnation;
+    CHECK(successor() == placed.backups[0]);
+    first.incarnation = first_incarnation(5'001);
+    CHECK(successor() == placed.backups[1]);
+    std::erase_if(members, [&](const member& item) { return item.id == placed.backups[1]; });
+    CHECK(copy_holders(head, members).empty());
+    CHECK(successor() == placement(members).of(7)->owner);
+}
+
 TEST_CASE("the owner with the highest epoch is known, and own partitions are told in turn")
 {
     partition_owners owners("me");
