Read heads on a worker of their own and redirect without a claim

Cause: reads of heads during an outage queued on the worker that also writes owned partitions. In a large fleet most owners are not contacts, so their claims are rarely heard. Change: a separate platform worker, one read in flight for each partition. Callers are redirected to the best placed member when no claim was heard for 60 s. Addresses are looked up once for each publication.

--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -76,6 +76,7 @@
     caf::actor m_ownership;
     caf::actor m_slots;
     std::vector<caf::actor> m_platform;
+    caf::actor m_head_reader; ///< apart, so that reads during an outage do not delay the writes of owned partitions
     std::optional<partition_router> m_router;
     std::unique_ptr<turn_runner> m_turns;
     std::unique_ptr<tool_runner> m_tool_runner;
@@ -111,6 +112,8 @@
         m_platform.push_back(m_process.keep(actors.spawn<caf::detached>(platform_worker, m_process.platform_address(),
                                                                         platform_timeout, &m_process.counts())));
     }
+    m_head_reader = m_process.keep(actors.spawn<caf::detached>(platform_worker, m_process.platform_address(),
+                                                               platform_timeout, &m_process.counts()));
     m_peers = m_process.keep(actors.spawn(peer_controller, m_process.key().rpc_token()));
     m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.start_time()));
     m_releases =
@@ -122,7 +125,7 @@
     options.partitions = m_process.values().partitions.count;
     options.presumed_down = milliseconds(m_process.values().timing.presumed_down_ms);
     m_ownership = m_process.keep(
-        actors.spawn(ownership_controller, options, ownership_links{m_peers, m_platform.front()}, &m_process.shared()));
+        actors.spawn(ownership_controller, options, ownership_links{m_peers, m_head_reader}, &m_process.shared()));
 }
 
 owner_settings entry_role::settings_of(std::uint32_t partition) const
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -21,6 +21,10 @@
 // The head names a new backup only after that backup has caught up.
 constexpr timestamp unlisted_head_age = std::chrono::seconds(5);
 
+// Claims of owners that are not contacts are rare in a large fleet. Without a claim in this time, the best placed
+// member is taken for the owner when callers are redirected.
+constexpr timestamp claim_age = std::chrono::seconds(60);
+
 // Longer than the timeout of the platform workers, which answer in every case.
 constexpr std::chrono::seconds platform_timeout{60};
 
@@ -222,7 +226,7 @@
     }
     const bool candidate = record.lost_here || m_best[partition] == m_options.self || is_backup(partition);
     const bool ownerless = candidate && !claim_holds(partition, now) && now >= m_started + settle_time;
-    if ((ownerless || wants_head(partition, now)) && now >= record.next_takeover) {
+    if ((ownerless || wants_head(partition, now)) && now >= record.next_takeover && !record.reading_head) {
         read_head(partition, now);
     }
 }
@@ -240,16 +244,19 @@
 void ownership_state::read_head(std::uint32_t partition, timestamp now)
 {
     m_records[partition].next_takeover = now + takeover_retry;
+    m_records[partition].reading_head = true;
     kv_call call;
     call.key = head_key(partition);
     m_self->request(m_links.platform, platform_timeout, platform_request{call})
-        .then([this, partition](const kv_reply& reply) { on_head(partition, reply); }, [](const caf::error&) {});
+        .then([this, partition](const kv_reply& reply) { on_head(partition, reply); },
+              [this, partition](const caf::error&) { m_records[partition].reading_head = false; });
 }
 
 void ownership_state::on_head(std::uint32_t partition, const kv_reply& reply)
 {
     const timestamp now = steady_now();
     partition_record& record = m_records[partition];
+    record.reading_head = false;
     const auto head = reply.version == 0 ? std::optional(head_record{}) : decode_head(reply.value);
     if (record.owned || reply.status != kv_status::ok || !head) {
         return;
@@ -417,6 +424,14 @@
 void ownership_state::publish()
 {
     owner_view view;
+    const timestamp now = steady_now();
+    const auto entries = m_board->all_entries.read();
+    std::map<std::string_view, std::string> addresses;
+    for (const judged_member& item : *entries) {
+        if (!item.presumed_down && item.known.id != m_options.self) {
+            addresses[item.known.id] = to_string(network_address{item.known.address.ip, item.known.address.http_port});
+        }
+    }
     for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
         if (m_records[partition].owned) {
             if (!m_records[partition].handing_over) {
@@ -425,9 +440,11 @@
             continue;
         }
         const auto owner = m_owners->find(partition);
-        const auto known = owner && owner->id != m_options.self ? reachable(owner->id) : std::nullopt;
-        if (known) {
-            view.addresses[partition] = to_string(network_address{known->address.ip, known->address.http_port});
+        const bool claimed = owner && now - m_records[partition].claimed < claim_age;
+        const std::string best = partition < m_best.size() ? m_best[partition] : std::string();
+        const auto it = addresses.find(claimed ? owner->id : best);
+        if (it != addresses.end()) {
+            view.addresses[partition] = it->second;
         }
     }
     m_board->owners.write(std::move(view));
--- a/src/roles/ownership_controller.h
+++ b/src/roles/ownership_controller.h
@@ -68,7 +68,8 @@
         bool lost_here = false; ///< ended here without a known successor; the head may still name this process
         std::uint64_t awaited_epoch = 0; ///< of a head whose owner has not taken a handover over yet
         timestamp awaited_since{0};
-        head_view head;               ///< as last read, or as the partition's own controller told
+        head_view head; ///< as last read, or as the partition's own controller told
+        bool reading_head = false;
         timestamp head_read{0};       ///< 0: never
         std::uint64_t copy_epoch = 0; ///< of the last batch that this process stored as a backup
     };
