Spread the leaving targets of a failure domain within 5 s

Cause: a heartbeat told 40 targets, the same to its three peers, so 340 targets took 9 rounds of 500 ms to be told once by each process. Answers carried no news, so processes that are nobody's contacts heard nothing from entry processes. Change: targets are sorted and encoded without shared prefixes, up to 200 in a datagram, and answers carry the news that the sender did not tell.

--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
+#include <tuple>
 
 namespace lagoonferry {
 
@@ -133,16 +135,57 @@
     return in.valid() ? std::optional(update) : std::nullopt;
 }
 
-std::optional<target_update> decode_target(const json& item)
+/// Groups of targets with the same state and incarnation: `[state, incarnation, shared, rest, shared, rest, ...]`.
+/// An identifier is the first `shared` bytes of the one before it in the group, followed by `rest`.
+json encode_targets(const std::vector<target_update>& targets)
 {
-    const bool valid = item.is_array() && item.size() == 3 && item[0].is_string() && item[1].is_number_unsigned() &&
-                       item[2].is_number_unsigned() && item[2].get<std::uint64_t>() <= max_state;
-    if (!valid) {
-        return std::nullopt;
+    json groups = json::array();
+    const target_update* previous = nullptr;
+    for (const target_update& target : targets) {
+        const bool same_group =
+            previous != nullptr && previous->state == target.state && previous->incarnation == target.incarnation;
+        if (!same_group) {
+            groups.push_back({static_cast<unsigned>(target.state), target.incarnation});
+            previous = nullptr;
+        }
+        const std::string_view before = previous == nullptr ? std::string_view() : previous->id;
+        const auto end = std::ranges::mismatch(before, target.id).in1;
+        const auto shared = static_cast<std::size_t>(end - before.begin());
+        groups.back().push_back(shared);
+        groups.back().push_back(target.id.substr(shared));
+        previous = &target;
+    }
+    return groups;
+}
+
+void decode_target_group(field_reader& in, const json& group, std::vector<target_update>& result)
+{
+    const bool valid = group.is_array() && group.size() >= 4 && group.size() % 2 == 0 &&
+                       group[0].is_number_unsigned() && group[0].get<std::uint64_t>() <= max_state &&
+                       group[1].is_number_unsigned();
+    in.require(valid);
+    std::string previous;
+    for (std::size_t i = 2; in.valid() && i < group.size(); i += 2) {
+        const json& shared = group[i];
+        const json& rest = group[i + 1];
+        in.require(shared.is_number_unsigned() && shared.get<std::uint64_t>() <= previous.size() && rest.is_string());
+        in.require(result.size() < max_heartbeat_targets);
+        if (!in.valid()) {
+            return;
+        }
+        const auto id = label<max_member_id>::from(previous.substr(0, shared.get<std::size_t>()) +
+                                                   rest.get_ref<const std::string&>());
+        in.require(id.has_value());
+        previous = id ? id->text() : std::string();
+        result.push_back({previous, group[1], static_cast<member_state>(group[0].get<unsigned>())});
+    }
+}
+
+void decode_targets(field_reader& in, std::vector<target_update>& result)
+{
+    for (const json& group : in.list("t", max_heartbeat_targets)) {
+        decode_target_group(in, group, result);
     }
-    const auto id = label<max_member_id>::from(item[0].get_ref<const std::string&>());
-    return id ? std::optional(target_update{id->text(), item[1], static_cast<member_state>(item[2].get<unsigned>())})
-              : std::nullopt;
 }
 
 std::optional<document_version> decode_document(const json& item)
@@ -186,8 +229,8 @@
     for (const member_update& update : message.updates) {
         result["u"].push_back(encode(update));
     }
-    for (const target_update& target : message.targets) {
-        result["t"].push_back({target.id, target.incarnation, static_cast<unsigned>(target.state)});
+    if (!message.targets.empty()) {
+        result["t"] = encode_targets(message.targets);
     }
     for (const document_version& document : message.documents) {
         result["d"].push_back({document.service, document.version});
@@ -211,12 +254,17 @@
     result.sender = *sender;
     result.wants_answer = in.find("w") != nullptr;
     decode_list(in, in.list("u", max_heartbeat_updates), result.updates, decode_update);
-    decode_list(in, in.list("t", max_heartbeat_targets), result.targets, decode_target);
+    decode_targets(in, result.targets);
     decode_list(in, in.list("d", max_heartbeat_documents), result.documents, decode_document);
     decode_partitions(in, result.partitions);
     return in.valid() ? std::optional(result) : std::nullopt;
 }
 
+bool shorter_order(const target_update& a, const target_update& b)
+{
+    return std::tie(a.state, a.incarnation, a.id) < std::tie(b.state, b.incarnation, b.id);
+}
+
 std::size_t encoded_bytes(const heartbeat& message)
 {
     return json::to_cbor(to_json(message)).size();
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -14,7 +14,7 @@
 namespace lagoonferry {
 
 inline constexpr std::size_t max_heartbeat_updates = 8;
-inline constexpr std::size_t max_heartbeat_targets = 40;
+inline constexpr std::size_t max_heartbeat_targets = 200;
 inline constexpr std::size_t max_heartbeat_documents = 4;
 inline constexpr std::size_t max_heartbeat_partitions = 24;
 
@@ -40,6 +40,10 @@
     bool operator==(const target_update&) const = default;
 };
 
+/// Orders targets so that a heartbeat encodes them in few bytes: equal states and incarnations, and common prefixes of
+/// identifiers, follow each other. Thread-safe.
+bool shorter_order(const target_update& a, const target_update& b);
+
 /// A partition that the sender owns, with the epoch of its head record.
 struct owned_partition {
     std::uint32_t partition = 0;
@@ -51,9 +55,9 @@
 /// The datagram that processes send each other every 500 ms. Idempotent and unordered.
 struct heartbeat {
     member_update sender;
-    bool wants_answer = false;          ///< the receiver answers with a heartbeat without updates
+    bool wants_answer = false;          ///< the receiver answers with a heartbeat that carries only news
     std::vector<member_update> updates; ///< about processes
-    std::vector<target_update> targets;
+    std::vector<target_update> targets; ///< shortest when ordered by `shorter_order`
     std::vector<document_version> documents;
     std::vector<owned_partition> partitions;
 
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -44,15 +44,42 @@
                             : item.state != member_state::alive;
 }
 
-template <class T, class Record>
-void drop_surplus(std::vector<T>& items, std::vector<Record*>& records, const heartbeat& message)
+target_update update_of(const member& target)
 {
-    while (!items.empty() && encoded_bytes(message) > max_heartbeat_bytes) {
-        items.pop_back();
-        records.pop_back();
+    return {target.id, target.incarnation, target.state};
+}
+
+/// Adds as many of `items` to `list`, which is a part of `message`, as fit in this order. Returns their number.
+template <class T, class Order>
+std::size_t add_fitting(heartbeat& message, std::vector<T>& list, const std::vector<T>& items, Order order)
+{
+    const std::vector<T> before = list;
+    const auto put = [&](std::size_t count) {
+        list = before;
+        list.insert(list.end(), items.begin(), items.begin() + static_cast<std::ptrdiff_t>(count));
+        std::ranges::sort(list.begin() + static_cast<std::ptrdiff_t>(before.size()), list.end(), order);
+        return encoded_bytes(message) <= max_heartbeat_bytes;
+    };
+    if (put(items.size())) {
+        return items.size();
+    }
+    std::size_t fits = 0;
+    // By halves, because each trial encodes the message.
+    for (std::size_t limit = items.size(); fits < limit;) {
+        const std::size_t trial = fits + (limit - fits + 1) / 2;
+        if (put(trial)) {
+            fits = trial;
+        }
+        else {
+            limit = trial - 1;
+        }
     }
+    put(fits);
+    return fits;
 }
 
+constexpr auto any_order = [](const member_update& /*a*/, const member_update& /*b*/) { return false; };
+
 } // namespace
 
 member_table::member_table(member self, member_timing timing, std::uint16_t datagram_port, std::uint64_t seed,
@@ -140,22 +167,23 @@
     heartbeat message{m_self.known, true, {}, {}, std::move(documents), std::move(partitions)};
     std::vector<record*> processes = to_tell(true, max_heartbeat_updates, processes_in_turn, m_last_process_told);
     std::vector<record*> targets = to_tell(false, max_heartbeat_targets, targets_in_turn, m_last_target_told);
-    std::ranges::transform(targets, std::back_inserter(message.targets), [](const record* item) {
-        const member& about = item->known.about;
-        return target_update{about.id, about.incarnation, about.state};
-    });
-    std::ranges::transform(processes, std::back_inserter(message.updates),
+    std::vector<member_update> updates;
+    std::ranges::transform(processes, std::back_inserter(updates),
                            [&](const record* item) { return as_told(*item, now); });
-    drop_surplus(message.updates, processes, message);
-    drop_surplus(message.targets, targets, message);
+    std::vector<target_update> target_updates;
+    std::ranges::transform(targets, std::back_inserter(target_updates),
+                           [](const record* item) { return update_of(item->known.about); });
+    processes.resize(add_fitting(message, message.updates, updates, any_order));
+    targets.resize(add_fitting(message, message.targets, target_updates, shorter_order));
     std::ranges::copy(targets, std::back_inserter(processes));
     for (record* item : processes) {
         item->tellings_left -= item->tellings_left > 0 ? 1 : 0;
     }
+    m_has_news = std::ranges::any_of(m_records, [](const auto& pair) { return pair.second.tellings_left > 0; });
     return message;
 }
 
-heartbeat member_table::answer(const heartbeat& message, std::vector<owned_partition> partitions) const
+heartbeat member_table::answer(const heartbeat& message, std::vector<owned_partition> partitions, timestamp now) const
 {
     heartbeat result{m_self.known, false, {}, {}, {}, std::move(partitions)};
     const member& sender = message.sender.about;
@@ -164,9 +192,43 @@
         (known->known.about.state > sender.state || known->known.about.incarnation > sender.incarnation)) {
         result.updates.push_back(known->known);
     }
+    if (!m_has_news) {
+        return result;
+    }
+    std::vector<target_update> targets;
+    std::ranges::transform(news_for(message, false), std::back_inserter(targets),
+                           [](const record* item) { return update_of(item->known.about); });
+    std::vector<member_update> updates;
+    std::ranges::transform(news_for(message, true), std::back_inserter(updates),
+                           [&](const record* item) { return as_told(*item, now); });
+    updates.resize(std::min(updates.size(), max_heartbeat_updates - result.updates.size()));
+    add_fitting(result, result.updates, updates, any_order);
+    targets.resize(std::min(targets.size(), max_heartbeat_targets));
+    add_fitting(result, result.targets, targets, shorter_order);
     return result;
 }
 
+std::vector<const member_table::record*> member_table::news_for(const heartbeat& message, bool processes) const
+{
+    std::set<std::string_view> told{message.sender.about.id};
+    for (const target_update& target : message.targets) {
+        told.insert(target.id);
+    }
+    for (const member_update& update : message.updates) {
+        told.insert(update.about.id);
+    }
+    std::vector<const record*> news;
+    for (const auto& [id, item] : m_records) {
+        if (item.tellings_left > 0 && is_process(item.known.about) == processes && !told.contains(id)) {
+            news.push_back(&item);
+        }
+    }
+    std::ranges::stable_sort(news, std::greater{}, [](const record* item) {
+        return std::pair(item->known.about.state, item->tellings_left);
+    });
+    return news;
+}
+
 std::vector<member> member_table::next_peers(std::size_t count, timestamp now)
 {
     std::erase_if(m_records, [&](const auto& pair) { return forgettable(pair.second, now); });
@@ -421,6 +483,7 @@
 
 void member_table::tell(record& item)
 {
+    m_has_news = true;
     item.tellings_left = static_cast<std::size_t>(std::bit_width(m_process_count + 1));
 }
 
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -64,9 +64,10 @@
     heartbeat next_heartbeat(std::vector<document_version> documents, std::vector<owned_partition> partitions,
                              timestamp now);
 
-    /// Returns the answer to a heartbeat that wants one. Its only update tells the sender when this process takes it
+    /// Returns the answer to a heartbeat that wants one. It carries news that the sender did not tell, so that news
+    /// reaches processes that are nobody's contacts. The first update tells the sender when this process takes it
     /// for leaving, gone or superseded.
-    heartbeat answer(const heartbeat& message, std::vector<owned_partition> partitions) const;
+    heartbeat answer(const heartbeat& message, std::vector<owned_partition> partitions, timestamp now) const;
 
     /// Returns at most `count` members that get the next heartbeat, and counts them as contacted. Nothing while no
     /// member is known: the caller then contacts the seeds of its settings.
@@ -126,6 +127,7 @@
     void tell(record& item);
     void update_contacts(timestamp now);
     std::vector<record*> to_tell(bool processes, std::size_t limit, std::size_t in_turn, std::string& last_told);
+    std::vector<const record*> news_for(const heartbeat& message, bool processes) const;
     void order_contacts(std::vector<record*>& contacts, timestamp now);
     bool contactable(const record& item) const;
     member addressed(const record& item) const;
@@ -142,6 +144,7 @@
     std::size_t m_process_count = 1; ///< processes that were not gone at the last round, with this one
     bool m_list_answered = false;
     bool m_superseded = false;
+    bool m_has_news = false; ///< a record may have tellings left; saves answers from looking at all records
     std::string m_last_process_told;
     std::string m_last_target_told;
 };
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -82,7 +82,7 @@
     const timestamp now = steady_now();
     const std::string& sender = received.message.sender.about.id;
     if (m_table->receive(received.message, now)) {
-        heartbeat answer = m_table->answer(received.message, *m_board->announced_partitions.read());
+        heartbeat answer = m_table->answer(received.message, *m_board->announced_partitions.read(), now);
         answer.documents = *m_board->announced_documents.read();
         m_sender->send(received.from, datagram_kind::heartbeat, to_json(answer));
     }
