Release the slack of stored messages

The JSON library builds its output in a string that doubles as it grows, and the owner kept that capacity for as long as the history.

--- a/src/program/history.cpp
+++ b/src/program/history.cpp
@@ -70,7 +70,10 @@
         return std::nullopt;
     }
     try {
-        return value.dump();
+        std::string message = value.dump();
+        // The output string doubles as it grows; the slack would stay for as long as the history.
+        message.shrink_to_fit();
+        return message;
     }
     catch (const json::exception&) {
         return std::nullopt;
