Drop flushed texts from an owner's memory and read them back

An owner kept the texts of all turns, up to 64 MB for each partition. Texts that a segment named by the head contains now leave memory, least recently used program first, when the bound is near. The digest of the last turn, which covers the chain, and the segment of each text stay. A turn of such a program waits until its segments are read back, one read at a time and shared by all programs that need it, and until the chain is verified. When the read fails, is slow, or the key-value service has not confirmed a head write for a while, the turn is refused as `platform_unavailable`, "not run". A segment that is absent or does not match refuses the turn as `program_unavailable` with a retry time. Segments below 64 KB stay in memory until they are merged, because merging works from memory.

A takeover keeps digests of all texts but only the texts for which there is room. Until now a program that a takeover ended kept its texts until the end of the retention time; the check found this as a partition that stayed full.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 
 namespace lagoonferry {
 
@@ -40,11 +41,11 @@
                  const journal_settings& settings)
     : m_partition(partition), m_self(std::move(self)), m_incarnation(incarnation), m_settings(&settings),
       m_chain(partition, std::move(writer), m_outbox, settings), m_segments(partition, m_outbox, settings),
-      m_eraser(m_outbox, settings), m_load_channel(m_outbox, settings)
+      m_eraser(m_outbox, settings), m_load_channel(m_outbox, settings), m_reader(m_outbox, settings)
 {
 }
 
-void journal::start_takeover()
+void journal::start_takeover(keep_texts keep)
 {
     const bool startable =
         m_phase == journal_phase::idle || m_phase == journal_phase::handed_over || m_phase == journal_phase::lost;
@@ -52,6 +53,8 @@
     m_segments = segment_set(m_partition, m_outbox, *m_settings);
     m_eraser.clear();
     m_load_channel = kv_channel(m_outbox, *m_settings);
+    m_reader = segment_reader(m_outbox, *m_settings);
+    m_keep = std::move(keep);
     m_image = {};
     m_loaded_texts.clear();
     m_log.clear();
@@ -136,16 +139,14 @@
 void journal::forget(std::string_view program)
 {
     m_image.forget(program);
-    m_segments.drop([program](const stored_text& it) { return program_of(it) == program; });
+    m_segments.drop([program](const segment_text& it) { return it.program == program; });
 }
 
 void journal::expire_result(const std::string& program, const std::string& key, const std::string& call)
 {
     m_image.expire_result(program, key);
-    m_segments.drop([&call](const stored_text& it) {
-        const auto* result = std::get_if<result_text>(&it);
-        return result != nullptr && result->call == call;
-    });
+    m_segments.drop(
+        [&call](const segment_text& it) { return it.number == 0 && std::get<result_text>(*it.text).call == call; });
 }
 
 void journal::handle(const kv_reply& reply, timestamp now)
@@ -156,6 +157,7 @@
         m_snapshot->handle(reply, now);
     }
     m_eraser.handle(reply, now);
+    m_reader.handle(reply, now);
     if (m_load_channel.accept(reply, now) && m_phase == journal_phase::loading) {
         handle_load(reply, now);
     }
@@ -168,6 +170,7 @@
         return;
     }
     on_head(m_chain.poll(now));
+    m_reader.poll(now);
     if (m_phase == journal_phase::loading) {
         load_next(now);
     }
@@ -316,9 +319,9 @@
 
 void journal::drop_unused_texts()
 {
-    m_segments.drop([this](const stored_text& it) {
-        const program_record* program = m_image.find(program_of(it));
-        return program == nullptr || (program->ended && std::holds_alternative<turn_text>(it));
+    m_segments.drop([this](const segment_text& it) {
+        const program_record* program = m_image.find(it.program);
+        return program == nullptr || (program->ended && it.number != 0);
     });
 }
 
@@ -361,8 +364,7 @@
     }
     const std::string& key = head().segments.at(m_next_load - 1);
     if (texts) {
-        std::ranges::copy(*texts, std::back_inserter(m_loaded_texts));
-        m_segments.add_loaded(key, reply.version, std::move(*texts));
+        keep_segment(key, reply.version, std::move(*texts));
     }
     else {
         // The programs whose texts are missing become unavailable, unless another takeover has replaced the head.
@@ -371,6 +373,24 @@
     ++m_next_load;
 }
 
+void journal::keep_segment(const std::string& key, std::uint64_t version, std::vector<text_ref> texts)
+{
+    const std::size_t bytes =
+        std::accumulate(texts.begin(), texts.end(), std::size_t{0},
+                        [](std::size_t sum, const text_ref& it) { return sum + text_bytes(*it); });
+    const bool keep = bytes < m_settings->evictable_bytes || !m_keep || m_keep(bytes);
+    std::vector<segment_text> places;
+    for (text_ref& it : texts) {
+        text_summary summary = summarize(std::move(it));
+        if (!keep && summary.number != 0) {
+            summary.text.reset();
+        }
+        places.push_back({summary.program, summary.number, summary.bytes, summary.text});
+        m_loaded_texts.push_back(std::move(summary));
+    }
+    m_segments.add_loaded(key, version, std::move(places));
+}
+
 void journal::check_still_sealed()
 {
     if (m_chain.idle()) {
@@ -402,9 +422,7 @@
     if (ended == nullptr) {
         return;
     }
-    m_segments.drop([ended](const stored_text& it) {
-        return std::holds_alternative<turn_text>(it) && program_of(it) == ended->program;
-    });
+    m_segments.drop([ended](const segment_text& it) { return it.number != 0 && it.program == ended->program; });
 }
 
 void journal::trim_log()
@@ -582,6 +600,7 @@
         wakes.add(m_load_channel.next_wake());
     }
     wakes.add(m_segments.next_wake());
+    wakes.add(m_reader.next_wake());
     if (m_snapshot && !m_snapshot->version()) {
         wakes.add(m_snapshot->next_wake());
     }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -6,12 +6,14 @@
 #include "journal/kv_outbox.h"
 #include "journal/log_item.h"
 #include "journal/partition_image.h"
+#include "journal/segment_reader.h"
 #include "journal/segment_set.h"
 #include "util/wake_time.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -56,8 +58,12 @@
     journal& operator=(const journal&) = delete;
     ~journal() = default;
 
-    /// Starts a takeover from any phase in which none is running. Precondition: phase is idle, handed_over or lost.
-    void start_takeover();
+    /// Decides whether the texts of a segment, with this number of bytes, stay in memory during a takeover.
+    using keep_texts = std::function<bool(std::size_t)>;
+
+    /// Starts a takeover from any phase in which none is running. Without `keep` all texts stay in memory.
+    /// Precondition: phase is idle, handed_over or lost.
+    void start_takeover(keep_texts keep = {});
 
     /// Continues the takeover with what the copies contained: entries behind the head's last sequence, and texts of
     /// any sequence that no segment contains. `closing` entries take effect in the same write that completes the
@@ -92,6 +98,19 @@
     /// Drops a result from later snapshots and segments.
     void expire_result(const std::string& program, const std::string& key, const std::string& call);
 
+    /// See `segment_set::evict`.
+    std::vector<std::uint64_t> evict(std::string_view program) { return m_segments.evict(program); }
+
+    /// See `segment_set::keys_of_evicted`.
+    std::vector<std::string> keys_of_evicted(std::string_view program) const
+    {
+        return m_segments.keys_of_evicted(program);
+    }
+
+    /// Reads segments back; reads start with the next `take_calls`.
+    segment_reader& reader() { return m_reader; }
+    const segment_reader& reader() const { return m_reader; }
+
     void handle(const kv_reply& reply, timestamp now);
 
     /// Starts what is due.
@@ -113,7 +132,7 @@
     const partition_image& image() const { return m_image; }
 
     /// Texts of the segments that the takeover read; empty once `finish_takeover` was called.
-    const std::vector<text_ref>& loaded_texts() const { return m_loaded_texts; }
+    const std::vector<text_summary>& loaded_texts() const { return m_loaded_texts; }
 
     const std::deque<logged_item>& log() const { return m_log; }
 
@@ -145,6 +164,7 @@
     void handle_load(const kv_reply& reply, timestamp now);
     void load_snapshot(const kv_reply& reply, timestamp now);
     void load_segment(const kv_reply& reply);
+    void keep_segment(const std::string& key, std::uint64_t version, std::vector<text_ref> texts);
     void check_still_sealed();
     void apply_durable(std::uint64_t sequence);
     void drop_ended(const entry& content);
@@ -175,12 +195,14 @@
     segment_set m_segments;
     key_eraser m_eraser;
     kv_channel m_load_channel;
+    segment_reader m_reader;
+    keep_texts m_keep;
 
     journal_phase m_phase = journal_phase::idle;
     std::uint64_t m_epoch = 0;
     std::uint64_t m_read_epoch = 0; ///< epoch that the takeover found
     partition_image m_image;
-    std::vector<text_ref> m_loaded_texts;
+    std::vector<text_summary> m_loaded_texts;
     std::size_t m_next_load = 0; ///< 0: the snapshot; n: segment n - 1
 
     std::deque<logged_item> m_log;
--- /dev/null
+++ b/src/journal/segment_reader.cpp
@@ -0,0 +1,49 @@
+#include "journal/segment_reader.h"
+
+#include "journal/segment_set.h"
+
+namespace lagoonferry {
+
+namespace {
+
+/// The key-value service answers in milliseconds; a read that takes longer than this shows that it is slow.
+constexpr timestamp slow_read{std::chrono::milliseconds{500}};
+
+} // namespace
+
+void segment_reader::read(const std::string& key, timestamp now)
+{
+    m_key = key;
+    m_started = now;
+    m_channel.send({.request = 0, .operation = kv_operation::get, .key = key, .expected = 0, .value = {}}, now);
+}
+
+void segment_reader::handle(const kv_reply& reply, timestamp now)
+{
+    if (!m_channel.accept(reply, now)) {
+        return;
+    }
+    m_done = segment_read{m_key, read_result::failed, {}};
+    if (reply.status != kv_status::ok) {
+        return;
+    }
+    auto texts = reply.version == 0 ? std::nullopt : decode_segment(reply.value);
+    m_done->result = texts ? read_result::ok : read_result::absent;
+    if (texts) {
+        m_done->texts = std::move(*texts);
+    }
+}
+
+void segment_reader::poll(timestamp now)
+{
+    if (m_channel.timed_out(now)) {
+        m_done = segment_read{m_key, read_result::failed, {}};
+    }
+}
+
+bool segment_reader::failing(timestamp now) const
+{
+    return m_channel.in_flight() ? now >= m_started + slow_read : !m_done && !m_channel.ready(now);
+}
+
+} // namespace lagoonferry
--- a/src/journal/segment_set.cpp
+++ b/src/journal/segment_set.cpp
@@ -5,15 +5,22 @@
 #include <algorithm>
 #include <iterator>
 #include <numeric>
+#include <set>
 
 namespace lagoonferry {
 
 namespace {
 
-std::size_t total_bytes(const std::vector<text_ref>& texts)
+segment_text place(text_ref text)
 {
-    return std::accumulate(texts.begin(), texts.end(), std::size_t{0},
-                           [](std::size_t sum, const text_ref& it) { return sum + text_bytes(*it); });
+    segment_text out;
+    out.program = program_of(*text);
+    out.bytes = text_bytes(*text);
+    if (const auto* turn = std::get_if<turn_text>(text.get())) {
+        out.number = turn->number;
+    }
+    out.text = std::move(text);
+    return out;
 }
 
 } // namespace
@@ -23,9 +30,22 @@
 {
 }
 
-void segment_set::add_loaded(std::string key, std::uint64_t version, std::vector<text_ref> texts)
+void segment_set::add_loaded(std::string key, std::uint64_t version, std::vector<segment_text> texts)
+{
+    segment added{std::move(key), version, std::move(texts), false};
+    added.evictable = total_bytes(added) >= m_settings->evictable_bytes;
+    m_segments.push_back(std::move(added));
+}
+
+std::size_t segment_set::total_bytes(const segment& it)
 {
-    m_segments.push_back({std::move(key), version, std::move(texts)});
+    return std::accumulate(it.texts.begin(), it.texts.end(), std::size_t{0},
+                           [](std::size_t sum, const segment_text& text) { return sum + text.bytes; });
+}
+
+bool segment_set::in_memory(const segment& it)
+{
+    return std::ranges::all_of(it.texts, [](const segment_text& text) { return text.text != nullptr; });
 }
 
 void segment_set::add(std::uint64_t sequence, text_ref text, timestamp now)
@@ -34,20 +54,60 @@
     m_pending.push_back({sequence, std::move(text), now});
 }
 
-void segment_set::drop(const std::function<bool(const stored_text&)>& unused)
+void segment_set::drop(const std::function<bool(const segment_text&)>& unused)
 {
-    const auto matches = [&unused](const text_ref& it) { return unused(*it); };
     for (segment& it : m_segments) {
-        std::erase_if(it.texts, matches);
+        std::erase_if(it.texts, unused);
     }
-    std::erase_if(m_batch.content.texts, matches);
+    std::erase_if(m_batch.content.texts, unused);
     std::erase_if(m_pending, [&](const pending_text& it) {
-        const bool dropped = unused(*it.text);
+        const bool dropped = unused(place(it.text));
         m_unflushed_bytes -= dropped ? text_bytes(*it.text) : 0;
         return dropped;
     });
 }
 
+std::vector<std::uint64_t> segment_set::evict(std::string_view program)
+{
+    const auto of_program = [program](const segment_text& it) { return it.number != 0 && it.program == program; };
+    std::set<std::uint64_t> held;
+    const auto hold = [&](const segment_text& it) {
+        if (of_program(it)) {
+            held.insert(it.number);
+        }
+    };
+    std::ranges::for_each(m_pending, [&](const pending_text& it) { hold(place(it.text)); });
+    std::ranges::for_each(m_batch.content.texts, hold);
+    for (const segment& it : m_segments) {
+        if (!it.evictable) {
+            std::ranges::for_each(it.texts, hold);
+        }
+    }
+    std::vector<std::uint64_t> evicted;
+    for (segment& it : m_segments) {
+        for (segment_text& text : it.texts) {
+            if (it.evictable && of_program(text) && !held.contains(text.number)) {
+                text.text.reset();
+                evicted.push_back(text.number);
+            }
+        }
+    }
+    return evicted;
+}
+
+std::vector<std::string> segment_set::keys_of_evicted(std::string_view program) const
+{
+    std::vector<std::string> keys;
+    for (const segment& it : m_segments) {
+        const bool holds = std::ranges::any_of(
+            it.texts, [program](const segment_text& text) { return text.text == nullptr && text.program == program; });
+        if (holds) {
+            keys.push_back(it.key);
+        }
+    }
+    return keys;
+}
+
 void segment_set::poll(std::uint64_t epoch, bool at_once, timestamp now)
 {
     if (!m_write && due(at_once, now)) {
@@ -77,7 +137,7 @@
         }
         m_batch.new_bytes += bytes;
         m_batch.sequences.push_back(m_pending.front().sequence);
-        m_batch.content.texts.push_back(std::move(m_pending.front().text));
+        m_batch.content.texts.push_back(place(std::move(m_pending.front().text)));
         m_pending.pop_front();
     }
     if (m_segments.size() >= m_settings->merge_segments_above && m_batch.new_bytes < m_settings->segment_limit) {
@@ -85,7 +145,10 @@
     }
     m_batch.content.key = "history/" + std::to_string(m_partition) + "/" + std::to_string(epoch) + "-" +
                           std::to_string(m_batch.sequences.back());
-    m_write.emplace(m_batch.content.key, encode_segment(m_batch.content.texts), *m_outbox, *m_settings);
+    m_batch.content.evictable = total_bytes(m_batch.content) >= m_settings->evictable_bytes;
+    std::vector<text_ref> texts;
+    std::ranges::transform(m_batch.content.texts, std::back_inserter(texts), &segment_text::text);
+    m_write.emplace(m_batch.content.key, encode_segment(texts), *m_outbox, *m_settings);
     m_written = false;
     m_last_start = now;
 }
@@ -93,10 +156,14 @@
 void segment_set::merge_small(std::size_t room)
 {
     std::vector<const segment*> order;
-    std::ranges::transform(m_segments, std::back_inserter(order), [](const segment& it) { return &it; });
-    std::ranges::stable_sort(order, {}, [](const segment* it) { return total_bytes(it->texts); });
+    for (const segment& it : m_segments) {
+        if (in_memory(it)) {
+            order.push_back(&it);
+        }
+    }
+    std::ranges::stable_sort(order, {}, [](const segment* it) { return total_bytes(*it); });
     for (const segment* it : order) {
-        const std::size_t bytes = total_bytes(it->texts);
+        const std::size_t bytes = total_bytes(*it);
         if (bytes > room) {
             return;
         }
--- a/src/journal/segment_set.h
+++ b/src/journal/segment_set.h
@@ -14,21 +14,37 @@
 
 namespace lagoonferry {
 
+/// A text and the segment that contains it. Results of calls are always in memory.
+struct segment_text {
+    std::string program;
+    std::uint64_t number = 0; ///< of the turn; 0 for the result of a call
+    std::size_t bytes = 0;
+    text_ref text; ///< null if the text is only in the key-value service
+};
+
 /// The history segments of one partition: collects texts, writes them in batches below immutable keys, and merges
-/// small segments from memory while it writes new ones. A segment counts once the head record names it.
+/// small segments from memory while it writes new ones. Texts of larger segments may leave memory; such a segment keeps
+/// its key until all of its texts are dropped. A segment counts once the head record names it.
 /// One thread at a time.
 class segment_set {
 public:
     segment_set(std::uint32_t partition, kv_outbox& outbox, const journal_settings& settings);
 
     /// Adds a segment that was read during a takeover.
-    void add_loaded(std::string key, std::uint64_t version, std::vector<text_ref> texts);
+    void add_loaded(std::string key, std::uint64_t version, std::vector<segment_text> texts);
 
     /// Adds a text to be written. Precondition: `sequence` rises from call to call.
     void add(std::uint64_t sequence, text_ref text, timestamp now);
 
     /// Drops the texts for which `unused` returns true, from memory and from later segments.
-    void drop(const std::function<bool(const stored_text&)>& unused);
+    void drop(const std::function<bool(const segment_text&)>& unused);
+
+    /// Removes from memory what the key-value service holds of a program's turns, apart from small segments. Returns
+    /// the numbers of the turns that are in no other place here.
+    std::vector<std::uint64_t> evict(std::string_view program);
+
+    /// Keys of the segments that hold turns of a program which are not in memory.
+    std::vector<std::string> keys_of_evicted(std::string_view program) const;
 
     /// Starts and continues writing; `at_once` ignores the interval between segments.
     void poll(std::uint64_t epoch, bool at_once, timestamp now);
@@ -65,7 +81,8 @@
     struct segment {
         std::string key;
         std::uint64_t version = 0;
-        std::vector<text_ref> texts;
+        std::vector<segment_text> texts;
+        bool evictable = false;
     };
 
     struct pending_text {
@@ -82,6 +99,8 @@
         std::size_t new_bytes = 0;
     };
 
+    static std::size_t total_bytes(const segment& it);
+    static bool in_memory(const segment& it);
     bool due(bool at_once, timestamp now) const;
     void start_batch(std::uint64_t epoch, timestamp now);
     void merge_small(std::size_t room);
--- a/src/journal/stored_text.cpp
+++ b/src/journal/stored_text.cpp
@@ -83,6 +83,24 @@
     return std::visit([](const auto& it) { return size_of(it); }, text);
 }
 
+text_summary summarize(text_ref text)
+{
+    text_summary out;
+    out.program = program_of(*text);
+    out.bytes = text_bytes(*text);
+    out.intact = verified(*text);
+    if (const auto* turn = std::get_if<turn_text>(text.get())) {
+        out.number = turn->number;
+        out.previous = turn->previous;
+        out.digest = turn->digest;
+    }
+    else {
+        out.digest = std::get<result_text>(*text).digest;
+    }
+    out.text = std::move(text);
+    return out;
+}
+
 json text_to_json(const stored_text& text)
 {
     return std::visit([](const auto& it) { return write(it); }, text);
--- a/src/journal/stored_text.h
+++ b/src/journal/stored_text.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -46,6 +47,20 @@
 /// Returns the number of bytes of message, answer or result text. Thread-safe.
 std::size_t text_bytes(const stored_text& text);
 
+/// What a takeover keeps of a text of a segment, so that it can check a chain whose texts do not fit into memory.
+struct text_summary {
+    std::string program;
+    std::uint64_t number = 0; ///< 0 for the result of a call
+    std::string previous;     ///< digest, as in `turn_text`
+    std::string digest;
+    std::size_t bytes = 0;
+    bool intact = false; ///< as returned by `verified`
+    text_ref text;       ///< null if the text was not kept
+};
+
+/// Precondition: `text` is not null. Thread-safe.
+text_summary summarize(text_ref text);
+
 nlohmann::json text_to_json(const stored_text& text);
 
 /// Throws nlohmann::json::exception for anything that `text_to_json` does not produce. Does not verify the digest.
--- a/src/program/owner_calls.cpp
+++ b/src/program/owner_calls.cpp
@@ -386,7 +386,9 @@
     }
     key.finished = m_now;
     key.sequence = append(std::move(content), text);
-    return key.sequence;
+    const std::uint64_t sequence = key.sequence;
+    count_texts(*find_program(call.program));
+    return sequence;
 }
 
 void partition_owner::core::call_not_sent(running_call& call, const call_finished& it)
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -18,10 +18,16 @@
 partition_owner::core::core(owner_settings settings)
     : m_settings(std::move(settings)),
       m_journal(m_settings.partition, m_settings.self, m_settings.incarnation, m_settings.writer, m_settings.journal),
-      m_backups(m_settings)
+      m_backups(m_settings),
+      m_memory(m_settings.memory ? m_settings.memory : std::make_shared<history_memory>(m_settings.max_history_bytes))
 {
 }
 
+partition_owner::core::~core()
+{
+    count_bytes(0);
+}
+
 std::vector<action> partition_owner::core::handle(const event& input, timestamp now)
 {
     m_now = std::max(m_now, now);
@@ -45,6 +51,13 @@
     for (const waiting_answer& it : m_waiting) {
         wakes.add(it.deadline);
     }
+    for (const waiting_turn& it : m_waiting_turns) {
+        wakes.add(it.deadline);
+    }
+    if (m_history_bytes > 0 && m_settings.memory) {
+        // Other partitions may need the memory.
+        wakes.add(m_next_eviction);
+    }
     wakes.add(m_phase == owner_phase::idle ? std::nullopt : std::optional{m_next_clean_up});
     return wakes.earliest();
 }
@@ -83,7 +96,11 @@
 {
     if (m_phase == owner_phase::idle) {
         m_phase = owner_phase::taking_over;
-        m_journal.start_takeover();
+        m_journal.start_takeover([this](std::size_t bytes) {
+            const bool room = m_memory->has_room(bytes);
+            count_bytes(m_history_bytes + (room ? bytes : 0));
+            return room;
+        });
     }
 }
 
@@ -93,6 +110,9 @@
         m_phase = owner_phase::handing_over;
         m_successor = it.successor;
         m_journal.start_handover(it.successor);
+        drop_loads({});
+        refuse_waiting(
+            {}, {result_code::stopping, run_state::not_run, "the partition is being handed over", retry_soon_ms, {}});
     }
 }
 
@@ -130,7 +150,9 @@
     m_stored = m_backups.stored(m_journal, m_now);
     m_journal.set_stored(m_stored);
     answer_waiting();
+    advance_loads();
     advance_calls();
+    evict_texts();
     clean_up();
     advance_handover();
     m_backups.poll(m_journal, m_now, m_actions);
@@ -208,13 +230,10 @@
 void partition_owner::core::restore_programs(const recovered_partition& recovered)
 {
     m_programs.clear();
-    m_history_bytes = 0;
+    count_bytes(0);
     for (const auto& [id, record] : recovered.image.programs()) {
-        program_state program = restore_program(id, record, recovered);
-        for (const text_ref& it : program.turns) {
-            m_history_bytes += text_bytes(*it);
-        }
-        m_programs.emplace(id, std::move(program));
+        program_state& program = m_programs.emplace(id, restore_program(id, record, recovered)).first->second;
+        count_texts(program);
     }
 }
 
@@ -224,11 +243,13 @@
     program_state program;
     program.opened = record.opened;
     program.recorded_turns = record.turns;
+    program.digest = record.digest;
     program.context_tokens = record.context_tokens;
     program.account = budget_account(record.opened.limits, record.opened.mark_chunks);
     program.account.restore(record.marked, record.children);
     program.unavailable = recovered.unavailable.contains(id);
-    if (const auto history = recovered.histories.find(id); history != recovered.histories.end()) {
+    // A program that this takeover ends still has its history in `recovered`.
+    if (const auto history = recovered.histories.find(id); history != recovered.histories.end() && !record.ended) {
         program.turns = history->second;
     }
     if (record.ended) {
@@ -311,7 +332,8 @@
     m_calls.clear();
     m_waiting.clear();
     m_programs.clear();
-    m_history_bytes = 0;
+    m_loads.clear();
+    count_bytes(0);
     emit(partition_lost{reason, std::move(owner)});
 }
 
@@ -329,6 +351,7 @@
             call.step == call_step::running || call.attempt > 1 ? run_state::outcome_unknown : run_state::not_run;
         refuse(call.request, std::move(refused));
     }
+    refuse_waiting({}, reason);
     for (waiting_answer& it : m_waiting) {
         refusal refused = reason;
         refused.run = it.otherwise.run;
@@ -403,6 +426,7 @@
             continue;
         }
         m_journal.forget(it->first);
+        count_bytes(m_history_bytes - program.text_bytes);
         it = m_programs.erase(it);
     }
 }
@@ -425,6 +449,7 @@
             m_journal.expire_result(id, item.first, state.call);
         }
     }
+    count_texts(program);
 }
 
 std::uint64_t partition_owner::core::append(entry content, text_ref text, durability wanted)
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -3,6 +3,7 @@
 #include "journal/journal.h"
 #include "program/backup_set.h"
 #include "program/history.h"
+#include "program/history_memory.h"
 #include "program/partition_owner.h"
 #include "program/program_state.h"
 #include "program/recovery.h"
@@ -23,6 +24,9 @@
 class partition_owner::core {
 public:
     explicit core(owner_settings settings);
+    core(const core&) = delete;
+    core& operator=(const core&) = delete;
+    ~core();
 
     std::vector<action> handle(const event& input, timestamp now);
     std::optional<timestamp> next_wake() const;
@@ -68,6 +72,20 @@
         std::string end_on_timeout; ///< a program that nobody will use if its opening is refused
     };
 
+    /// A turn that waits until the texts of its program are in memory.
+    struct waiting_turn {
+        begin_turn turn;
+        timestamp deadline{0};
+    };
+
+    /// The texts of one program while they are read back.
+    struct history_load {
+        std::string program;
+        std::set<std::string> keys; ///< segments that are still to be read
+        std::map<std::uint64_t, std::vector<text_ref>> found;
+        std::size_t bytes = 0;
+    };
+
     using call_map = std::map<std::string, running_call, std::less<>>;
     using program_map = std::map<std::string, program_state, std::less<>>;
 
@@ -125,6 +143,24 @@
     void send_turn(running_call& call);
     void store_turn(running_call& call, std::string answer, const token_usage& usage);
 
+    // owner_history.cpp: texts that are not in memory
+    static bool in_memory(const program_state& program);
+    std::optional<refusal> check_history(const begin_turn& it, const program_state& program) const;
+    void wait_for_history(const begin_turn& it, const program_state& program);
+    void advance_loads();
+    void finish_read(const segment_read& read);
+    void collect(history_load& load, const segment_read& read);
+    void complete_load(const history_load& load);
+    std::optional<std::vector<text_ref>> chain_of(const program_state& program, const history_load& load) const;
+    /// An empty name stands for all programs, also in `drop_loads`.
+    void refuse_waiting(const std::string& program, const refusal& reason);
+    void drop_loads(const std::string& program);
+    void evict_texts();
+    void evict(program_state& program);
+    bool needs_texts(const program_state& program) const;
+    void count_texts(program_state& program);
+    void count_bytes(std::size_t bytes);
+
     // owner_calls.cpp: tool calls
     void on(const begin_call& it);
     void on(const call_finished& it);
@@ -178,12 +214,17 @@
     std::uint64_t m_stored = 0;
     std::uint64_t m_last_call = 0;
     timestamp m_next_clean_up{0};
-    std::size_t m_history_bytes = 0;
+    std::shared_ptr<history_memory> m_memory;
+    std::size_t m_history_bytes = 0; ///< as counted in `m_memory`
+    timestamp m_next_eviction{0};
+    bool m_continuing = false; ///< turns that were accepted before they waited for their history
     owner_counters m_counters;
 
     program_map m_programs;
     call_map m_calls;
     std::list<waiting_answer> m_waiting;
+    std::list<waiting_turn> m_waiting_turns;
+    std::list<history_load> m_loads;
     std::vector<action> m_actions;
 };
 
--- a/src/program/owner_programs.cpp
+++ b/src/program/owner_programs.cpp
@@ -57,9 +57,16 @@
     if (oldest != log.end() && m_now >= oldest->appended + m_settings.store_timeout) {
         return refused(result_code::not_stored, "no backup acknowledges", retry_later_ms);
     }
-    const bool full = m_calls.size() >= m_settings.max_running_calls ||
-                      m_journal.image().bytes() > m_settings.max_record_bytes ||
-                      m_history_bytes > m_settings.max_history_bytes;
+    const bool full =
+        m_calls.size() >= m_settings.max_running_calls || m_journal.image().bytes() > m_settings.max_record_bytes;
+    const bool exceeded = m_memory->exceeded() && !m_continuing;
+    if (exceeded && m_journal.stalled(m_now, m_settings.confirm_timeout)) {
+        return refused(result_code::platform_unavailable, "the memory is full and texts cannot be written down",
+                       retry_later_ms);
+    }
+    if (exceeded) {
+        return refused(result_code::overloaded, "the memory for histories is full", retry_later_ms);
+    }
     if (full) {
         return refused(result_code::overloaded, "the partition is full", retry_later_ms);
     }
@@ -220,11 +227,11 @@
     if (program_state* parent = find_program(program.opened.parent)) {
         parent->account.end_child(program.opened.limits, program.ended->spent);
     }
-    for (const text_ref& it : program.turns) {
-        m_history_bytes -= std::min(m_history_bytes, text_bytes(*it));
-    }
+    drop_loads(id);
+    refuse_waiting(id, refused(result_code::program_ended, "the program has ended"));
     program.recorded_turns = std::max<std::uint64_t>(program.recorded_turns, program.turns.size());
     program.turns.clear();
+    count_texts(program);
     emit(release_engine_memory{id, program.opened.service, {program.targets.begin(), program.targets.end()}});
 }
 
@@ -278,7 +285,7 @@
     json payload{{"program", it.program},
                  {"state", program_status(program)},
                  {"turns", stored_turns(program)},
-                 {"digest", history ? as_turn(program.turns.back()).digest : std::string()},
+                 {"digest", history ? program.digest : std::string()},
                  {"limits", budget_json(program.opened.limits)},
                  {"spent", budget_json(program.ended ? program.ended->spent : program.account.committed())},
                  {"running", running}};
--- a/src/program/owner_settings.h
+++ b/src/program/owner_settings.h
@@ -6,10 +6,13 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace lagoonferry {
 
+class history_memory;
+
 /// Removes single guards of the protocol so that tests can show that their checks notice. All off in production.
 struct fault_injection {
     bool send_before_confirmed = false; ///< irreversible calls do not wait for their intent
@@ -20,6 +23,8 @@
     bool continue_without_copy = false; ///< a takeover that lacks a copy serves what the others hold
     bool forget_intents = false;        ///< a successor treats calls without outcome as never sent
     bool single_list_change = false;    ///< a change of backups counts acknowledgements of the new list only
+    bool skip_history_read = false;     ///< a turn does not wait for texts that are not in memory
+    bool skip_history_check = false;    ///< texts that are read back are not verified
 };
 
 /// Limits and times of one partition's owner.
@@ -44,9 +49,12 @@
     std::size_t inline_result_bytes = 256;                           ///< longer results are stored as text
     std::size_t max_record_bytes = std::size_t{700} * 1024;          ///< of the snapshot; a value holds at most 1 MB
     std::size_t max_unflushed_bytes = std::size_t{16} * 1024 * 1024; ///< not yet in the key-value service
-    std::size_t max_history_bytes = std::size_t{64} * 1024 * 1024;   ///< texts of all programs of the partition
+    std::size_t max_history_bytes = std::size_t{64} * 1024 * 1024;   ///< texts in memory, without `memory`
+    std::size_t max_history_loads = 16;                              ///< programs whose texts are being read back
     std::size_t max_running_calls = 1024;
 
+    std::shared_ptr<history_memory> memory; ///< shared by the partitions of a process; null: `max_history_bytes`
+
     fault_injection faults;
 };
 
--- a/src/program/owner_turns.cpp
+++ b/src/program/owner_turns.cpp
@@ -55,6 +55,13 @@
         refuse(it.request, refused(result_code::program_unavailable, "a part of the history was lost"));
         return;
     }
+    program.last_used = m_now;
+    const bool unread =
+        m_settings.faults.skip_history_read && it.number == program.turns.size() + 1 && !it.full_history;
+    if (!in_memory(program) && !unread) {
+        wait_for_history(it, program);
+        return;
+    }
     failure why;
     std::optional<turn_request> request = read_turn(it, program, why);
     if (!request) {
@@ -160,6 +167,10 @@
 {
     const program_state& program = *find_program(call.program);
     call.step = call_step::running;
+    std::vector<text_ref> history = program.turns;
+    if (m_settings.faults.skip_history_read) {
+        std::erase(history, nullptr);
+    }
     emit(start_engine_call{.request = call.request,
                            .call = call.id,
                            .epoch = m_journal.epoch(),
@@ -167,7 +178,7 @@
                            .service = program.opened.service,
                            .account = program.opened.account,
                            .turn = call.turn.number,
-                           .messages = build_prompt(program.turns, call.turn.messages),
+                           .messages = build_prompt(history, call.turn.messages),
                            .max_completion_tokens = call.turn.max_completion_tokens,
                            .tokens_spent = program.account.used().tokens,
                            .deadline = call.deadline});
@@ -202,7 +213,7 @@
     turn_text turn;
     turn.program = call.program;
     turn.number = program.turns.size() + 1;
-    turn.previous = program.turns.empty() ? std::string() : as_turn(program.turns.back()).digest;
+    turn.previous = program.digest;
     turn.messages = std::move(call.turn.messages);
     turn.answer = std::move(answer);
     turn.digest = chain_digest(turn);
@@ -210,9 +221,11 @@
     // The next prompt holds this prompt and this answer; the engine's own count is exact.
     program.context_tokens = usage.prompt + usage.completion;
     const turn_entry content{call.program, turn.number, turn.digest, program.context_tokens};
+    program.digest = turn.digest;
+    program.last_used = m_now;
     const auto text = std::make_shared<const stored_text>(std::move(turn));
-    m_history_bytes += text_bytes(*text);
     program.turns.push_back(text);
+    count_texts(program);
     program.turn_sequence = append(content, text);
     refusal late{result_code::not_stored, run_state::run, "no backup has acknowledged the answer", retry_later_ms, {}};
     answer_when_stored({call.request,
--- a/src/program/partition_owner.h
+++ b/src/program/partition_owner.h
@@ -25,6 +25,8 @@
     std::uint64_t digest_mismatches = 0;    ///< texts from copies or segments that were not served
     std::uint64_t unavailable_programs = 0; ///< programs whose history could not be recovered
     std::uint64_t takeovers = 0;
+    std::uint64_t evicted_texts = 0;
+    std::uint64_t segment_reads = 0; ///< to read texts back
 };
 
 /// Owns the programs of one partition: order and history of turns, budget, irreversible calls, replication to backups
--- a/src/program/program_state.h
+++ b/src/program/program_state.h
@@ -37,7 +37,10 @@
 struct program_state {
     open_entry opened;
     std::uint64_t open_sequence = 0;
-    std::vector<text_ref> turns;
+    std::vector<text_ref> turns; ///< null: the text is only in the key-value service
+    std::string digest;          ///< of the last turn; it covers the whole chain
+    std::size_t text_bytes = 0;  ///< in memory, as counted
+    timestamp last_used{0};
     std::uint64_t turn_sequence = 0;  ///< of the last turn's entry
     std::uint64_t recorded_turns = 0; ///< larger than `turns.size()` only if the history is unavailable
     std::uint64_t context_tokens = 0; ///< tokens of the whole history
--- a/src/program/recovery.cpp
+++ b/src/program/recovery.cpp
@@ -1,7 +1,5 @@
 #include "program/recovery.h"
 
-#include "program/history.h"
-
 #include <algorithm>
 #include <iterator>
 
@@ -18,7 +16,7 @@
 }
 
 /// Texts of one program by turn; a number may occur more than once after a repeated write.
-using turn_table = std::map<std::uint64_t, std::vector<text_ref>>;
+using turn_table = std::map<std::uint64_t, std::vector<const text_summary*>>;
 
 /// Returns the verified chain up to `last` with the recorded digest, or nothing if a part of it is missing.
 std::optional<std::vector<text_ref>> build_chain(const turn_table& turns, std::uint64_t last, const std::string& digest)
@@ -31,12 +29,12 @@
             return std::nullopt;
         }
         const auto it = std::ranges::find_if(
-            found->second, [&previous](const text_ref& text) { return as_turn(text).previous == previous; });
+            found->second, [&previous](const text_summary* text) { return text->previous == previous; });
         if (it == found->second.end()) {
             return std::nullopt;
         }
-        chain.push_back(*it);
-        previous = as_turn(*it).digest;
+        chain.push_back((*it)->text);
+        previous = (*it)->digest;
     }
     return previous == digest ? std::optional{std::move(chain)} : std::nullopt;
 }
@@ -130,14 +128,14 @@
     return std::ranges::any_of(m_sources, [](const source& it) { return !it.done || it.restarted; });
 }
 
-recovered_partition recovery::merge(const partition_image& image, const std::vector<text_ref>& texts) const
+recovered_partition recovery::merge(const partition_image& image, const std::vector<text_summary>& texts) const
 {
     recovered_partition out;
     out.image = image;
     merge_entries(out);
-    std::vector<text_ref> all;
-    for (const text_ref& it : texts) {
-        if (verified(*it)) {
+    std::vector<text_summary> all;
+    for (const text_summary& it : texts) {
+        if (it.intact) {
             all.push_back(it);
         }
         else {
@@ -147,7 +145,7 @@
     add_unflushed(all, out);
     for (const log_item& it : out.items) {
         if (it.text) {
-            all.push_back(it.text);
+            all.push_back(summarize(it.text));
         }
     }
     build_histories(all, out);
@@ -183,11 +181,11 @@
     return it == copies.end() ? &copies.front() : &*it;
 }
 
-void recovery::add_unflushed(const std::vector<text_ref>& texts, recovered_partition& out) const
+void recovery::add_unflushed(const std::vector<text_summary>& texts, recovered_partition& out) const
 {
     std::set<std::string_view> flushed;
-    for (const text_ref& it : texts) {
-        flushed.insert(digest_of(*it));
+    for (const text_summary& it : texts) {
+        flushed.insert(it.digest);
     }
     std::vector<log_item> earlier;
     for (auto it = m_items.begin(); it != m_items.end() && it->first <= m_sequence; ++it) {
@@ -200,15 +198,15 @@
                      std::make_move_iterator(earlier.end()));
 }
 
-void recovery::build_histories(const std::vector<text_ref>& texts, recovered_partition& out)
+void recovery::build_histories(const std::vector<text_summary>& texts, recovered_partition& out)
 {
     std::map<std::string, turn_table, std::less<>> turns;
-    for (const text_ref& it : texts) {
-        if (const auto* turn = std::get_if<turn_text>(it.get())) {
-            turns[turn->program][turn->number].push_back(it);
+    for (const text_summary& it : texts) {
+        if (it.number != 0) {
+            turns[it.program][it.number].push_back(&it);
         }
         else {
-            out.results[std::get<result_text>(*it).call] = it;
+            out.results[std::get<result_text>(*it.text).call] = it.text;
         }
     }
     for (const auto& item : out.image.programs()) {
--- a/src/program/recovery.h
+++ b/src/program/recovery.h
@@ -20,7 +20,8 @@
     /// Entries behind the head's last sequence, and items of earlier sequences whose text no segment contains.
     std::vector<log_item> items;
     partition_image image;                                               ///< including the recovered entries
-    std::map<std::string, std::vector<text_ref>, std::less<>> histories; ///< complete, verified chains by program
+    std::map<std::string, std::vector<text_ref>, std::less<>> histories; ///< complete, verified chains by program; a
+                                                                         ///< text that was not kept is null
     std::map<std::string, text_ref, std::less<>> results;                ///< by call
     std::set<std::string, std::less<>> unavailable; ///< programs whose recorded chain is longer than what was found
     std::uint64_t digest_mismatches = 0;
@@ -50,7 +51,7 @@
     bool lacks_copy() const;
 
     /// Merges. `image` and `texts` are the durable state. Precondition: `complete(now)`.
-    recovered_partition merge(const partition_image& image, const std::vector<text_ref>& texts) const;
+    recovered_partition merge(const partition_image& image, const std::vector<text_summary>& texts) const;
 
     void add_wakes(wake_time& wakes) const;
 
@@ -69,8 +70,8 @@
 
     void merge_entries(recovered_partition& out) const;
     const log_item* pick(std::uint64_t sequence, recovered_partition& out) const;
-    static void build_histories(const std::vector<text_ref>& texts, recovered_partition& out);
-    void add_unflushed(const std::vector<text_ref>& texts, recovered_partition& out) const;
+    static void build_histories(const std::vector<text_summary>& texts, recovered_partition& out);
+    void add_unflushed(const std::vector<text_summary>& texts, recovered_partition& out) const;
 
     const owner_settings* m_settings;
     std::uint64_t m_epoch = 0;
--- a/tests/core_invariants_test.cpp
+++ b/tests/core_invariants_test.cpp
@@ -28,9 +28,17 @@
     sum.lost_programs += it.lost_programs;
     sum.list_changes += it.list_changes;
     sum.unknown_outcomes += it.unknown_outcomes;
+    sum.history_reads += it.history_reads;
+    sum.changed_reads += it.changed_reads;
     sum.events += it.events;
 }
 
+/// Half of the seeds run with a bound of a few turns, so that texts leave memory and are read back.
+std::size_t bound_of(std::uint64_t seed)
+{
+    return seed % 2 == 0 ? 4096 : 0;
+}
+
 /// Runs the seeds [first, first + count). Each seed is independent, so the result does not depend on thread timing.
 batch_result run_seeds(std::uint64_t first, std::uint64_t count, const world_options& base)
 {
@@ -43,6 +51,7 @@
             for (std::uint64_t seed = next++; seed < end; seed = next++) {
                 world_options options = base;
                 options.seed = seed;
+                options.history_bytes = bound_of(seed);
                 fake_world world(options);
                 if (const auto violation = world.run()) {
                     part.violations[seed] = *violation;
@@ -67,6 +76,7 @@
     if (const char* seed = std::getenv("LAGOONFERRY_SEED")) {
         world_options options;
         options.seed = std::stoull(seed);
+        options.history_bytes = bound_of(options.seed);
         options.trace = true;
         fake_world world(options);
         const auto violation = world.run();
@@ -84,10 +94,13 @@
     const world_counts& it = result.counts;
     MESSAGE("turns ", it.turns, " repeated ", it.repeated_turns, " executions ", it.executions, " takeovers ",
             it.takeovers, " handovers ", it.handovers, " refusals ", it.refusals, " lost programs ", it.lost_programs,
-            " list changes ", it.list_changes, " unknown outcomes ", it.unknown_outcomes, " events ", it.events);
+            " list changes ", it.list_changes, " unknown outcomes ", it.unknown_outcomes, " history reads ",
+            it.history_reads, " changed reads ", it.changed_reads, " events ", it.events);
     CHECK(it.turns > schedules);
     CHECK(it.takeovers > schedules);
     CHECK(it.executions > schedules);
+    CHECK(it.history_reads > schedules);
+    CHECK(it.changed_reads > schedules / 100);
 }
 
 TEST_CASE("the check notices each removed guard of the protocol")
@@ -107,6 +120,8 @@
         {"a successor keeps intents without outcome", [](auto& it) { it.faults.forget_intents = true; }},
         {"a list change counts both lists", [](auto& it) { it.faults.single_list_change = true; }},
         {"a lost reply is read back", [](auto& it) { it.read_back = false; }},
+        {"a turn waits for the texts that are not in memory", [](auto& it) { it.faults.skip_history_read = true; }},
+        {"texts that are read back are verified", [](auto& it) { it.faults.skip_history_check = true; }},
         {"a backup refuses lower epochs", [](auto& it) { it.replica.accept_lower_epochs = true; }},
         {"a backup refuses batches for another incarnation",
          [](auto& it) { it.replica.accept_other_incarnations = true; }},
--- a/tests/fake_world.cpp
+++ b/tests/fake_world.cpp
@@ -2,6 +2,7 @@
 
 #include "journal/segment_set.h"
 #include "program/history.h"
+#include "program/history_memory.h"
 #include "util/digest.h"
 
 #include <nlohmann/json.hpp>
@@ -143,6 +144,10 @@
     settings.journal.read_back = m_options.read_back;
     settings.journal.tail_limit = 2048;
     settings.journal.merge_segments_above = 3;
+    if (m_options.history_bytes > 0) {
+        settings.memory = std::make_shared<history_memory>(m_options.history_bytes);
+        settings.journal.evictable_bytes = 1;
+    }
     it.owner = std::make_unique<partition_owner>(settings);
     it.store = std::make_unique<replica_store>(it.id, it.incarnation, replica_limits{}, m_options.replica);
     trace("start " + settings.writer);
@@ -326,6 +331,9 @@
         }
         return answer;
     };
+    const bool reads_back = it.operation == kv_operation::get && it.key.starts_with("history/") &&
+                            m_instances[from].owner->phase() == owner_phase::ready;
+    m_counts.history_reads += reads_back ? 1 : 0;
     const bool slow = m_now < m_kv_slow_end;
     const timestamp delay = slow ? millis(100, 2500) : millis(1, 4);
     kv_reply lost;
@@ -342,7 +350,31 @@
         reply(delay + millis(0, 10), lost);
         return;
     }
-    at(delay, [apply, reply, this] { reply(millis(1, 3), apply()); });
+    at(delay, [apply, reply, it, reads_back, this] {
+        const kv_reply answer = reads_back ? change_read(it, apply()) : apply();
+        reply(millis(1, 3), answer);
+        if (reads_back && chance(20)) {
+            reply(millis(1, 300), answer);
+        }
+    });
+}
+
+kv_reply fake_world::change_read(const kv_call& it, kv_reply answer)
+{
+    auto texts = decode_segment(answer.value);
+    if (quiet() || answer.version == 0 || !texts || !chance(10)) {
+        return answer;
+    }
+    ++m_counts.changed_reads;
+    trace("changed read " + it.key);
+    text_ref& chosen = texts->at(pick(texts->size()));
+    if (const auto* turn = std::get_if<turn_text>(chosen.get())) {
+        turn_text changed = *turn;
+        changed.messages.back() = message(turn->program, "changed");
+        chosen = std::make_shared<const stored_text>(std::move(changed));
+    }
+    answer.value = encode_segment(*texts);
+    return answer;
 }
 
 std::optional<head_record> fake_world::head()
--- a/tests/fake_world.h
+++ b/tests/fake_world.h
@@ -28,6 +28,8 @@
     std::uint64_t lost_programs = 0; ///< by the loss of the owner and of every copy
     std::uint64_t list_changes = 0;
     std::uint64_t unknown_outcomes = 0;
+    std::uint64_t history_reads = 0; ///< of segments by an owner that serves
+    std::uint64_t changed_reads = 0; ///< replies with a text that does not match its digest
     std::uint64_t events = 0;
 };
 
@@ -36,6 +38,7 @@
     fault_injection faults;
     bool read_back = true;
     replica_faults replica;
+    std::size_t history_bytes = 0; ///< bound of each instance, so that texts leave memory; 0: the default bound
     bool trace = false;
 };
 
@@ -137,6 +140,7 @@
     void set_timer(std::size_t to);
 
     void perform(std::size_t from, const kv_call& it);
+    kv_reply change_read(const kv_call& it, kv_reply answer);
     void perform(std::size_t from, const send_replicate& it);
     void perform_late_replicate(std::size_t from, std::size_t to, std::uint64_t incarnation,
                                 const replicate_request& message);
