Measure the write rate against the delay of lazy entries

A node at the size in two years owns 6 partitions and runs 18 turns per second; the key-value service takes several hundred writes a second from all 2,048 partitions. The new test runs 8 such owners with delays of 1, 2, 4 and 8 s for lazy entries (and 2 to 16 s between segments), a tenth of the turns with an irreversible call.

--- a/tests/write_rate_test.cpp
+++ b/tests/write_rate_test.cpp
@@ -17,45 +17,54 @@
 namespace {
 
 constexpr timestamp ms{std::chrono::milliseconds{1}};
-constexpr std::uint32_t partitions = 32;
 constexpr std::uint64_t turns_per_program = 12;
-constexpr std::uint64_t programs_at_a_time = 200;
+constexpr std::uint64_t turn_interval_s = 2; ///< of each program
 
-/// Eight instances that own four partitions each; every message and platform call takes a fixed time.
+struct fleet_size {
+    std::uint32_t instances = 8;
+    std::uint32_t partitions = 32;
+    std::uint64_t turns_per_second = 100;
+    std::int64_t delay_factor = 1; ///< of lazy entries and of segments
+};
+
+/// Instances that own equal numbers of partitions; every message and platform call takes a fixed time.
 class fleet {
 public:
-    fleet()
+    explicit fleet(const fleet_size& size = {}) : m_size(size)
     {
-        for (int n = 0; n < 8; ++n) {
+        for (std::uint32_t n = 0; n < size.instances; ++n) {
             m_stores.push_back(std::make_unique<replica_store>(name(n), 1));
         }
-        for (std::uint32_t p = 0; p < partitions; ++p) {
+        for (std::uint32_t p = 0; p < size.partitions; ++p) {
+            const std::uint32_t self = p % size.instances;
             owner_settings settings;
             settings.partition = p;
-            settings.self = {name(p % 8), name(p % 8)};
-            settings.failure_domain = domain(p % 8);
+            settings.self = {name(self), name(self)};
+            settings.failure_domain = domain(self);
             settings.writer = "w" + std::to_string(p);
+            settings.journal.lazy_delay *= size.delay_factor;
+            settings.journal.segment_interval *= size.delay_factor;
             m_owners.push_back(std::make_unique<partition_owner>(settings));
             membership_changed view;
-            for (std::uint32_t n = 1; n < 8; ++n) {
-                const std::uint32_t peer = (p + n) % 8;
+            for (std::uint32_t n = 1; n < size.instances; ++n) {
+                const std::uint32_t peer = (p + n) % size.instances;
                 view.peers.push_back({{name(peer), name(peer)}, 1, domain(peer), false, false, true});
             }
             handle(p, view);
             handle(p, start_takeover{});
         }
         run(m_now + 100 * ms);
-        for (std::uint64_t n = 0; n < programs_at_a_time; ++n) {
+        for (std::uint64_t n = 0; n < size.turns_per_second * turn_interval_s; ++n) {
             open_next();
         }
         run(m_now + 1000 * ms);
     }
 
-    /// 100 turns per second with a call after each; a tenth of the turns has an irreversible call.
-    void load(int seconds)
+    /// Turns at an even rate; a tenth of them has an irreversible call.
+    void load(std::uint64_t seconds)
     {
-        for (int n = 0; n < seconds * 100; ++n) {
-            run(m_now + 10 * ms);
+        for (std::uint64_t n = 0; n < seconds * m_size.turns_per_second; ++n) {
+            run(m_now + timestamp{1'000'000 / m_size.turns_per_second});
             turn_of(n);
         }
     }
@@ -163,13 +172,13 @@
 
     void open_next()
     {
-        const std::uint32_t p = static_cast<std::uint32_t>(m_random() % partitions);
+        const std::uint32_t p = static_cast<std::uint32_t>(m_random() % m_size.partitions);
         program it{std::to_string(p) + "-" + std::string(16, '0') + std::to_string(10000000 + m_programs++), p, 0};
         handle(p, open_program{++m_last_request, it.id, {}, "account", "service", {1000000, 1000, 1000000}, 4});
         m_running.push_back(it);
     }
 
-    void turn_of(int n)
+    void turn_of(std::uint64_t n)
     {
         // Programs take turns, so that each one has paused for 2 s before its next turn.
         program it = m_running.front();
@@ -192,6 +201,7 @@
         open_next();
     }
 
+    fleet_size m_size;
     timestamp m_now{std::chrono::seconds{1}};
     std::uint64_t m_order = 0;
     std::priority_queue<later> m_queue;
@@ -232,3 +242,27 @@
     CHECK(it.answered() - answered >= 100 * seconds * 11 / 10);
     CHECK(it.kv().largest_value() < 1024 * 1024);
 }
+
+TEST_CASE("writes of a partition fall with the delay of lazy entries and segments, with six partitions for each owner")
+{
+    // The load of a node at the size in two years: 18 turns per second and 6 partitions.
+    double last = 1e9;
+    for (const std::int64_t factor : {1, 2, 4, 8}) {
+        const fleet_size size{8, 48, 144, factor};
+        fleet it(size);
+        constexpr std::uint64_t seconds = 40;
+        it.load(seconds);
+        const std::uint64_t writes = it.kv().writes();
+        const std::uint64_t answered = it.answered();
+        auto kinds = it.kv().kinds();
+        it.load(seconds);
+        const double rate = static_cast<double>(it.kv().writes() - writes) / seconds;
+        MESSAGE("delay ", factor, " s: writes/s ", rate, ", of a partition ", rate / size.partitions);
+        for (const auto& [kind, count] : it.kv().kinds()) {
+            MESSAGE("  ", kind, ": ", static_cast<double>(count - kinds[kind]) / seconds, "/s");
+        }
+        CHECK(rate < last);
+        CHECK(it.answered() - answered >= seconds * size.turns_per_second);
+        last = rate;
+    }
+}
