Plan which target holds which model from the demand

Cause: targets kept the model of the document, so demand that moved to another model queued while other targets idled.

--- a/bench/fake_engine.cpp
+++ b/bench/fake_engine.cpp
@@ -62,6 +62,14 @@
     ++m_plan;
 }
 
+void fake_engine::change_model(const std::string& model)
+{
+    m_spec.model = model;
+    m_recent.clear();
+    m_cache.clear();
+    m_cache_tokens = 0;
+}
+
 void fake_engine::set_slowdown(double factor)
 {
     finish_steps(whole_steps());
--- a/bench/fake_engine.h
+++ b/bench/fake_engine.h
@@ -59,6 +59,9 @@
     /// Loses all calls and the cache, and runs nothing any more.
     void fail();
 
+    /// Changes the model, which drops the cache. Precondition: no calls.
+    void change_model(const std::string& model);
+
     /// Makes every step take `factor` times as long from now on.
     void set_slowdown(double factor);
 
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -15,6 +15,8 @@
 constexpr timestamp same_domain_latency{150};
 constexpr double cache_event_loss = 0.1;
 constexpr timestamp cache_event_lag = seconds(1);
+constexpr timestamp order_interval = seconds(1);
+constexpr timestamp load_time = seconds(30); // with as many loads in flight as the planner allows
 const std::string dispatcher_domain = "fd-1";
 
 } // namespace
@@ -53,6 +55,67 @@
     change_slowed();
 }
 
+void fleet::follow_demand(const order_settings& settings)
+{
+    m_planner = std::make_unique<order_planner>(settings, m_seed);
+    m_loading.resize(m_engines.size());
+    plan_orders();
+}
+
+void fleet::plan_orders()
+{
+    if (m_stopped) {
+        return;
+    }
+    std::vector<model_demand> demand;
+    for (auto& g : m_groups) {
+        const auto c = g.dispatcher.counters();
+        const auto arrivals = static_cast<std::uint32_t>(c.granted - g.seen_grants);
+        g.seen_grants = c.granted;
+        demand.push_back(
+            {g.model, static_cast<std::uint32_t>(c.slots), static_cast<std::uint32_t>(c.waiting), arrivals});
+    }
+    std::vector<order_target> targets;
+    for (std::size_t n = 0; n < m_engines.size(); ++n) {
+        const auto& spec = m_engines[n].spec();
+        const auto& known = group_of(spec.model).dispatcher.targets();
+        const auto it = std::ranges::find_if(known, [&](const target_track& t) { return t.info.id == spec.id; });
+        const auto in_flight = it == known.end() ? 0 : it->in_flight;
+        targets.push_back({spec.id, m_loading[n] ? std::string() : spec.model, spec.batch, in_flight, true});
+    }
+    for (const auto& order : m_planner->step(demand, targets, m_clock.now())) {
+        carry_out(order);
+    }
+    for (std::size_t n = 0; n < m_engines.size(); ++n) {
+        if (!m_loading[n]) {
+            show_target(n, m_planner->usable(m_engines[n].spec().id) ? target_state::live : target_state::leaving);
+        }
+    }
+    m_clock.after(order_interval, [this] { plan_orders(); });
+}
+
+void fleet::carry_out(const target_order& order)
+{
+    const auto index = m_index.at(order.target);
+    show_target(index, target_state::gone);
+    m_loading[index] = true;
+    m_engines[index].change_model(order.load);
+    m_loads.push_back({m_clock.now(), order.target});
+    m_most_loading = std::max(m_most_loading, m_planner->loading());
+    m_clock.after(load_time, [this, index] {
+        m_loading[index] = false;
+        m_planner->finished(m_engines[index].spec().id, true, m_clock.now());
+        show_target(index, target_state::live);
+    });
+}
+
+void fleet::show_target(std::size_t engine, target_state state)
+{
+    const auto& spec = m_engines.at(engine).spec();
+    group_of(spec.model)
+        .dispatcher.set_target({spec.id, spec.model, spec.failure_domain, spec.batch, state}, m_clock.now());
+}
+
 void fleet::send(const std::string& model, std::uint32_t entry, slot_message message)
 {
     const auto delay = delay_between(domain_of(entry), dispatcher_domain);
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/order_planner.h"
 #include "dispatch/slot_dispatcher.h"
 #include "fake_engine.h"
 #include "policies.h"
@@ -9,12 +10,19 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace lagoonferry::bench {
 
+/// A load that the planner ordered.
+struct load_record {
+    timestamp at{0};
+    std::string target;
+};
+
 /// Engines of a workload with their dispatchers, one group for each model, and the late reports between them.
 /// Not thread-safe.
 class fleet {
@@ -28,6 +36,13 @@
     /// Makes the dispatchers and starts ticks and reports.
     void start(const policy_row& policy, const run_truth& truth);
 
+    /// Lets a planner order targets to change their model. Call it after `start`.
+    void follow_demand(const order_settings& settings);
+
+    /// Loads so far, in the order of their starts.
+    const std::vector<load_record>& loads() const { return m_loads; }
+    std::size_t most_loading() const { return m_most_loading; }
+
     /// Sends a message of an entry to the dispatcher of a model, over the network.
     void send(const std::string& model, std::uint32_t entry, slot_message message);
 
@@ -51,11 +66,15 @@
     struct group {
         std::string model;
         slot_dispatcher dispatcher;
+        std::uint64_t seen_grants = 0;
     };
 
     void tick();
     void report_loads();
     void change_slowed();
+    void plan_orders();
+    void carry_out(const target_order& order);
+    void show_target(std::size_t engine, target_state state);
     void deliver_all(std::vector<outgoing_slot_message> messages);
     void forward_cache_event(std::size_t engine, std::uint64_t prefix, std::uint32_t tokens);
     group& group_of(const std::string& model);
@@ -74,6 +93,10 @@
     duration_histogram m_gaps;
     std::size_t m_first_slowed = 0;
     bool m_stopped = false;
+    std::unique_ptr<order_planner> m_planner; ///< null without orders
+    std::vector<bool> m_loading;              ///< by engine
+    std::vector<load_record> m_loads;
+    std::size_t m_most_loading = 0;
 };
 
 } // namespace lagoonferry::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "demo_command.h"
 #include "load_command.h"
+#include "orders_command.h"
 #include "policy_command.h"
 
 #include <algorithm>
@@ -18,22 +19,24 @@
 
 constexpr std::array subcommands{
     subcommand{"policy", lagoonferry::bench::policy_command},
+    subcommand{"orders", lagoonferry::bench::orders_command},
     subcommand{"demo", lagoonferry::bench::demo_command},
     subcommand{"load", lagoonferry::bench::load_command},
 };
 
 } // namespace
 
-/// Without arguments, runs the deterministic part with its bounds.
+/// Without arguments, runs the deterministic parts with their bounds.
 int main(int argc, char** argv)
 {
     std::vector<std::string> arguments(argv + 1, argv + argc);
     if (arguments.empty()) {
-        arguments.emplace_back("policy");
+        const int policy = lagoonferry::bench::policy_command({"policy"});
+        return std::max(policy, lagoonferry::bench::orders_command({"orders"}));
     }
     const auto* it = std::ranges::find(subcommands, arguments.front(), &subcommand::name);
     if (it == subcommands.end()) {
-        std::cerr << "Usage: lagoonferry_bench [policy|demo|load] [options]\n";
+        std::cerr << "Usage: lagoonferry_bench [policy|orders|demo|load] [options]\n";
         return 2;
     }
     return it->run(arguments);
--- a/bench/policy_run.cpp
+++ b/bench/policy_run.cpp
@@ -4,6 +4,7 @@
 #include "fleet.h"
 #include "run_recorder.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace lagoonferry::bench {
@@ -60,18 +61,35 @@
                 add();
             }
             else if (level >= others && level < others + heavy_demand(m_scenario, c, m_clock.now())) {
-                m_callers.start_program(make_program(m_workload, m_kind, m_random), heavy_account);
+                m_callers.start_program(make(), heavy_account);
             }
             next();
         });
     }
 
+    program_shape make()
+    {
+        auto shape = make_program(m_workload, m_kind, m_random);
+        if (models_swapped(m_scenario, m_clock.now())) {
+            swap_models(shape);
+        }
+        return shape;
+    }
+
+    void swap_models(program_shape& shape) const
+    {
+        for (auto& call : shape.calls) {
+            call.model = call.model == m_workload.first_model ? m_workload.second_model : m_workload.first_model;
+        }
+        std::ranges::for_each(shape.sub_agents, [this](program_shape& agent) { swap_models(agent); });
+    }
+
     /// Accounts differ in demand: the first ones ask for several times more than the last ones.
     void add()
     {
         const double u = m_random.uniform();
         const auto account = 1 + static_cast<std::uint32_t>(u * u * (m_workload.accounts - 1));
-        m_callers.start_program(make_program(m_workload, m_kind, m_random), account);
+        m_callers.start_program(make(), account);
     }
 
     virtual_clock& m_clock;
@@ -85,7 +103,8 @@
 
 } // namespace
 
-run_figures run_policy(const workload& w, scenario s, const policy_row& policy, std::uint64_t seed)
+run_figures run_policy(const workload& w, scenario s, const policy_row& policy, std::uint64_t seed,
+                       const order_settings* orders, order_record* ordered)
 {
     virtual_clock clock;
     run_recorder recorder(w, s);
@@ -96,6 +115,9 @@
     callers programs(clock, w, engines, recorder);
     to_callers = &programs;
     engines.start(policy, programs);
+    if (orders != nullptr) {
+        engines.follow_demand(*orders);
+    }
     programs.start_reports();
 
     const auto& rates = w.normal_rates;
@@ -105,6 +127,9 @@
     }
     clock.run_until(run_end, [&] { return clock.now() >= arrivals_end(s) && programs.active() == 0; });
     programs.end_run();
+    if (ordered != nullptr) {
+        *ordered = {engines.loads(), engines.most_loading()};
+    }
     const auto totals = engines.counters();
     return recorder.figures(engines.gaps(), static_cast<double>(totals.preempted), static_cast<double>(totals.granted));
 }
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -1,15 +1,26 @@
 #pragma once
 
+#include "fleet.h"
 #include "policies.h"
 #include "run_figures.h"
 #include "scenario.h"
 #include "workload.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace lagoonferry::bench {
 
-/// Runs one policy on one workload. The same arguments give the same figures. Thread-safe.
-run_figures run_policy(const workload& w, scenario s, const policy_row& policy, std::uint64_t seed);
+/// What was ordered in a run.
+struct order_record {
+    std::vector<load_record> loads; ///< in the order of their starts
+    std::size_t most_loading = 0;   ///< largest number of loads in flight
+};
+
+/// Runs one policy on one workload. The same arguments give the same figures. With `orders`, targets change their model
+/// with the demand, and `ordered` receives what was ordered. Thread-safe.
+run_figures run_policy(const workload& w, scenario s, const policy_row& policy, std::uint64_t seed,
+                       const order_settings* orders = nullptr, order_record* ordered = nullptr);
 
 } // namespace lagoonferry::bench
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -19,6 +19,9 @@
 constexpr timestamp surge_end = seconds(300);
 constexpr timestamp surge_period = seconds(60);
 constexpr timestamp surge_length = seconds(15);
+constexpr timestamp orders_end = seconds(1800);
+constexpr timestamp move_time = seconds(480);
+constexpr timestamp swing_phase = seconds(180);
 constexpr timestamp slow_start = seconds(60);
 constexpr timestamp slow_end = seconds(540);
 
@@ -41,7 +44,7 @@
 
 std::string_view to_string(scenario s)
 {
-    constexpr std::array<std::string_view, scenario_count> names{"day", "steady", "slowed", "surge"};
+    constexpr std::array<std::string_view, 6> names{"day", "steady", "slowed", "surge", "moved", "swinging"};
     return names.at(static_cast<std::size_t>(s));
 }
 
@@ -71,6 +74,9 @@
     if (s == scenario::surge) {
         return surge_end;
     }
+    if (s == scenario::moved || s == scenario::swinging) {
+        return orders_end;
+    }
     return s == scenario::day ? day_end : steady_end;
 }
 
@@ -79,6 +85,14 @@
     return s == scenario::day && now >= crest_start && now < crest_end;
 }
 
+bool models_swapped(scenario s, timestamp now)
+{
+    if (s == scenario::swinging) {
+        return now / swing_phase % 2 == 1;
+    }
+    return s == scenario::moved && now >= move_time;
+}
+
 bool is_slowed(scenario s, timestamp now)
 {
     return s == scenario::slowed && now >= slow_start && now < slow_end;
--- a/bench/scenario.h
+++ b/bench/scenario.h
@@ -15,8 +15,11 @@
     slowed, ///< normal demand while a fifth of the targets takes five times as long
     surge,  ///< half of normal demand; four times the urgent programs for 15 s in each minute, twice the bulk programs,
             ///< and one account that asks for as many normal programs as all others at normal demand
+    moved,  ///< normal demand whose calls change their model after eight minutes: orders bench
+    swinging, ///< normal demand whose calls change their model every three minutes: orders bench
 };
 
+/// Scenarios of the policy comparison; those of the orders bench follow them.
 constexpr std::size_t scenario_count = 4;
 
 std::string_view to_string(scenario s);
@@ -39,6 +42,9 @@
 /// Whether a program that arrives now counts for the crest.
 bool in_crest(scenario s, timestamp now);
 
+/// Whether programs that arrive now call the second model where they otherwise call the first, and the reverse.
+bool models_swapped(scenario s, timestamp now);
+
 /// Whether targets are slowed at a time.
 bool is_slowed(scenario s, timestamp now);
 
