Carry out orders from the dispatch process

A worker with its own thread sends the orders with the time of the decision as fencing number. The stand-in engine reads ordered models from the stand-in weight store, which limits its bandwidth; an engine stand-in that has unloaded its last model no longer serves every model. Open: adapters, versions and roles are not ordered; targets move only between models that one dispatcher serves.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -157,7 +157,7 @@
         return;
     }
     for (const auto& e : m_engines) {
-        load_report report{e.spec().id, e.running(), e.waiting()};
+        load_report report{e.spec().id, e.running(), e.waiting(), {}};
         m_clock.after(m_workload.load_report_lag, [&g = group_of(e.spec().model), report = std::move(report)] {
             g.dispatcher.report_load(report);
         });
--- a/src/dispatch/target_info.h
+++ b/src/dispatch/target_info.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoonferry {
 
@@ -22,6 +24,7 @@
     std::string target;
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
+    std::optional<std::vector<std::string>> models; ///< held now; nothing if the target does not say
 };
 
 /// A change in a target's prefix cache. It arrives late and may be missing; 0 tokens stands for an eviction.
--- a/src/platform/http_engine_client.cpp
+++ b/src/platform/http_engine_client.cpp
@@ -63,6 +63,9 @@
     out.held_tokens = body.at("held_tokens").get<std::uint64_t>();
     out.capacity_tokens = body.at("capacity_tokens").get<std::uint64_t>();
     out.tokens_per_second = body.at("tokens_per_second").get<double>();
+    if (body.contains("models")) {
+        out.models = body.at("models").get<std::vector<std::string>>();
+    }
     return out;
 }
 
--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -8,20 +8,23 @@
 #include <caf/event_based_actor.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+
 namespace lagoonferry {
 
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval{50};
+constexpr std::chrono::milliseconds plan_interval{1000};
 
 } // namespace
 
-void dispatch_state::start(caf::event_based_actor* self, const std::string& id, std::uint64_t incarnation,
-                           board* shared, datagram_sender* sender)
+void dispatch_state::start(caf::event_based_actor* self, const dispatch_options& options, board* shared,
+                           datagram_sender* sender)
 {
     m_self = self;
-    m_id = id;
-    m_incarnation = incarnation;
+    m_options = options;
     m_board = shared;
     m_sender = sender;
     self->send(self, tick_atom::value);
@@ -36,7 +39,7 @@
     log(log_part::dispatch, log_level::info, "Serving a group of targets.", field("group", group));
     const auto seed = static_cast<std::uint64_t>(now.count());
     slot_dispatcher& added =
-        m_groups.emplace(group, make_dispatcher(dispatch_settings{}, m_incarnation, seed, now)).first->second;
+        m_groups.emplace(group, make_dispatcher(dispatch_settings{}, m_options.incarnation, seed, now)).first->second;
     follow_targets(now);
     return added;
 }
@@ -52,13 +55,125 @@
         if (!group) {
             continue;
         }
-        const auto it = m_groups.find(*group);
+        follow_target(item.second, *group, now);
+    }
+}
+
+void dispatch_state::follow_target(const known_target& target, const std::string& home_group, timestamp now)
+{
+    target_info info = target.info;
+    std::string wanted = home_group;
+    const auto orders = m_orders.find(target.scope);
+    if (orders != m_orders.end()) {
+        const std::string model = orders->second.model_of(info.id, info.model);
+        wanted = model == info.model ? home_group : model;
+        info.model = model;
+        if (info.state == target_state::live && !orders->second.usable(info.id)) {
+            info.state = target_state::leaving;
+        }
+    }
+    for (auto& [group, dispatcher] : m_groups) {
+        if (group == wanted) {
+            dispatcher.set_target(info, now);
+            continue;
+        }
+        const auto& known = dispatcher.targets();
+        const auto it = std::ranges::find_if(known, [&](const target_track& t) { return t.info.id == info.id; });
+        if (it != known.end() && it->info.state != target_state::gone) {
+            target_info gone = it->info;
+            gone.state = target_state::gone;
+            dispatcher.set_target(gone, now);
+        }
+    }
+}
+
+bool dispatch_state::decides(const target_map& targets, const target_group& group) const
+{
+    const auto order = targets.groups->dispatchers_of(group.id);
+    return group.id == group.model && !order.empty() && order.front() == m_options.id;
+}
+
+std::vector<model_demand> dispatch_state::demand_of(const std::string& service, const target_map& targets)
+{
+    std::vector<model_demand> demand;
+    for (const target_group& group : targets.groups->groups()) {
+        const auto target = group.targets.empty() ? targets.targets.end() : targets.targets.find(group.targets.front());
+        if (target == targets.targets.end() || target->second.scope != service || !decides(targets, group)) {
+            continue;
+        }
+        model_demand item{group.model};
+        const auto it = m_groups.find(group.id);
         if (it != m_groups.end()) {
-            it->second.set_target(item.second.info, now);
+            const dispatch_counters counters = it->second.counters();
+            item.running = static_cast<std::uint32_t>(counters.slots);
+            item.waiting = static_cast<std::uint32_t>(counters.waiting);
+            item.arrivals = static_cast<std::uint32_t>(counters.granted - m_seen_grants[group.id]);
+            m_seen_grants[group.id] = counters.granted;
+        }
+        demand.push_back(std::move(item));
+    }
+    return demand;
+}
+
+std::uint32_t dispatch_state::in_flight(std::string_view target) const
+{
+    std::uint32_t sum = 0;
+    for (const auto& [group, dispatcher] : m_groups) {
+        const auto& known = dispatcher.targets();
+        const auto it = std::ranges::find_if(known, [&](const target_track& t) { return t.info.id == target; });
+        sum += it == known.end() ? 0 : it->in_flight;
+    }
+    return sum;
+}
+
+void dispatch_state::plan_orders(timestamp now)
+{
+    const auto targets = m_board->targets.read();
+    if (!m_options.orders || !targets->groups || now < m_next_plan) {
+        return;
+    }
+    m_next_plan = now + plan_interval;
+    std::map<std::string, std::vector<target_orders::member>> members;
+    for (const target_group& group : targets->groups->groups()) {
+        if (!decides(*targets, group)) {
+            continue;
+        }
+        for (const std::string& id : group.targets) {
+            const auto& target = targets->targets.find(id)->second;
+            members[target.scope].push_back(
+                {id, target.info.model, target.info.slots, in_flight(id), target.info.state == target_state::live});
+        }
+    }
+    std::erase_if(m_orders, [&](const auto& item) { return !members.contains(item.first); });
+    for (const auto& [service, listed] : members) {
+        const auto seed = static_cast<std::uint64_t>(now.count());
+        auto& orders = m_orders.try_emplace(service, *m_options.orders, seed).first->second;
+        send_orders(service, orders.step(demand_of(service, *targets), listed, now));
+    }
+}
+
+void dispatch_state::send_orders(const std::string& service, const std::vector<target_order>& orders)
+{
+    const auto targets = m_board->targets.read();
+    const auto unix_time = std::chrono::system_clock::now().time_since_epoch();
+    const auto fence = std::chrono::duration_cast<std::chrono::milliseconds>(unix_time).count();
+    for (const target_order& order : orders) {
+        const auto it = targets->targets.find(order.target);
+        if (it != targets->targets.end()) {
+            m_self->send(m_options.order_sender,
+                         send_order{service, it->second.address, order, static_cast<std::uint64_t>(fence)});
         }
     }
 }
 
+void dispatch_state::on_order_answer(const order_answer& message)
+{
+    const auto it = m_orders.find(message.service);
+    if (it != m_orders.end() && !message.taken) {
+        it->second.refused(message.target, steady_now());
+    }
+}
+
 void dispatch_state::on_datagram(const slot_datagram& message)
 {
     const timestamp now = steady_now();
@@ -69,10 +184,13 @@
 {
     const auto targets = m_board->targets.read();
     for (const load_report& report : message.reports) {
-        const auto group = targets->groups ? targets->groups->group_of(report.target) : std::nullopt;
-        const auto it = group ? m_groups.find(*group) : m_groups.end();
-        if (it != m_groups.end()) {
-            it->second.report_load(report);
+        const auto known = targets->targets.find(report.target);
+        const auto orders = known == targets->targets.end() ? m_orders.end() : m_orders.find(known->second.scope);
+        if (orders != m_orders.end()) {
+            orders->second.report(report, steady_now());
+        }
+        for (auto& [group, dispatcher] : m_groups) {
+            dispatcher.report_load(report);
         }
     }
 }
@@ -80,6 +198,7 @@
 void dispatch_state::on_tick()
 {
     const timestamp now = steady_now();
+    plan_orders(now);
     follow_targets(now);
     for (auto& [group, dispatcher] : m_groups) {
         send(group, dispatcher.tick(now));
@@ -110,13 +229,14 @@
     m_board->dispatch.write(std::move(view));
 }
 
-caf::behavior dispatch_controller(caf::stateful_actor<dispatch_state>* self, const std::string& id,
-                                  std::uint64_t incarnation, board* shared, datagram_sender* sender)
+caf::behavior dispatch_controller(caf::stateful_actor<dispatch_state>* self, const dispatch_options& options,
+                                  board* shared, datagram_sender* sender)
 {
-    self->state.start(self, id, incarnation, shared, sender);
+    self->state.start(self, options, shared, sender);
     return {
         [self](const slot_datagram& message) { self->state.on_datagram(message); },
         [self](const target_loads& message) { self->state.on_loads(message); },
+        [self](const order_answer& message) { self->state.on_order_answer(message); },
         [self](tick_atom) { self->state.on_tick(); },
     };
 }
--- a/src/roles/dispatch_controller.h
+++ b/src/roles/dispatch_controller.h
@@ -2,6 +2,7 @@
 
 #include "dispatch/slot_dispatcher.h"
 #include "roles/messages.h"
+#include "roles/target_orders.h"
 
 #include <caf/actor.hpp>
 #include <caf/behavior.hpp>
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,34 +18,60 @@
 
 struct board;
 class datagram_sender;
+struct known_target;
+struct target_group;
+struct target_map;
 
-/// Grants slots on the groups that this process serves.
+/// Identity of a dispatch process and the rate at which it may order loads.
+struct dispatch_options {
+    std::string id;
+    std::uint64_t incarnation = 0;
+    std::optional<order_settings> orders; ///< nothing: targets keep the models of the documents
+    caf::actor order_sender;              ///< takes `send_order`
+};
+
+/// Grants slots on the groups that this process serves, and orders their targets to follow the demand for the models.
+///
+/// Targets move only between models whose groups this process serves, so one process decides for a target. Two may do
+/// so for a while when a dispatcher starts or is cut off. The fencing token is the time of the decision, so that a
+/// target that checks it refuses the older order. A target that ignores it follows the order that arrives last. Both
+/// processes then use the model that the target reports. A call that meets a target without its model is refused there
+/// and resumes on another one. The cost is one more load for each target on which the two differ.
 class dispatch_state {
 public:
-    void start(caf::event_based_actor* self, const std::string& id, std::uint64_t incarnation, board* shared,
-               datagram_sender* sender);
+    void start(caf::event_based_actor* self, const dispatch_options& options, board* shared, datagram_sender* sender);
     void on_datagram(const slot_datagram& message);
     void on_loads(const target_loads& message);
     void on_tick();
+    void on_order_answer(const order_answer& message);
 
 private:
     using outgoing = std::vector<outgoing_slot_message>;
 
+    void follow_target(const known_target& target, const std::string& home_group, timestamp now);
+    void plan_orders(timestamp now);
+    std::vector<model_demand> demand_of(const std::string& service, const target_map& targets);
+    bool decides(const target_map& targets, const target_group& group) const;
+    std::uint32_t in_flight(std::string_view target) const;
+    void send_orders(const std::string& service, const std::vector<target_order>& orders);
+
     slot_dispatcher& dispatcher_of(const std::string& group, timestamp now);
     void follow_targets(timestamp now);
     void send(const std::string& group, const outgoing& messages);
     void publish();
 
     caf::event_based_actor* m_self = nullptr;
-    std::string m_id;
-    std::uint64_t m_incarnation = 0;
+    dispatch_options m_options;
     board* m_board = nullptr;
     datagram_sender* m_sender = nullptr;
     std::map<std::string, slot_dispatcher> m_groups;
+    std::map<std::string, target_orders, std::less<>> m_orders; ///< by service
+    std::map<std::string, std::uint64_t> m_seen_grants;         ///< by group
+    timestamp m_next_plan{0};
 };
 
 /// The behaviour of the dispatch controller. `shared` and `sender` outlive the actor.
-caf::behavior dispatch_controller(caf::stateful_actor<dispatch_state>* self, const std::string& id,
-                                  std::uint64_t incarnation, board* shared, datagram_sender* sender);
+caf::behavior dispatch_controller(caf::stateful_actor<dispatch_state>* self, const dispatch_options& options,
+                                  board* shared, datagram_sender* sender);
 
 } // namespace lagoonferry
--- a/src/roles/dispatch_role.cpp
+++ b/src/roles/dispatch_role.cpp
@@ -2,6 +2,7 @@
 
 #include "roles/dispatch_controller.h"
 #include "roles/load_poller.h"
+#include "roles/order_sender.h"
 #include "roles/role_process.h"
 #include "roles/stop_signal.h"
 #include "settings/role_options.h"
@@ -20,6 +21,17 @@
 // Holders hear of the change by heartbeats and turn to the next dispatcher within this time.
 constexpr std::chrono::milliseconds leave_time{2000};
 
+std::optional<order_settings> orders_of(const weight_settings& weights)
+{
+    if (weights.loads_per_minute == 0) {
+        return std::nullopt;
+    }
+    order_settings settings;
+    settings.load_interval = timestamp(std::chrono::minutes(1)) / weights.loads_per_minute.value();
+    settings.loads_in_flight = weights.loads_in_flight;
+    return settings;
+}
+
 } // namespace
 
 int run_dispatch_role(const std::vector<std::string>& args)
@@ -35,8 +47,10 @@
         return exit_refused;
     }
     const std::string id = start.values->identity.instance_id.text();
-    const caf::actor dispatch = process.keep(
-        process.actors().spawn(dispatch_controller, id, process.incarnation(), &process.shared(), &process.sender()));
+    dispatch_options options{id, process.incarnation(), orders_of(start.values->weights), {}};
+    options.order_sender = process.keep(process.actors().spawn<caf::detached>(order_sender, &process.engines()));
+    const caf::actor dispatch =
+        process.keep(process.actors().spawn(dispatch_controller, options, &process.shared(), &process.sender()));
     process.start({}, dispatch);
     process.keep(
         process.actors().spawn<caf::detached>(load_poller, id, dispatch, &process.shared(), &process.engines()));
--- a/src/roles/load_poller.cpp
+++ b/src/roles/load_poller.cpp
@@ -31,7 +31,7 @@
         }
         failure why;
         if (const auto load = engines.load(item.second.address, call_timeout, why)) {
-            message.reports.push_back({item.first, load->running, load->queued});
+            message.reports.push_back({item.first, load->running, load->queued, load->models});
         }
     }
     return message;
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/order_planner.h"
 #include "dispatch/slot_holder.h"
 #include "dispatch/target_info.h"
 #include "document/document_record.h"
@@ -73,6 +74,21 @@
     std::vector<load_report> reports;
 };
 
+/// An order to a target; the number of its fencing token.
+struct send_order {
+    std::string service;
+    std::string address;
+    target_order order;
+    std::uint64_t fence = 0;
+};
+
+/// Whether the target has or may have taken an order.
+struct order_answer {
+    std::string service;
+    std::string target;
+    bool taken = false;
+};
+
 /// A heartbeat from another process and the address it came from.
 struct heartbeat_datagram {
     network_address from;
@@ -168,6 +184,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::listed_documents)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::fetched_document)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::target_loads)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::send_order)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::order_answer)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::heard_partitions)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::takeover_call)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(lagoonferry::partition_actors)
--- /dev/null
+++ b/src/roles/order_sender.cpp
@@ -0,0 +1,41 @@
+#include "roles/order_sender.h"
+
+#include "platform/engine_client.h"
+#include "util/log.h"
+
+#include <caf/event_based_actor.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::chrono::milliseconds call_timeout{1000};
+constexpr int http_ok = 200;
+
+/// Returns false if the target certainly did not take the order.
+bool send_one(engine_client& engines, const send_order& message, const char* kind, const std::string& name)
+{
+    if (name.empty()) {
+        return true;
+    }
+    const engine_order_result result =
+        engines.order(message.address, {kind, name, fencing_token{"orders", message.fence}}, call_timeout);
+    const bool taken = result.end == call_end::no_reply || result.http_status == http_ok;
+    log(log_part::dispatch, taken ? log_level::info : log_level::warning, "Order sent.",
+        field("target", message.order.target), field("kind", kind), field("name", name),
+        field("status", result.http_status), field("reason", result.reason.text));
+    return taken;
+}
+
+} // namespace
+
+caf::behavior order_sender(caf::stateful_actor<order_sender_state>* /*self*/, engine_client* engines)
+{
+    return {[engines](const send_order& message) {
+        const bool taken = send_one(*engines, message, "unload_model", message.order.unload) &&
+                           send_one(*engines, message, "load_model", message.order.load);
+        return order_answer{message.service, message.order.target, taken};
+    }};
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/roles/order_sender.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "roles/messages.h"
+
+#include <caf/behavior.hpp>
+#include <caf/stateful_actor.hpp>
+
+namespace lagoonferry {
+
+class engine_client;
+
+struct order_sender_state {};
+
+/// Sends orders to targets and answers each with `order_answer`. It blocks, so it needs a thread of its own. `engines`
+/// outlives the actor.
+caf::behavior order_sender(caf::stateful_actor<order_sender_state>* self, engine_client* engines);
+
+} // namespace lagoonferry
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -61,6 +61,10 @@
                                                           "longest wait for the confirmation of an intent"),
     row<timing, &timing_settings::instance_poll_ms>("instance-poll-ms", "MS",
                                                     "time between two reads of the instance list"),
+    row<&settings::weights, &weight_settings::loads_per_minute>(
+        "weight-loads-per-minute", "N", "loads from the weight store that one dispatcher may order, 0 for none"),
+    row<&settings::weights, &weight_settings::loads_in_flight>("weight-loads-in-flight", "N",
+                                                               "loads from the weight store at the same time"),
     row<&settings::log, &log_settings::level>("log-level", "LEVEL", "lowest level that is logged"),
     row<&settings::log, &log_settings::parts>("log-parts", "LIST", "levels of single parts"),
     row<&settings::storage, &storage_settings::data_folder>("data-folder", "PATH",
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -72,6 +72,12 @@
     ranged<std::uint32_t, 100, 60'000> instance_poll_ms = 2'000;
 };
 
+/// The rate of the weight store. Loads are ordered only if it is set.
+struct weight_settings {
+    ranged<std::uint32_t, 0, 10'000> loads_per_minute = 0; ///< 0: targets keep the models of the documents
+    ranged<std::uint32_t, 1, 1'000> loads_in_flight = 2;
+};
+
 struct log_settings {
     log_level level = log_level::info;
     std::map<std::string, log_level> parts; ///< levels of single parts, by the names of util/log.h
@@ -98,6 +104,7 @@
     key_settings keys;
     partition_settings partitions;
     timing_settings timing;
+    weight_settings weights;
     log_settings log;
     storage_settings storage;
 };
--- a/standins/engine_core.cpp
+++ b/standins/engine_core.cpp
@@ -133,7 +133,8 @@
             static_cast<std::uint32_t>(m_limits.batch),
             sum,
             m_limits.cache_tokens,
-            m_limits.decode_tokens_per_second / m_slow_factor};
+            m_limits.decode_tokens_per_second / m_slow_factor,
+            std::nullopt};
 }
 
 engine_held engine_core::held() const
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -13,6 +13,9 @@
 // Bounds the memory of an engine that nobody asks for its events.
 constexpr std::size_t max_events = 10'000;
 
+// Pause after the weight store refused a read.
+constexpr std::chrono::milliseconds load_retry{50};
+
 // How often a waiting stream looks whether its client has gone.
 constexpr std::chrono::milliseconds client_check_interval{50};
 
@@ -45,12 +48,14 @@
         m_work.notify_all();
     });
     m_thread = std::thread([this] { run(); });
+    m_loader = std::thread([this] { run_loads(); });
 }
 
 engine_server::~engine_server()
 {
     m_http.stop();
     m_thread.join();
+    m_loader.join();
 }
 
 void engine_server::add_routes()
@@ -97,6 +102,37 @@
     }
 }
 
+void engine_server::run_loads()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        if (m_loads.empty()) {
+            m_work.wait(lock);
+            continue;
+        }
+        const std::string name = m_loads.front();
+        lock.unlock();
+        const bool loaded = read_weights(name);
+        lock.lock();
+        // An order may have withdrawn the load meanwhile.
+        const bool wanted = std::erase(m_loads, name) > 0;
+        if (loaded && wanted) {
+            m_models.insert(name);
+        }
+        else if (!loaded && wanted) {
+            m_loads.push_back(name);
+            m_work.wait_for(lock, load_retry);
+        }
+    }
+}
+
+bool engine_server::read_weights(const std::string& name) const
+{
+    httplib::Client store("http://" + m_options.weights);
+    const auto reply = store.Get("/weights/" + name);
+    return reply && reply->status == 200;
+}
+
 void engine_server::update(timestamp now)
 {
     const fault standing = m_http.faults().standing();
@@ -163,7 +199,7 @@
         answer_error(res, 409, "stale fencing token");
         return false;
     }
-    if (!m_models.empty() && !m_models.contains(body.value("model", ""))) {
+    if (!m_options.models.empty() && !m_models.contains(body.value("model", ""))) {
         answer_error(res, 404, "model not loaded");
         return false;
     }
@@ -262,10 +298,17 @@
         return;
     }
     if (kind == "load_model") {
-        m_models.insert(name);
+        if (m_options.weights.empty()) {
+            m_models.insert(name);
+        }
+        else {
+            m_loads.push_back(name);
+            m_work.notify_all();
+        }
     }
     else if (kind == "unload_model") {
         m_models.erase(name);
+        std::erase(m_loads, name);
     }
     m_orders.push_back(body);
     answer_json(res, body);
@@ -275,12 +318,16 @@
 {
     const std::lock_guard lock(m_mutex);
     const engine_load& load = m_load.at(report_time(effect));
-    answer_json(res, {{"running", load.running},
-                      {"queued", load.queued},
-                      {"batch_limit", load.batch_limit},
-                      {"held_tokens", load.held_tokens},
-                      {"capacity_tokens", load.capacity_tokens},
-                      {"tokens_per_second", load.tokens_per_second}});
+    nlohmann::json body{{"running", load.running},
+                        {"queued", load.queued},
+                        {"batch_limit", load.batch_limit},
+                        {"held_tokens", load.held_tokens},
+                        {"capacity_tokens", load.capacity_tokens},
+                        {"tokens_per_second", load.tokens_per_second}};
+    if (!m_options.models.empty()) {
+        body["models"] = m_models;
+    }
+    answer_json(res, body);
 }
 
 void engine_server::answer_events(const request& req, response& res, const fault& effect)
--- a/standins/engine_server.h
+++ b/standins/engine_server.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds report_lag{200}; ///< of load reports and cache events
     std::uint32_t lose_every_event = 0;        ///< every n-th cache event is never published; 0: off
     std::set<std::string> models;              ///< loaded at the start; empty: every model is served
+    std::string weights;                       ///< address of the weight store; empty: loads take no time
 };
 
 /// Stand-in for a model engine over HTTP. Thread-safe.
@@ -49,6 +50,8 @@
     struct completion;
 
     void add_routes();
+    void run_loads();
+    bool read_weights(const std::string& name) const;
     void add_cache_routes();
     void run();
     void update(timestamp now);
@@ -77,6 +80,7 @@
     bool m_stopping = false;
     fence_book m_fences;
     std::set<std::string> m_models;
+    std::deque<std::string> m_loads; ///< ordered and not yet read from the weight store
     nlohmann::json m_orders = nlohmann::json::array();
     std::uint64_t m_last_event = 0;
     std::deque<published_event> m_events;
@@ -84,6 +88,7 @@
     http_server m_http; ///< stopped by the destructor, so that its handlers end before the state
     engine_core m_core;
     std::thread m_thread;
+    std::thread m_loader;
 };
 
 } // namespace lagoonferry::standin
--- a/standins/options.cpp
+++ b/standins/options.cpp
@@ -40,10 +40,12 @@
   --report-lag-ms=<n>       Lag of an engine's reports [default: 200].
   --lose-every-event=<n>    Every n-th cache event of an engine is lost; 0 is off [default: 0].
   --model=<name>            A model that the engines have loaded; none serves every model.
+  --weights-address=<ip:port>  Weight store from which engines read ordered models; none loads them at once.
   --tool=<name=ms>          A tool and its delay; none serves every name without delay.
   --lag-ms=<n>              Lag of the instance list [default: 0].
   --weight=<name=bytes>     Weights and their size.
   --weight-reads-per-second=<n>  Rate limit of the weight store; 0 is off [default: 0].
+  --weight-bytes-per-second=<n>  Bandwidth of the weight store over all reads; 0 is off [default: 0].
   --engines=<n>             Engines of "all" [default: 4].
   --tools=<n>               Tool services of "all" [default: 1].
   --failure-domains=<n>     Failure domains over which "all" spreads targets in the instance list [default: 3].
@@ -102,6 +104,7 @@
     out.lose_every_event = static_cast<std::uint32_t>(number(args, "--lose-every-event", 0));
     const auto& models = args.at("--model").asStringList();
     out.models = {models.begin(), models.end()};
+    out.weights = args.at("--weights-address") ? args.at("--weights-address").asString() : std::string();
     return out;
 }
 
@@ -129,6 +132,7 @@
     out.kv = {number(args, "--writes-per-second", 0), number(args, "--reads-per-second", 0)};
     out.tool_delays = pairs<tool_server::delay_map>(args, "--tool");
     out.instances_lag = std::chrono::milliseconds(static_cast<std::int64_t>(number(args, "--lag-ms", 0)));
+    out.weight_bytes_per_second = number(args, "--weight-bytes-per-second", 0);
     out.weights = pairs<weights_server::size_map>(args, "--weight");
     out.weight_reads_per_second = number(args, "--weight-reads-per-second", 0);
     return out;
--- a/standins/options.h
+++ b/standins/options.h
@@ -29,6 +29,7 @@
     tool_server::delay_map tool_delays;
     std::chrono::milliseconds instances_lag{0};
     weights_server::size_map weights;
+    double weight_bytes_per_second = 0;
     double weight_reads_per_second = 0;
 };
 
--- a/standins/standin_set.cpp
+++ b/standins/standin_set.cpp
@@ -67,7 +67,8 @@
         m_instances = std::make_unique<instances_server>(opts.instances_lag);
     }
     if (wanted(weights)) {
-        m_weights = std::make_unique<weights_server>(opts.weights, opts.weight_reads_per_second);
+        m_weights =
+            std::make_unique<weights_server>(opts.weights, opts.weight_reads_per_second, opts.weight_bytes_per_second);
     }
     return (m_kv == nullptr || add(opts, "kv", "kv", m_kv->http())) &&
            (m_instances == nullptr || add(opts, "instances", "instances", m_instances->http())) &&
--- a/standins/weights_server.cpp
+++ b/standins/weights_server.cpp
@@ -3,6 +3,10 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
 namespace lagoonferry::standin {
 
 namespace {
@@ -21,7 +25,8 @@
 
 } // namespace
 
-weights_server::weights_server(size_map sizes, double reads_per_second) : m_sizes(std::move(sizes))
+weights_server::weights_server(size_map sizes, double reads_per_second, double bytes_per_second)
+    : m_sizes(std::move(sizes)), m_bytes_per_second(bytes_per_second)
 {
     m_reads.set_rate(reads_per_second);
     m_http.on("GET", "/weights/(.+)",
@@ -36,7 +41,7 @@
 
 void weights_server::read(const httplib::Request& req, httplib::Response& res)
 {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     const auto it = m_sizes.find(req.matches[1].str());
     if (it == m_sizes.end()) {
         answer_error(res, 404, "unknown weights");
@@ -48,6 +53,14 @@
         return;
     }
     res.set_content(weights_of(it->first, it->second), "application/octet-stream");
+    if (m_bytes_per_second <= 0) {
+        return;
+    }
+    const std::chrono::duration<double> transfer(static_cast<double>(it->second) / m_bytes_per_second);
+    const timestamp end = std::max(m_busy_until, steady_now()) + std::chrono::duration_cast<timestamp>(transfer);
+    m_busy_until = end;
+    lock.unlock();
+    std::this_thread::sleep_for(end - steady_now());
 }
 
 } // namespace lagoonferry::standin
--- a/standins/weights_server.h
+++ b/standins/weights_server.h
@@ -15,8 +15,9 @@
 public:
     using size_map = std::map<std::string, std::size_t>;
 
-    /// `sizes` are the weights with their sizes in bytes. `reads_per_second` 0 switches the limit off.
-    weights_server(size_map sizes, double reads_per_second);
+    /// `sizes` are the weights with their sizes in bytes. 0 switches a limit off: of reads per second, and of
+    /// bytes per second over all reads, which take turns.
+    weights_server(size_map sizes, double reads_per_second, double bytes_per_second = 0);
 
     http_server& http() { return m_http; }
 
@@ -26,6 +27,8 @@
     std::mutex m_mutex;
     size_map m_sizes;
     token_bucket m_reads;
+    double m_bytes_per_second = 0;
+    timestamp m_busy_until{0};
     http_server m_http; ///< last, so that its handlers end before the state
 };
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -401,6 +401,29 @@
     CHECK(get_json(engine.address(), "/v1/orders").size() == 1);
 }
 
+TEST_CASE("an ordered model is read from the weight store and served only then, at the rate of the store")
+{
+    running_standin<weights_server> store(weights_server::size_map{{"a", 1000}, {"b", 1000}}, 0.0, 4000.0);
+    engine_options options = fast_engine();
+    options.models = {"c"};
+    options.weights = store.address();
+    running_standin<engine_server> engine(options);
+    call_counts counts;
+    http_engine_client client(8, counts);
+    failure why;
+    const auto held = [&] { return *client.load(engine.address(), patience, why)->models; };
+    const auto started = std::chrono::steady_clock::now();
+    CHECK(client.order(engine.address(), {"unload_model", "c", {}}, patience).http_status == 200);
+    CHECK(held().empty());
+    CHECK(client.order(engine.address(), {"load_model", "a", {}}, patience).http_status == 200);
+    CHECK(client.order(engine.address(), {"load_model", "b", {}}, patience).http_status == 200);
+    while (held().size() < 2 && std::chrono::steady_clock::now() - started < std::chrono::seconds(10)) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    CHECK(held() == std::vector<std::string>{"a", "b"});
+    CHECK(std::chrono::steady_clock::now() - started >= std::chrono::milliseconds(500));
+}
+
 TEST_CASE("a leaving instance shows up after the lag, and a malformed entry fails the poll")
 {
     running_standin<instances_server> instances(0ms);
--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -234,6 +234,24 @@
     CHECK(wait_until([&] { return held_tokens(system, program) == 0; }));
 }
 
+TEST_CASE("an engine that lost its model is ordered to load it again, with a fencing token, and gets calls again")
+{
+    local_system system;
+    const std::string program = system.open_program();
+    REQUIRE(system.turn(program, 1, "first").status == 200);
+    const nlohmann::json lost{{"kind", "unload_model"}, {"name", "allocation"}};
+    REQUIRE(system.ask_standin("engine-0", "POST", "/v1/orders", lost).status == 200);
+    REQUIRE(system.ask_standin("engine-1", "POST", "/v1/orders", lost).status == 200);
+    for (const char* engine : {"engine-0", "engine-1"}) {
+        CHECK(wait_until([&] {
+            const nlohmann::json orders = system.ask_standin(engine, "GET", "/v1/orders").body;
+            return orders.size() > 1 && orders.back().at("kind") == "load_model" &&
+                   orders.back().at("name") == "allocation" && orders.back().at("fence").get<std::uint64_t>() > 0;
+        }));
+    }
+    CHECK(wait_until([&] { return system.turn(program, 2, "second").status == 200; }));
+}
+
 TEST_CASE("bad input is refused with a numbered error and another account cannot reach a program")
 {
     local_system system;
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -162,6 +162,7 @@
 {
     std::vector<std::string> arguments = common_arguments("dispatch-1", "fd-1");
     arguments.insert(arguments.begin(), "dispatch");
+    arguments.push_back("--weight-loads-per-minute=60");
     m_dispatcher = std::make_unique<child_process>(
         "lagoonferry", arguments, std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1"});
     REQUIRE(m_dispatcher->read_listening(20s));
