Take account weights and class headroom from the documents in force

Cause: account weight and headroom_percent were accepted and had no effect; dispatchers used fixed shares of their own. Change: a dispatcher takes both from the documents in force when they change. Recent tokens of an account are divided by its weight relative to the mean weight, so equal weights change nothing. A class may fill what the headroom of the more urgent classes leaves. Services that name the same model share its targets; the larger headroom holds. Test: unit tests of the order by weight, of equal weights and of the granted shares. Open: max_programs is still not enforced.

--- a/src/dispatch/account_shares.cpp
+++ b/src/dispatch/account_shares.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/account_shares.h"
 
 #include <cmath>
+#include <numeric>
 
 namespace lagoonferry {
 
@@ -22,7 +23,21 @@
 double account_shares::of(std::string_view account, timestamp now) const
 {
     const auto it = m_shares.find(account);
-    return it == m_shares.end() ? 0 : decayed(it->second, now);
+    if (it == m_shares.end()) {
+        return 0;
+    }
+    const auto weight = m_relative_weights.find(account);
+    return decayed(it->second, now) / (weight == m_relative_weights.end() ? 1 : weight->second);
+}
+
+void account_shares::set_weights(const std::map<std::string, double, std::less<>>& weights)
+{
+    m_relative_weights.clear();
+    const double sum = std::accumulate(weights.begin(), weights.end(), 0.0,
+                                       [](double total, const auto& item) { return total + item.second; });
+    for (const auto& [account, weight] : weights) {
+        m_relative_weights[account] = weight * static_cast<double>(weights.size()) / sum;
+    }
 }
 
 void account_shares::prune(timestamp now)
--- a/src/dispatch/account_shares.h
+++ b/src/dispatch/account_shares.h
@@ -2,6 +2,8 @@
 
 #include "util/time.h"
 
+#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -16,7 +18,11 @@
     /// Adds `tokens` of service for the account.
     void add(std::string_view account, double tokens, timestamp now);
 
-    /// Decayed tokens of the account; 0 for an account that has not been seen.
+    /// Sets the weights of accounts; others weigh as much as the mean of these. Precondition: every weight is above 0.
+    void set_weights(const std::map<std::string, double, std::less<>>& weights);
+
+    /// Decayed tokens of the account, divided by its weight relative to the mean weight; 0 for an account that has not
+    /// been seen.
     double of(std::string_view account, timestamp now) const;
 
     /// Drops accounts whose share has decayed to less than a token.
@@ -37,6 +43,7 @@
     double decayed(const share& s, timestamp now) const;
 
     timestamp m_half_life;
+    std::unordered_map<std::string, double, text_hash, std::equal_to<>> m_relative_weights;
     std::unordered_map<std::string, share, text_hash, std::equal_to<>> m_shares;
 };
 
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -14,6 +14,8 @@
 #include "dispatch/target_track.h"
 #include "dispatch/waiting_queue.h"
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,6 +42,15 @@
     /// Adds a target or changes its state. Slots on a target that is gone are dropped.
     void set_target(const target_info& target, timestamp now);
 
+    /// Replaces the share of each limit that a class and the classes below it may fill.
+    void set_class_share(const per_class<double>& share) { m_settings.class_share = share; }
+
+    /// Sets the weights of accounts in the order of the queue; see `account_shares`.
+    void set_account_weights(const std::map<std::string, double, std::less<>>& weights)
+    {
+        m_shares.set_weights(weights);
+    }
+
     /// Notes a late load report. Unknown targets are ignored.
     void report_load(const load_report& report);
 
--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -1,6 +1,7 @@
 #include "roles/dispatch_controller.h"
 
 #include "blackboard/board.h"
+#include "dispatch/document_shares.h"
 #include "dispatch/make_dispatcher.h"
 #include "peer/datagram_sender.h"
 #include "util/log.h"
@@ -40,10 +41,39 @@
     const auto seed = static_cast<std::uint64_t>(now.count());
     slot_dispatcher& added =
         m_groups.emplace(group, make_dispatcher(dispatch_settings{}, m_options.incarnation, seed, now)).first->second;
+    m_followed.clear();
+    follow_documents();
     follow_targets(now);
     return added;
 }
 
+void dispatch_state::follow_documents()
+{
+    const auto documents = m_board->documents.read();
+    if (documents->services == m_followed) {
+        return;
+    }
+    m_followed = documents->services;
+    std::map<std::string, double, std::less<>> weights;
+    std::map<std::string, per_class<double>> shares; // by model
+    for (const auto& [service, in_force] : m_followed) {
+        add_account_weights(in_force->document, weights);
+        const per_class<double> own = class_shares(in_force->document);
+        for (const model& item : in_force->document.models) {
+            auto& common = shares.try_emplace(item.name, own).first->second;
+            // Services that name the same model share its targets; the larger headroom holds.
+            std::ranges::transform(common, own, common.begin(), [](double a, double b) { return std::min(a, b); });
+        }
+    }
+    for (auto& [group, dispatcher] : m_groups) {
+        dispatcher.set_account_weights(weights);
+        const auto it = shares.find(group.substr(0, group.find('/')));
+        if (it != shares.end()) {
+            dispatcher.set_class_share(it->second);
+        }
+    }
+}
+
 void dispatch_state::follow_targets(timestamp now)
 {
     const auto targets = m_board->targets.read();
@@ -198,6 +228,7 @@
 void dispatch_state::on_tick()
 {
     const timestamp now = steady_now();
+    follow_documents();
     plan_orders(now);
     follow_targets(now);
     for (auto& [group, dispatcher] : m_groups) {
--- a/src/roles/dispatch_controller.h
+++ b/src/roles/dispatch_controller.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,6 +19,7 @@
 
 struct board;
 class datagram_sender;
+struct document_in_force;
 struct known_target;
 struct target_group;
 struct target_map;
@@ -48,6 +50,7 @@
 private:
     using outgoing = std::vector<outgoing_slot_message>;
 
+    void follow_documents();
     void follow_target(const known_target& target, const std::string& home_group, timestamp now);
     void plan_orders(timestamp now);
     std::vector<model_demand> demand_of(const std::string& service, const target_map& targets);
@@ -68,6 +71,7 @@
     std::map<std::string, target_orders, std::less<>> m_orders; ///< by service
     std::map<std::string, std::uint64_t> m_seen_grants;         ///< by group
     timestamp m_next_plan{0};
+    std::map<std::string, std::shared_ptr<const document_in_force>, std::less<>> m_followed; ///< documents, by service
 };
 
 /// The behaviour of the dispatch controller. `shared` and `sender` outlive the actor.
--- a/tests/slot_dispatcher_test.cpp
+++ b/tests/slot_dispatcher_test.cpp
@@ -1,3 +1,4 @@
+#include "dispatch/document_shares.h"
 #include "dispatch/make_dispatcher.h"
 
 #include <doctest/doctest.h>
@@ -135,6 +136,56 @@
     CHECK(only<slot_grant>(d.handle(release, warm)).at(0).request == 4);
 }
 
+TEST_CASE("an account's weight of the document counts: at equal use the heavier account goes first")
+{
+    for (const bool first_is_heavy : {true, false}) {
+        service_document document;
+        document.service = "s";
+        document.accounts = {{"a", "", first_is_heavy ? 10U : 1U, 1, {}}, {"b", "", first_is_heavy ? 1U : 10U, 1, {}}};
+        std::map<std::string, double, std::less<>> weights;
+        add_account_weights(document, weights);
+        account_shares shares(seconds(30));
+        shares.set_weights(weights);
+        shares.add("s/a", 1000, warm);
+        shares.add("s/b", 1000, warm);
+        CHECK((shares.of("s/a", warm) < shares.of("s/b", warm)) == first_is_heavy);
+        CHECK(shares.of("s/a", warm) + shares.of("s/b", warm) > 1000);
+    }
+}
+
+TEST_CASE("equal weights change nothing, so that documents without preference keep the measured order")
+{
+    account_shares shares(seconds(30));
+    shares.set_weights({{"s/a", 7}, {"s/b", 7}});
+    shares.add("s/a", 1000, warm);
+    CHECK(shares.of("s/a", warm) == doctest::Approx(1000));
+}
+
+TEST_CASE("the headroom of the document stays free for more urgent classes")
+{
+    service_document document;
+    document.priorities = {{{0, 10}, {1, 20}, {2, 20}, {3, 0}}};
+    const auto shares = class_shares(document);
+    CHECK(shares[0] == doctest::Approx(1));
+    CHECK(shares[1] == doctest::Approx(0.9));
+    CHECK(shares[2] == doctest::Approx(0.7));
+    CHECK(shares[3] == doctest::Approx(0.5));
+    auto d = dispatcher_with(1, 10);
+    d.set_class_share(shares);
+    std::uint64_t request = 1;
+    const auto granted = [&](service_class c) {
+        std::size_t count = 0;
+        for (int n = 0; n < 20; ++n) {
+            count += acquire(d, call(request++, c)).size();
+        }
+        return count;
+    };
+    CHECK(granted(service_class::bulk) == 5);
+    CHECK(granted(service_class::normal) == 2);
+    CHECK(granted(service_class::interactive) == 2);
+    CHECK(granted(service_class::safety) == 1);
+}
+
 TEST_CASE("a program returns to the target that holds its prefix, unless a cache event says that it is gone")
 {
     auto d = dispatcher_with(4, 10);
