Count the first token of a call once and refill the retry budget

Cause: each attempt of a call that was resumed on another target counted a first token for the service metrics, with the time since the request arrived. The entry process never noted first attempts, so that its retry budget was not refilled: after ten retries no call was resumed until a restart. Change: an attempt that resumes a call that has tokens is marked and not counted; turn_runner notes each first attempt. Open: retry_policy::hedge is still not used by turn_runner.

--- a/src/entry/turn_runner.cpp
+++ b/src/entry/turn_runner.cpp
@@ -111,6 +111,10 @@
     call.failed.call = work.call;
     call.failed.epoch = work.epoch;
     call.failed.run = run_state::not_run;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_retries.on_first_attempt();
+    }
     while (true) {
         if (!get_slot(call, options)) {
             return call.failed;
@@ -193,6 +197,7 @@
     attempt seen;
     seen.target = call.slot.target;
     seen.sent = steady_now();
+    seen.resumed = call.tokens > 0;
     const auto on_token = [&](std::string_view text) {
         seen.last_token = steady_now();
         if (seen.tokens++ == 0) {
--- a/src/entry/turn_runner.h
+++ b/src/entry/turn_runner.h
@@ -46,10 +46,14 @@
         timestamp sent{0};
         timestamp first_token{0}; ///< 0 without a token
         timestamp last_token{0};
+        bool resumed = false; ///< an earlier attempt delivered the first token of the call
         std::uint32_t tokens = 0;
         engine_answer answer;
         bool preempted = false;
         bool caller_gone = false;
+
+        /// Whether the first token of the call came from this attempt, not from an earlier one that it resumes.
+        bool delivered_first_token() const { return tokens > 0 && !resumed; }
     };
 
     /// Called after each attempt, for metrics. Set before the first call; must be thread-safe.
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -154,7 +154,7 @@
 {
     const auto documents = m_process.shared().documents.read();
     const auto it = documents->services.find(options.service);
-    if (seen.tokens == 0 || it == documents->services.end()) {
+    if (!seen.delivered_first_token() || it == documents->services.end()) {
         return;
     }
     const class_settings& targets = it->second->document.classes.at(index_of(options.priority));
