Poll the cache events of targets and follow them through gaps and restarts

Cause: the dispatch process polled load reports only, so that evictions on the engines were unknown to prefix affinity. Change: the load poller also asks for cache events. A missing number, or an answer without the last known event (a restart), leads to one read of what the engine holds. Open: no ablation measures what the events are worth.

--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -223,6 +223,11 @@
             dispatcher.report_load(report);
         }
     }
+    for (const cache_event& event : message.cache) {
+        for (auto& [group, dispatcher] : m_groups) {
+            dispatcher.report_cache(event);
+        }
+    }
 }
 
 void dispatch_state::on_tick()
--- a/src/roles/load_poller.cpp
+++ b/src/roles/load_poller.cpp
@@ -22,7 +22,26 @@
     return !order.empty() && order.front() == id;
 }
 
-target_loads poll(const target_map& map, const std::string& id, engine_client& engines)
+void poll_cache(const std::string& target, const std::string& address, cache_follower& caches, engine_client& engines,
+                std::vector<cache_event>& out)
+{
+    failure why;
+    const auto answer = engines.cache_events(address, caches.after(target), call_timeout, why);
+    if (!answer) {
+        return;
+    }
+    const cache_follower::result followed = caches.follow(target, *answer);
+    out.insert(out.end(), followed.events.begin(), followed.events.end());
+    if (!followed.incomplete) {
+        return;
+    }
+    if (const auto held = engines.held(address, call_timeout, why)) {
+        const auto changes = caches.resync(target, *held);
+        out.insert(out.end(), changes.begin(), changes.end());
+    }
+}
+
+target_loads poll(const target_map& map, const std::string& id, cache_follower& caches, engine_client& engines)
 {
     target_loads message;
     for (const auto& item : map.targets) {
@@ -32,6 +51,7 @@
         failure why;
         if (const auto load = engines.load(item.second.address, call_timeout, why)) {
             message.reports.push_back({item.first, load->running, load->queued, load->models});
+            poll_cache(item.first, item.second.address, caches, engines, message.cache);
         }
     }
     return message;
@@ -46,7 +66,7 @@
     return {[=](tick_atom) {
         const auto map = shared->targets.read();
         if (map->groups) {
-            self->send(dispatch, poll(*map, id, *engines));
+            self->send(dispatch, poll(*map, id, self->state.caches, *engines));
         }
         self->delayed_send(self, poll_interval, tick_atom::value);
     }};
--- a/src/roles/load_poller.h
+++ b/src/roles/load_poller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dispatch/cache_follower.h"
 #include "roles/messages.h"
 
 #include <caf/actor.hpp>
@@ -13,10 +14,12 @@
 struct board;
 class engine_client;
 
-struct load_poller_state {};
+struct load_poller_state {
+    cache_follower caches;
+};
 
-/// Reads the load reports of the targets whose groups this process serves, once a second, and sends them to the
-/// dispatch controller. It blocks, so it needs a thread of its own.
+/// Reads the load reports and cache events of the targets whose groups this process serves, once a second, and sends
+/// them to the dispatch controller. It blocks, so it needs a thread of its own.
 caf::behavior load_poller(caf::stateful_actor<load_poller_state>* self, const std::string& id,
                           const caf::actor& dispatch, const board* shared, engine_client* engines);
 
--- a/src/roles/messages.h
+++ b/src/roles/messages.h
@@ -69,9 +69,10 @@
     slot_message message;
 };
 
-/// Load reports of targets.
+/// Load reports and cache events of targets.
 struct target_loads {
     std::vector<load_report> reports;
+    std::vector<cache_event> cache;
 };
 
 /// An order to a target; the number of its fencing token.
--- /dev/null
+++ b/tests/cache_follower_test.cpp
@@ -0,0 +1,59 @@
+#include "dispatch/cache_follower.h"
+
+#include "util/rendezvous.h"
+
+#include <doctest/doctest.h>
+
+using namespace lagoonferry;
+
+namespace {
+
+engine_cache_event event(std::uint64_t sequence, const char* kind, const char* program, std::uint64_t tokens)
+{
+    return {sequence, kind, program, tokens};
+}
+
+} // namespace
+
+TEST_CASE("cache events become prefixes once each, also when the last one is answered again")
+{
+    cache_follower f;
+    CHECK(f.after("t") == 0);
+    const auto first = f.follow("t", {{event(1, "stored", "p", 100), event(2, "evicted", "q", 50)}});
+    CHECK_FALSE(first.incomplete);
+    REQUIRE(first.events.size() == 2);
+    CHECK(first.events[0].prefix == stable_hash("p"));
+    CHECK(first.events[0].tokens == 100);
+    CHECK(first.events[1].tokens == 0);
+    CHECK(f.after("t") == 1);
+    const auto again = f.follow("t", {{event(2, "evicted", "q", 50)}});
+    CHECK_FALSE(again.incomplete);
+    CHECK(again.events.empty());
+}
+
+TEST_CASE("a lost event asks for what the target holds, so that an evicted prefix is not believed for ever")
+{
+    cache_follower f;
+    f.follow("t", {{event(1, "stored", "p", 100), event(2, "stored", "q", 100)}});
+    const auto gap = f.follow("t", {{event(2, "stored", "q", 100), event(4, "stored", "r", 10)}});
+    CHECK(gap.incomplete);
+    engine_held held;
+    held.programs = {{"q", 100}, {"r", 10}};
+    const auto changes = f.resync("t", held);
+    REQUIRE(changes.size() == 3);
+    CHECK(changes.back().prefix == stable_hash("p"));
+    CHECK(changes.back().tokens == 0);
+    CHECK_FALSE(f.follow("t", {{event(4, "stored", "r", 10)}}).incomplete);
+}
+
+TEST_CASE("a restarted target, whose numbers begin again, is followed again")
+{
+    cache_follower f;
+    f.follow("t", {{event(1, "stored", "p", 100), event(2, "stored", "q", 100), event(3, "stored", "r", 100)}});
+    CHECK(f.follow("t", {}).incomplete);
+    CHECK(f.resync("t", {}).size() == 3);
+    CHECK(f.after("t") == 0);
+    const auto next = f.follow("t", {{event(1, "stored", "s", 7)}});
+    CHECK_FALSE(next.incomplete);
+    CHECK(next.events.size() == 1);
+}
