Measure the recovery from lost dispatchers, holders and targets

The policy bench never loses a process, so nothing showed what a change of dispatcher costs.

`lagoonferry_bench recovery` runs five faults at the demand peak on a virtual clock with the real slot protocol.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,6 +1,7 @@
 #include "demo_command.h"
 #include "load_command.h"
 #include "policy_command.h"
+#include "recovery_command.h"
 
 #include <algorithm>
 #include <array>
@@ -18,6 +19,7 @@
 
 constexpr std::array subcommands{
     subcommand{"policy", lagoonferry::bench::policy_command},
+    subcommand{"recovery", lagoonferry::bench::recovery_command},
     subcommand{"demo", lagoonferry::bench::demo_command},
     subcommand{"load", lagoonferry::bench::load_command},
 };
@@ -33,7 +35,7 @@
     }
     const auto* it = std::ranges::find(subcommands, arguments.front(), &subcommand::name);
     if (it == subcommands.end()) {
-        std::cerr << "Usage: lagoonferry_bench [policy|demo|load] [options]\n";
+        std::cerr << "Usage: lagoonferry_bench [policy|recovery|demo|load] [options]\n";
         return 2;
     }
     return it->run(arguments);
--- /dev/null
+++ b/bench/recovery_report.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "recovery_figures.h"
+#include "recovery_scenario.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+/// One run with its arguments.
+struct recovery_result {
+    recovery_size size;
+    recovery_fault fault = recovery_fault::dispatcher_killed;
+    std::uint64_t seed = 1;
+    recovery_figures figures;
+};
+
+/// Writes one table per size: a row for each fault and seed.
+void write_recovery_table(std::ostream& out, const std::vector<recovery_result>& results);
+
+/// All figures of all runs. Infinite values are null.
+nlohmann::json to_recovery_json(const std::vector<recovery_result>& results);
+
+} // namespace lagoonferry::bench
--- /dev/null
+++ b/bench/recovery_scenario.cpp
@@ -0,0 +1,60 @@
+#include "recovery_scenario.h"
+
+namespace lagoonferry::bench {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::seconds;
+
+constexpr timestamp pause_length = seconds(12);
+constexpr timestamp cut_length = seconds(20);
+constexpr timestamp restart_span = seconds(60);
+constexpr timestamp observed_after = seconds(30);
+
+} // namespace
+
+std::string_view to_string(recovery_fault value)
+{
+    constexpr std::array<std::string_view, all_recovery_faults.size()> names{"killed", "paused", "cut", "mass-restart",
+                                                                             "domain-lost"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+std::vector<recovery_size> recovery_sizes(bool large)
+{
+    std::vector<recovery_size> sizes{
+        {"zurich", 8, 3, microseconds(1500), {{"allocation", 18}, {"application", 5}}},
+        {"vallarsa", 7, 4, microseconds(900), {{"assistant", 9}, {"trade", 4}}},
+    };
+    if (large) {
+        sizes.push_back({"40-instances", 40, 6, microseconds(1500), {{"a", 200}, {"b", 120}, {"c", 80}}});
+        sizes.push_back({"340-instances",
+                         340,
+                         9,
+                         microseconds(1500),
+                         {{"a", 1200}, {"b", 800}, {"c", 600}, {"d", 300}, {"e", 200}}});
+    }
+    return sizes;
+}
+
+timestamp fault_end(recovery_fault fault)
+{
+    switch (fault) {
+    case recovery_fault::dispatcher_paused:
+        return recovery_failure + pause_length;
+    case recovery_fault::dispatcher_cut:
+        return recovery_failure + cut_length;
+    case recovery_fault::mass_restart:
+        return recovery_failure + restart_span;
+    default:
+        return recovery_failure;
+    }
+}
+
+timestamp recovery_run_end(recovery_fault fault)
+{
+    return fault_end(fault) + observed_after;
+}
+
+} // namespace lagoonferry::bench
