Fence replaced dispatchers, and take over without exceeding a limit

A report of more than 16 slots marked its last part as complete, so that the slots of the other parts could be freed, and a restarted holder reused request ids, which a dispatcher takes for repetitions.

Epochs now order the dispatchers of a group. A holder follows one dispatcher, refuses grants of any other or of a lower epoch, and tells a stale dispatcher the epoch in force. A successor asks every holder and grants nothing before all have accepted its epoch and reported; after 2 s each missing holder stands for its share of the limits until 10 s. A holder leaves a dispatcher that leaves a request unanswered for 1 s; a repeated acquire that waits is answered as a sign of life. Reports are numbered in parts, request ids rise over restarts, slots that no report lists for 3 s are asked about, and a target that failed three calls in a row gets one at a time. Calls that wait for reports no longer count as demand.

--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <set>
+#include <unordered_set>
 
 namespace lagoonferry {
 
@@ -19,7 +21,13 @@
 constexpr std::size_t largest_prefix_table = 100'000;
 constexpr unsigned slot_counter_bits = 40;
 constexpr timestamp unlisted_grace = std::chrono::seconds(2); // a grant may still be on its way
+// Progress reports come every second. A holder that restarted never lists the slots that were granted to it before.
+constexpr timestamp longest_unlisted = std::chrono::seconds(3);
+constexpr timestamp ask_interval = std::chrono::seconds(1);
 constexpr timestamp preempt_repeat = std::chrono::seconds(1); // the request may have been lost
+// A target that fails its calls frees its slots fast, so that it would attract every call of its group.
+constexpr std::uint32_t failures_to_suspend = 3;
+constexpr timestamp suspension = std::chrono::seconds(2);
 constexpr timestamp least_progress = std::chrono::milliseconds(200);
 
 double to_us(timestamp t)
@@ -47,8 +55,8 @@
 slot_dispatcher::slot_dispatcher(const dispatch_settings& settings, std::unique_ptr<target_choice> choice,
                                  std::unique_ptr<queue_order> order, std::uint64_t epoch, std::uint64_t seed,
                                  timestamp now)
-    : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_epoch(epoch), m_random(seed),
-      m_started(now), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
+    : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_recovery(settings, epoch, now),
+      m_random(seed), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
       m_demand(settings.demand_half_life), m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us),
       m_typical_hold_us(first_hold_us)
 {
@@ -109,7 +117,9 @@
 std::vector<outgoing_slot_message> slot_dispatcher::tick(timestamp now)
 {
     output out;
+    ask_holders(now, out);
     expire_slots(now);
+    ask_about_unlisted(now, out);
     m_shares.prune(now);
     update_typical();
     update_demand(now);
@@ -134,7 +144,15 @@
 void slot_dispatcher::on(const slot_acquire& m, timestamp now, output& out)
 {
     m_slots.heard(m.holder, now);
-    if (repeat_grant(m, out) || m_queue.contains(m.holder, m.request)) {
+    if (m_recovery.replaced()) {
+        out.push_back({m.holder, slot_epoch{m_recovery.highest()}});
+        return;
+    }
+    if (repeat_grant(m, out)) {
+        return;
+    }
+    if (m_queue.contains(m.holder, m.request)) {
+        out.push_back({m.holder, slot_epoch{m_recovery.epoch()}});
         return;
     }
     if (const auto why = refusal(m, m.deadline)) {
@@ -178,25 +196,52 @@
             unknown = true;
             continue;
         }
+        slot->listed = now;
         observe_progress(*slot, item.tokens, now);
     }
     if (unknown) {
-        out.push_back({m.holder, slot_query{m_epoch}});
+        out.push_back({m.holder, slot_query{m_recovery.epoch()}});
     }
 }
 
 void slot_dispatcher::on(const slot_holding& m, timestamp now, output& out)
 {
+    if (m.epoch > m_recovery.epoch()) {
+        m_recovery.take_over(m.epoch, now);
+        m_queue = {};
+        ask_holders(now, out);
+    }
     for (const auto& held : m.slots) {
-        if (m_slots.find(held.slot) == nullptr) {
+        if (auto* slot = m_slots.find(held.slot)) {
+            slot->listed = now;
+        }
+        else {
             adopt(held, m.holder, now);
         }
     }
     m_slots.heard(m.holder, now);
-    if (m.complete) {
-        drop_unlisted(m, now);
+    if (const auto listed = m_recovery.note(m)) {
+        drop_unlisted(m.holder, *listed, now);
         serve(now, out);
     }
+    else if (m.epoch != 0 && m.epoch < m_recovery.epoch()) {
+        out.push_back({m.holder, slot_query{m_recovery.epoch()}});
+    }
+}
+
+void slot_dispatcher::on(const slot_epoch& m, timestamp /*now*/, output& /*out*/)
+{
+    // The holders repeat their requests at the dispatcher that they follow now.
+    if (m_recovery.replaced_by(m.epoch)) {
+        m_queue = {};
+    }
+}
+
+void slot_dispatcher::ask_holders(timestamp now, output& out)
+{
+    for (auto& holder : m_recovery.holders_to_ask(now)) {
+        out.push_back({std::move(holder), slot_query{m_recovery.epoch()}});
+    }
 }
 
 void slot_dispatcher::adopt(const held_slot& held, const std::string& holder, timestamp now)
@@ -221,12 +266,14 @@
     m_prefixes.set(held.prefix, *index, held.prompt_tokens);
 }
 
-void slot_dispatcher::drop_unlisted(const slot_holding& m, timestamp now)
+void slot_dispatcher::drop_unlisted(std::string_view holder, std::span<const std::uint64_t> listed, timestamp now)
 {
+    const std::unordered_set<std::uint64_t> kept(listed.begin(), listed.end());
     std::vector<std::uint64_t> lost;
     m_slots.for_each([&](const slot_record& slot) {
-        const bool listed = std::ranges::find(m.slots, slot.slot, &held_slot::slot) != m.slots.end();
-        if (slot.holder == m.holder && !listed && now - slot.granted > unlisted_grace) {
+        // A holder takes no grant of an earlier epoch after its report.
+        const bool final = slot.granted < m_recovery.started() || now - slot.granted > unlisted_grace;
+        if (slot.holder == holder && !kept.contains(slot.slot) && final) {
             lost.push_back(slot.slot);
         }
     });
@@ -241,7 +288,7 @@
     if (slot == nullptr) {
         return false;
     }
-    out.push_back({m.holder, slot_grant{m.request, slot->slot, m_targets[slot->target].info.id, m_epoch}});
+    out.push_back({m.holder, slot_grant{m.request, slot->slot, m_targets[slot->target].info.id, m_recovery.epoch()}});
     return true;
 }
 
@@ -387,7 +434,7 @@
     ++target.in_flight;
     ++target.in_class.at(index_of(a.priority));
     slot_record record;
-    record.slot = (m_epoch << slot_counter_bits) | m_next_slot++;
+    record.slot = (m_recovery.epoch() << slot_counter_bits) | m_next_slot++;
     record.request = a.request;
     record.holder = a.holder;
     record.account = a.account;
@@ -398,7 +445,7 @@
     record.expected_output = a.expected_output;
     record.batch = target.in_flight;
     record.granted = now;
-    out.push_back({a.holder, slot_grant{a.request, record.slot, target.info.id, m_epoch}});
+    out.push_back({a.holder, slot_grant{a.request, record.slot, target.info.id, m_recovery.epoch()}});
     m_prefixes.set(a.prefix, index, a.prompt_tokens);
     m_slots.add(std::move(record));
     m_slots.heard(a.holder, now);
@@ -418,9 +465,13 @@
 {
     auto& target = m_targets[slot.target];
     if (m.failed) {
+        if (++target.failures >= failures_to_suspend) {
+            target.suspended_until = now + suspension;
+        }
         m_prefixes.set(slot.prefix, slot.target, 0);
         return;
     }
+    target.failures = m.tokens > 0 ? 0 : target.failures;
     const std::uint32_t computed = slot.prompt_tokens - std::min(m.cached_tokens, slot.prompt_tokens);
     m_shares.add(slot.account, m.tokens + prompt_service * computed, now);
     if (m.first_token_us > 0) {
@@ -490,10 +541,26 @@
     }
 }
 
+void slot_dispatcher::ask_about_unlisted(timestamp now, output& out)
+{
+    if (now < m_next_ask) {
+        return;
+    }
+    m_next_ask = now + ask_interval;
+    std::set<std::string> holders;
+    m_slots.for_each([&](const slot_record& slot) {
+        if (now - std::max(slot.granted, slot.listed) > longest_unlisted) {
+            holders.insert(slot.holder);
+        }
+    });
+    std::ranges::for_each(holders, [&](const auto& id) { out.push_back({id, slot_query{m_recovery.epoch()}}); });
+}
+
 void slot_dispatcher::preempt_for_urgent(timestamp now, output& out)
 {
     std::uint32_t wanted = m_queue.count(service_class::safety) + m_queue.count(service_class::interactive);
-    if (wanted == 0 || open_classes(now)[index_of(service_class::interactive)]) {
+    // Until the held slots are known, calls wait for the reports and not for room.
+    if (wanted == 0 || m_recovery.share(now) < 1 || open_classes(now)[index_of(service_class::interactive)]) {
         return;
     }
     m_slots.for_each([&](const slot_record& slot) {
@@ -539,14 +606,17 @@
         return std::numeric_limits<std::uint32_t>::max();
     }
     const std::uint32_t whole = m_settings.adaptive_limit ? target.limit.value() : target.info.slots;
-    const bool recovering = now < m_started + m_settings.recovery;
-    const double share = m_settings.class_share.at(index_of(c)) * (recovering ? 0.5 : 1.0);
+    const double share = m_settings.class_share.at(index_of(c)) * m_recovery.share(now);
     return std::max(1U, static_cast<std::uint32_t>(whole * share));
 }
 
 bool slot_dispatcher::has_room(const target_track& target, service_class c, timestamp now) const
 {
-    if (target.in_flight >= limit_of(target, c, now)) {
+    if (m_recovery.share(now) <= 0 || now < target.suspended_until || target.in_flight >= limit_of(target, c, now)) {
+        return false;
+    }
+    // One call at a time shows whether a target that failed its last calls works again.
+    if (target.failures >= failures_to_suspend && target.in_flight > 0) {
         return false;
     }
     if (!m_settings.reserve_demand || c == service_class::safety) {
@@ -572,7 +642,10 @@
     for (std::size_t n = 0; n < class_count; ++n) {
         calls.at(n) += m_queue.count(static_cast<service_class>(n));
     }
-    m_demand.observe(calls, now);
+    // Calls that wait for the reports of holders are no sign of a lack of room.
+    if (m_recovery.share(now) >= 1) {
+        m_demand.observe(calls, now);
+    }
 }
 
 double slot_dispatcher::step_us(const target_track& target, timestamp now) const
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -8,6 +8,7 @@
 #include "dispatch/queue_order.h"
 #include "dispatch/random_source.h"
 #include "dispatch/slot_messages.h"
+#include "dispatch/slot_recovery.h"
 #include "dispatch/slot_table.h"
 #include "dispatch/target_choice.h"
 #include "dispatch/target_info.h"
@@ -16,6 +17,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -32,14 +34,18 @@
 /// Call `tick` every 50 ms to 100 ms: it expires slots, adapts limits and serves calls that were held back.
 class slot_dispatcher {
 public:
-    /// Starts with empty memory: for `settings.recovery` only half of each limit is granted. `epoch` is the incarnation
-    /// of this dispatcher and differs on every start of the same instance. `seed` drives jitter and random choices.
+    /// Starts with empty memory; `slot_recovery` says what is granted until the slots that are held are known. `epoch`
+    /// is the incarnation of this dispatcher and differs on every start of the same instance; it rises when a holder
+    /// has accepted a higher one. `seed` drives jitter and random choices.
     slot_dispatcher(const dispatch_settings& settings, std::unique_ptr<target_choice> choice,
                     std::unique_ptr<queue_order> order, std::uint64_t epoch, std::uint64_t seed, timestamp now);
 
     /// Adds a target or changes its state. Slots on a target that is gone are dropped.
     void set_target(const target_info& target, timestamp now);
 
+    /// Sets the holders that may hold slots of the group: the dispatcher asks each of them before it grants.
+    void set_holders(std::vector<std::string> holders) { m_recovery.set_holders(std::move(holders)); }
+
     /// Notes a late load report. Unknown targets are ignored.
     void report_load(const load_report& report);
 
@@ -65,6 +71,7 @@
     void on(const slot_release& m, timestamp now, output& out);
     void on(const slot_progress& m, timestamp now, output& out);
     void on(const slot_holding& m, timestamp now, output& out);
+    void on(const slot_epoch& m, timestamp now, output& out);
     template <class Other>
     void on(const Other& /*m*/, timestamp /*now*/, output& /*out*/)
     {
@@ -87,7 +94,9 @@
     void observe_progress(slot_record& slot, std::uint32_t tokens, timestamp now);
     void observe_step(target_track& target, double per_token_us, double batch, timestamp now);
     void adopt(const held_slot& held, const std::string& holder, timestamp now);
-    void drop_unlisted(const slot_holding& m, timestamp now);
+    void drop_unlisted(std::string_view holder, std::span<const std::uint64_t> listed, timestamp now);
+    void ask_holders(timestamp now, output& out);
+    void ask_about_unlisted(timestamp now, output& out);
 
     void refuse_late(timestamp now, output& out);
     void expire_slots(timestamp now);
@@ -107,9 +116,8 @@
     dispatch_settings m_settings;
     std::unique_ptr<target_choice> m_choice;
     std::unique_ptr<queue_order> m_order;
-    std::uint64_t m_epoch;
+    slot_recovery m_recovery;
     random_source m_random;
-    timestamp m_started;
     std::vector<target_track> m_targets;
     slot_table m_slots;
     waiting_queue m_queue;
@@ -123,6 +131,7 @@
     double m_typical_step_us;    ///< for targets without observations
     double m_typical_prefill_us; ///< for targets without observations
     double m_typical_hold_us = 0;
+    timestamp m_next_ask{0}; ///< about slots that no report lists
     dispatch_counters m_counters;
 };
 
--- a/src/dispatch/slot_holder.cpp
+++ b/src/dispatch/slot_holder.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/slot_holder.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonferry {
 
@@ -11,6 +12,8 @@
 constexpr timestamp first_resend = milliseconds(100);
 constexpr timestamp longest_resend = milliseconds(800);
 constexpr timestamp return_resend = milliseconds(200);
+// A waiting acquire is answered at each repetition, so this takes at least three lost datagrams of a live dispatcher.
+constexpr timestamp dispatcher_silence = std::chrono::seconds(1);
 constexpr timestamp progress_interval = std::chrono::seconds(1);
 
 // A dispatcher that has gone frees the slots of a silent holder itself, so returns are not repeated for ever.
@@ -38,7 +41,7 @@
     if (it == m_waiting.end()) {
         return;
     }
-    m_returns.push_back({it->second.group, slot_cancel{request, m_holder}, now, 0});
+    m_returns.push_back({it->second.group, slot_cancel{request, m_holder}, now, 0, {}});
     m_waiting.erase(it);
 }
 
@@ -59,15 +62,19 @@
     const granted_slot& slot = it->second.slot;
     const slot_release message{slot.slot,   m_holder,           seen.first_token_us, seen.per_token_us,
                                seen.tokens, seen.cached_tokens, seen.failed,         seen.preempted};
-    m_returns.push_back({slot.group, message, now, 0});
+    m_returns.push_back({slot.group, message, now, 0, {}});
     m_held.erase(it);
 }
 
 std::optional<slot_event> slot_holder::handle(std::string_view group, std::string_view from,
                                               const slot_message& message, timestamp now)
 {
+    const auto state = m_groups.find(group);
+    if (state != m_groups.end() && state->second.dispatcher == from) {
+        state->second.unanswered.reset();
+    }
     if (const auto* m = std::get_if<slot_grant>(&message)) {
-        return on_grant(group, *m, now);
+        return on_grant(group, from, *m, now);
     }
     if (const auto* m = std::get_if<slot_refuse>(&message)) {
         return on_refuse(*m);
@@ -78,22 +85,25 @@
     if (const auto* m = std::get_if<slot_released>(&message)) {
         on_released(group, *m);
     }
-    else if (std::holds_alternative<slot_query>(message)) {
-        group_state& state = m_groups[std::string(group)];
-        state.dispatcher = from;
-        state.report_due = true;
+    else if (const auto* query = std::get_if<slot_query>(&message)) {
+        on_query(std::string(group), from, *query);
+    }
+    else if (const auto* epoch = std::get_if<slot_epoch>(&message)) {
+        on_epoch(group, from, *epoch);
     }
     return std::nullopt;
 }
 
-std::optional<slot_event> slot_holder::on_grant(std::string_view group, const slot_grant& m, timestamp now)
+std::optional<slot_event> slot_holder::on_grant(std::string_view group, std::string_view from, const slot_grant& m,
+                                                timestamp now)
 {
+    const auto held_already = m_held.find(m.request);
+    if (held_already != m_held.end() && held_already->second.slot.slot == m.slot) {
+        return std::nullopt;
+    }
     const auto it = m_waiting.find(m.request);
-    if (it == m_waiting.end()) {
-        const auto held = m_held.find(m.request);
-        if (held == m_held.end() || held->second.slot.slot != m.slot) {
-            return_unwanted(group, m.slot, now);
-        }
+    if (!accepts(std::string(group), from, m.epoch) || it == m_waiting.end()) {
+        return_unwanted(group, from, m.slot, now);
         return std::nullopt;
     }
     held_request held{{std::string(group), m.slot, m.request, m.target}, std::move(it->second.wanted), 0};
@@ -102,14 +112,83 @@
     return slot_event{slot_event::kind::granted, m.request, entry->second.slot, {}};
 }
 
-void slot_holder::return_unwanted(std::string_view group, std::uint64_t slot, timestamp now)
+/// Whether to take a grant of this dispatcher. A stale dispatcher is told the epoch in force.
+bool slot_holder::accepts(const std::string& group, std::string_view from, std::uint64_t epoch)
+{
+    group_state& state = m_groups[group];
+    if (state.dispatcher.empty()) {
+        state.dispatcher = from;
+    }
+    if (state.dispatcher == from && epoch >= state.epoch) {
+        state.epoch = epoch;
+        return true;
+    }
+    if (epoch < state.epoch) {
+        m_answers.push_back({group, slot_epoch{state.epoch}, std::string(from)});
+    }
+    return false;
+}
+
+void slot_holder::on_query(const std::string& group, std::string_view from, const slot_query& m)
+{
+    group_state& state = m_groups[group];
+    if (m.epoch >= state.epoch) {
+        state.epoch = m.epoch;
+        if (state.dispatcher != from) {
+            follow(group, state, from);
+        }
+    }
+    // A dispatcher that is followed and has a lower epoch raises it when it gets the report.
+    if (state.dispatcher == from) {
+        state.report_due = true;
+        return;
+    }
+    m_answers.push_back({group, slot_epoch{state.epoch}, std::string(from)});
+}
+
+void slot_holder::on_epoch(std::string_view group, std::string_view from, const slot_epoch& m)
+{
+    const auto it = m_groups.find(group);
+    if (it != m_groups.end() && it->second.dispatcher == from && m.epoch > it->second.epoch) {
+        it->second.epoch = m.epoch;
+        it->second.report_due = true;
+    }
+}
+
+void slot_holder::follow(const std::string& group, group_state& state, std::string_view dispatcher)
+{
+    state.dispatcher = dispatcher;
+    state.report_due = true;
+    state.unanswered.reset();
+    for (auto& [request, item] : m_waiting) {
+        if (item.group == group) {
+            item.next_send = timestamp{0};
+            item.interval = first_resend;
+        }
+    }
+}
+
+void slot_holder::leave_silent(timestamp now)
+{
+    for (auto& [group, state] : m_groups) {
+        if (!state.unanswered || now - *state.unanswered < dispatcher_silence || state.order.size() < 2) {
+            continue;
+        }
+        const auto present = std::ranges::find(state.order, state.dispatcher);
+        const bool last = present == state.order.end() || present + 1 == state.order.end();
+        follow(group, state, last ? state.order.front() : *(present + 1));
+    }
+}
+
+void slot_holder::return_unwanted(std::string_view group, std::string_view from, std::uint64_t slot, timestamp now)
 {
     const bool returning = std::ranges::any_of(m_returns, [&](const pending_return& item) {
         const auto* release = std::get_if<slot_release>(&item.message);
         return item.group == group && release != nullptr && release->slot == slot;
     });
     if (!returning) {
-        m_returns.push_back({std::string(group), slot_release{.slot = slot, .holder = m_holder}, now, 0});
+        const slot_release message{.slot = slot, .holder = m_holder};
+        m_returns.push_back({std::string(group), message, now, 0, std::string(from)});
     }
 }
 
@@ -144,21 +223,40 @@
     });
 }
 
-void slot_holder::set_dispatcher(std::string_view group, std::string_view dispatcher)
+void slot_holder::set_dispatchers(std::string_view group, std::vector<std::string> order)
 {
-    group_state& state = m_groups[std::string(group)];
-    if (state.dispatcher != dispatcher) {
-        state.dispatcher = dispatcher;
-        state.report_due = true;
+    if (order.empty()) {
+        return;
+    }
+    const std::string name(group);
+    group_state& state = m_groups[name];
+    const bool new_first = state.order.empty() || state.order.front() != order.front();
+    const bool listed = std::ranges::find(order, state.dispatcher) != order.end();
+    state.order = std::move(order);
+    // Otherwise the present dispatcher stays, also when it is not the first one: it may have replaced a silent one.
+    if ((new_first || !listed) && state.dispatcher != state.order.front()) {
+        follow(name, state, state.order.front());
     }
 }
 
+std::string_view slot_holder::dispatcher_of(std::string_view group) const
+{
+    const auto it = m_groups.find(group);
+    return it == m_groups.end() ? std::string_view() : std::string_view(it->second.dispatcher);
+}
+
 std::vector<group_message> slot_holder::due(timestamp now)
 {
-    std::vector<group_message> out;
+    leave_silent(now);
+    std::vector<group_message> out = std::exchange(m_answers, {});
     add_reports(out, now);
     add_returns(out, now);
     add_acquires(out, now);
+    for (group_message& item : out) {
+        if (item.to.empty()) {
+            item.to = dispatcher_of(item.group);
+        }
+    }
     return out;
 }
 
@@ -172,7 +270,9 @@
             const auto left = std::chrono::duration_cast<milliseconds>(item.expires - now);
             item.wanted.deadline = std::max(left, milliseconds(1));
         }
-        out.push_back({item.group, item.wanted});
+        out.push_back({item.group, item.wanted, {}});
+        group_state& state = m_groups[item.group];
+        state.unanswered = state.unanswered.value_or(now);
         item.next_send = now + item.interval;
         item.interval = std::min(item.interval * 2, longest_resend);
     }
@@ -182,7 +282,7 @@
 {
     for (pending_return& item : m_returns) {
         if (now >= item.next_send) {
-            out.push_back({item.group, item.message});
+            out.push_back({item.group, item.message, item.to});
             item.next_send = now + return_resend;
             ++item.sent;
         }
@@ -194,7 +294,7 @@
 {
     for (auto& [group, state] : m_groups) {
         if (state.report_due) {
-            add_holding(group, out);
+            add_holding(group, state, out);
             state.report_due = false;
         }
         if (now < state.next_progress) {
@@ -208,27 +308,32 @@
             }
         }
         if (!progress.slots.empty()) {
-            out.push_back({group, std::move(progress)});
+            out.push_back({group, std::move(progress), {}});
         }
     }
 }
 
-void slot_holder::add_holding(const std::string& group, std::vector<group_message>& out) const
+void slot_holder::add_holding(const std::string& group, const group_state& state, std::vector<group_message>& out)
 {
-    slot_holding part{m_holder, {}, false};
+    std::vector<slot_holding> parts{{m_holder, {}, true, state.epoch, m_next_report++, 0, 1}};
     for (const auto& [request, item] : m_held) {
         if (item.slot.group != group) {
             continue;
         }
-        if (part.slots.size() == holding_part) {
-            out.push_back({group, part});
-            part.slots.clear();
+        if (parts.back().slots.size() == holding_part) {
+            auto next = parts.back();
+            next.slots.clear();
+            ++next.part;
+            parts.push_back(std::move(next));
         }
-        part.slots.push_back({item.slot.slot, request, item.slot.target, item.wanted.priority, item.wanted.prefix,
-                              item.wanted.prompt_tokens});
+        parts.back().slots.push_back({item.slot.slot, request, item.slot.target, item.wanted.priority,
+                                      item.wanted.prefix, item.wanted.prompt_tokens});
+    }
+    for (slot_holding& part : parts) {
+        part.parts = static_cast<std::uint32_t>(parts.size());
+        part.complete = parts.size() == 1;
+        out.push_back({group, std::move(part), {}});
     }
-    part.complete = true;
-    out.push_back({group, std::move(part)});
 }
 
 } // namespace lagoonferry
--- a/src/dispatch/slot_holder.h
+++ b/src/dispatch/slot_holder.h
@@ -12,10 +12,11 @@
 
 namespace lagoonferry {
 
-/// A message to the dispatcher of a group.
+/// A message to a dispatcher about a group.
 struct group_message {
     std::string group;
     slot_message message;
+    std::string to; ///< id of the dispatcher; empty while none is known
 };
 
 /// A slot that this process holds.
@@ -47,9 +48,18 @@
 
 /// The holder's side of the slot protocol: which slots this process waits for, holds and returns. Retransmits until it
 /// is answered, and reports what it holds to a new dispatcher. Pure decision code; not thread-safe.
+///
+/// In each group it follows one dispatcher at a time and accepts grants of no other and of no lower epoch, so that a
+/// dispatcher that was replaced without knowing it adds no call to a target. It follows the next dispatcher when the
+/// present one leaves a request unanswered for 1 s, and any dispatcher that asks with a higher epoch.
 class slot_holder {
 public:
-    explicit slot_holder(std::string holder) : m_holder(std::move(holder)) {}
+    /// `first_request` is higher than every request id of an earlier process with the same id: a dispatcher takes a
+    /// repeated id for a retransmission.
+    explicit slot_holder(std::string holder, std::uint64_t first_request = 1)
+        : m_holder(std::move(holder)), m_next_request(first_request)
+    {
+    }
 
     /// Asks for a slot in a group. `wanted.request` and `wanted.holder` are set here. Returns the request id.
     std::uint64_t acquire(std::string_view group, slot_acquire wanted, timestamp now);
@@ -67,8 +77,12 @@
     std::optional<slot_event> handle(std::string_view group, std::string_view from, const slot_message& message,
                                      timestamp now);
 
-    /// Notes who serves a group; a change is followed by a report of all slots held there.
-    void set_dispatcher(std::string_view group, std::string_view dispatcher);
+    /// Notes the live dispatchers of a group in the order to ask them. A new first one is followed, and so is the first
+    /// one when the present dispatcher is not among them; a change is followed by a report of all slots held there.
+    void set_dispatchers(std::string_view group, std::vector<std::string> order);
+
+    /// The dispatcher that is followed in a group; empty for none.
+    std::string_view dispatcher_of(std::string_view group) const;
 
     /// Returns the messages that are due. Call it after every change and at least every 50 ms.
     std::vector<group_message> due(timestamp now);
@@ -96,30 +110,41 @@
         slot_message message;
         timestamp next_send{0};
         std::uint32_t sent = 0;
+        std::string to; ///< empty for the dispatcher that is followed
     };
 
     struct group_state {
-        std::string dispatcher;
-        std::uint64_t epoch = 0;
+        std::vector<std::string> order; ///< live dispatchers
+        std::string dispatcher;         ///< the one that is followed
+        std::uint64_t epoch = 0;        ///< highest one accepted
         bool report_due = false;
         timestamp next_progress{0};
+        std::optional<timestamp> unanswered; ///< first acquire since the last message of the dispatcher
     };
 
-    std::optional<slot_event> on_grant(std::string_view group, const slot_grant& m, timestamp now);
+    std::optional<slot_event> on_grant(std::string_view group, std::string_view from, const slot_grant& m,
+                                       timestamp now);
+    void on_query(const std::string& group, std::string_view from, const slot_query& m);
+    void on_epoch(std::string_view group, std::string_view from, const slot_epoch& m);
+    bool accepts(const std::string& group, std::string_view from, std::uint64_t epoch);
+    void follow(const std::string& group, group_state& state, std::string_view dispatcher);
+    void leave_silent(timestamp now);
     std::optional<slot_event> on_refuse(const slot_refuse& m);
     std::optional<slot_event> on_preempt(std::string_view group, const slot_preempt& m) const;
     void on_released(std::string_view group, const slot_released& m);
     void add_acquires(std::vector<group_message>& out, timestamp now);
     void add_returns(std::vector<group_message>& out, timestamp now);
     void add_reports(std::vector<group_message>& out, timestamp now);
-    void add_holding(const std::string& group, std::vector<group_message>& out) const;
-    void return_unwanted(std::string_view group, std::uint64_t slot, timestamp now);
+    void add_holding(const std::string& group, const group_state& state, std::vector<group_message>& out);
+    void return_unwanted(std::string_view group, std::string_view from, std::uint64_t slot, timestamp now);
 
     std::string m_holder;
-    std::uint64_t m_next_request = 1;
+    std::uint64_t m_next_request;
+    std::uint32_t m_next_report = 1;
     std::map<std::uint64_t, waiting_request> m_waiting;
     std::map<std::uint64_t, held_request> m_held;
     std::vector<pending_return> m_returns;
+    std::vector<group_message> m_answers; ///< sent once
     std::map<std::string, group_state, std::less<>> m_groups;
 };
 
--- a/src/dispatch/slot_messages.cpp
+++ b/src/dispatch/slot_messages.cpp
@@ -269,6 +269,10 @@
     out = json::object();
     put(out, "h", m.holder);
     put(out, "z", m.complete);
+    put(out, "e", m.epoch);
+    put(out, "i", m.report);
+    put(out, "p", m.part);
+    put(out, "n", m.parts);
     if (!m.slots.empty()) {
         out["l"] = m.slots;
     }
@@ -278,6 +282,10 @@
 {
     m.holder = get<std::string>(in, "h");
     m.complete = get<bool>(in, "z");
+    m.epoch = get<std::uint64_t>(in, "e");
+    m.report = get<std::uint32_t>(in, "i");
+    m.part = get<std::uint32_t>(in, "p");
+    m.parts = get<std::uint32_t>(in, "n");
     m.slots = get<std::vector<held_slot>>(in, "l");
 }
 
@@ -292,6 +300,17 @@
     m.epoch = get<std::uint64_t>(in, "e");
 }
 
+void to_json(json& out, const slot_epoch& m)
+{
+    out = json::object();
+    put(out, "e", m.epoch);
+}
+
+void from_json(const json& in, slot_epoch& m)
+{
+    m.epoch = get<std::uint64_t>(in, "e");
+}
+
 json encode_slot_message(const slot_message& message)
 {
     json out = std::visit([](const auto& m) { return json(m); }, message);
--- a/src/dispatch/slot_messages.h
+++ b/src/dispatch/slot_messages.h
@@ -102,22 +102,36 @@
     std::uint32_t prompt_tokens = 0;
 };
 
-/// All slots a holder has in one group: after a change of dispatcher and on a `slot_query`.
-/// `complete` says that this one message lists all of them, so that unlisted slots are free; it is false when a report
-/// needs several datagrams.
+/// All slots a holder has in one group: after a change of dispatcher and on a `slot_query`. Slots that no part of a
+/// report lists are free.
+/// `complete` says that this one message lists all of them; a report that needs several datagrams has `parts` of them
+/// with the same number `report`.
 struct slot_holding {
     std::string holder;
     std::vector<held_slot> slots;
     bool complete = true;
+    std::uint64_t epoch = 0;  ///< highest epoch the holder has accepted in this group; 0 for none
+    std::uint32_t report = 0; ///< counts the reports of the holder
+    std::uint32_t part = 0;   ///< index of this message in its report
+    std::uint32_t parts = 1;
 };
 
-/// Sent by a dispatcher that does not know a slot: the holder answers with `slot_holding`.
+/// Sent by a dispatcher that does not know a slot or starts to serve a group: the holder follows the dispatcher if the
+/// epoch is not lower than the one it has accepted, and answers with `slot_holding`.
 struct slot_query {
     std::uint64_t epoch = 0;
 };
 
+/// The epoch in force for the sender. A dispatcher answers a repeated acquire that still waits with it, as a sign of
+/// life. A holder answers a dispatcher with a lower epoch, which then stops to grant. A dispatcher that was replaced
+/// answers an acquire with the epoch of its successor; a holder that still follows it then reports with that epoch, so
+/// that the dispatcher takes over again.
+struct slot_epoch {
+    std::uint64_t epoch = 0;
+};
+
 using slot_message = std::variant<slot_acquire, slot_grant, slot_refuse, slot_cancel, slot_release, slot_released,
-                                  slot_preempt, slot_progress, slot_holding, slot_query>;
+                                  slot_preempt, slot_progress, slot_holding, slot_query, slot_epoch>;
 
 void to_json(nlohmann::json& out, const slot_acquire& m);
 void from_json(const nlohmann::json& in, slot_acquire& m);
@@ -143,6 +157,8 @@
 void from_json(const nlohmann::json& in, slot_holding& m);
 void to_json(nlohmann::json& out, const slot_query& m);
 void from_json(const nlohmann::json& in, slot_query& m);
+void to_json(nlohmann::json& out, const slot_epoch& m);
+void from_json(const nlohmann::json& in, slot_epoch& m);
 
 /// Encodes any message with its kind in field "t". Thread-safe.
 nlohmann::json encode_slot_message(const slot_message& message);
--- a/src/dispatch/slot_table.h
+++ b/src/dispatch/slot_table.h
@@ -26,6 +26,7 @@
     std::uint32_t batch = 0; ///< calls on the target when the slot was granted, this one included
     std::uint32_t tokens = 0;
     timestamp granted{0};
+    timestamp listed{0};    ///< time of the last report that lists the slot, 0 before the first
     timestamp observed{0};  ///< time of the last progress report, 0 before the first
     timestamp preempted{0}; ///< time of the last request to give the slot up, 0 for none
 };
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -19,7 +19,9 @@
     per_class<std::uint32_t> in_class{};
     std::uint32_t reported_running = 0;
     std::uint32_t reported_waiting = 0;
-    double hold_us = 0; ///< how long slots are held here, moving mean
+    std::uint32_t failures = 0;   ///< calls that failed since the last one that did not
+    timestamp suspended_until{0}; ///< no call before this time, because calls failed
+    double hold_us = 0;           ///< how long slots are held here, moving mean
 };
 
 } // namespace lagoonferry
--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -47,6 +47,15 @@
     if (!targets->groups) {
         return;
     }
+    std::vector<std::string> holders;
+    for (const judged_member& item : *m_board->all_entries.read()) {
+        if (!item.presumed_down) {
+            holders.push_back(item.known.id);
+        }
+    }
+    for (auto& [group, dispatcher] : m_groups) {
+        dispatcher.set_holders(holders);
+    }
     for (const auto& item : targets->targets) {
         const auto group = targets->groups->group_of(item.first);
         if (!group) {
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -115,7 +115,8 @@
     m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.incarnation()));
     m_releases =
         m_process.keep(actors.spawn<caf::detached>(release_controller, &m_process.shared(), &m_process.engines()));
-    m_slots = m_process.keep(actors.spawn(slot_controller, m_id, &m_process.shared(), &m_process.sender()));
+    m_slots = m_process.keep(
+        actors.spawn(slot_controller, m_id, m_process.incarnation(), &m_process.shared(), &m_process.sender()));
     ownership_options options;
     options.self = m_id;
     options.partitions = m_process.values().partitions.count;
--- a/src/roles/slot_controller.cpp
+++ b/src/roles/slot_controller.cpp
@@ -16,15 +16,22 @@
 constexpr std::chrono::milliseconds tick_interval{50};
 constexpr std::chrono::milliseconds no_dispatcher_retry{1000};
 
+/// Request ids start above those of an earlier process with the same id whose slots may still be known. Below 2^32 they
+/// take 5 bytes of CBOR; 16 ids per millisecond are more than a process uses.
+std::uint64_t first_request(std::uint64_t incarnation_ms)
+{
+    return 1 + ((incarnation_ms << 4U) & 0xffff'ffffU);
+}
+
 } // namespace
 
-void slot_state::start(caf::event_based_actor* self, const std::string& id, const board* shared,
-                       datagram_sender* sender)
+void slot_state::start(caf::event_based_actor* self, const std::string& id, std::uint64_t incarnation,
+                       const board* shared, datagram_sender* sender)
 {
     m_self = self;
     m_board = shared;
     m_sender = sender;
-    m_holder = std::make_unique<slot_holder>(id);
+    m_holder = std::make_unique<slot_holder>(id, first_request(incarnation));
     self->send(self, tick_atom::value);
 }
 
@@ -103,15 +110,12 @@
 void slot_state::follow_dispatchers()
 {
     const auto targets = m_board->targets.read();
-    if (!targets->groups) {
+    if (!targets->groups || targets->groups == m_followed) {
         return;
     }
-    for (const target_group& group : targets->groups->groups()) {
-        const auto order = targets->groups->dispatchers_of(group.id);
-        if (!order.empty()) {
-            m_dispatchers[group.id] = order.front();
-            m_holder->set_dispatcher(group.id, order.front());
-        }
+    m_followed = targets->groups;
+    for (const target_group& group : m_followed->groups()) {
+        m_holder->set_dispatchers(group.id, m_followed->dispatchers_of(group.id));
     }
 }
 
@@ -119,7 +123,7 @@
 {
     const auto members = m_board->members.read();
     for (const group_message& item : m_holder->due(now)) {
-        const member* dispatcher = members->find(m_dispatchers[item.group]);
+        const member* dispatcher = members->find(item.to);
         if (dispatcher == nullptr) {
             continue;
         }
@@ -128,10 +132,10 @@
     }
 }
 
-caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, const board* shared,
-                              datagram_sender* sender)
+caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, std::uint64_t incarnation,
+                              const board* shared, datagram_sender* sender)
 {
-    self->state.start(self, id, shared, sender);
+    self->state.start(self, id, incarnation, shared, sender);
     return {
         [self](const acquire_slot& message) { self->state.on_acquire(message); },
         [self](const return_slot& message) { self->state.on_return(message); },
--- a/src/roles/slot_controller.h
+++ b/src/roles/slot_controller.h
@@ -15,12 +15,14 @@
 namespace lagoonferry {
 
 struct board;
+class group_map;
 class datagram_sender;
 
 /// The holder's side of the slot protocol of an entry process: sends requests of the serving threads to dispatchers.
 class slot_state {
 public:
-    void start(caf::event_based_actor* self, const std::string& id, const board* shared, datagram_sender* sender);
+    void start(caf::event_based_actor* self, const std::string& id, std::uint64_t incarnation, const board* shared,
+               datagram_sender* sender);
     void on_acquire(const acquire_slot& message);
     void on_return(const return_slot& message);
     void on_datagram(const slot_datagram& message);
@@ -37,11 +39,11 @@
     datagram_sender* m_sender = nullptr;
     std::unique_ptr<slot_holder> m_holder;
     std::map<std::uint64_t, std::shared_ptr<slot_ticket>> m_tickets;
-    std::map<std::string, std::string> m_dispatchers; ///< by group
+    std::shared_ptr<const group_map> m_followed; ///< the map whose dispatchers the holder knows
 };
 
 /// The behaviour of the slot controller. `shared` and `sender` outlive the actor.
-caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, const board* shared,
-                              datagram_sender* sender);
+caf::behavior slot_controller(caf::stateful_actor<slot_state>* self, const std::string& id, std::uint64_t incarnation,
+                              const board* shared, datagram_sender* sender);
 
 } // namespace lagoonferry
--- /dev/null
+++ b/tests/slot_recovery_test.cpp
@@ -0,0 +1,232 @@
+#include "dispatch/make_dispatcher.h"
+#include "dispatch/slot_holder.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr timestamp start = seconds(100);
+constexpr std::uint64_t former_epoch = 5;
+const std::string group = "model";
+
+slot_dispatcher dispatcher(std::uint64_t epoch, timestamp now = start)
+{
+    auto d = make_dispatcher({}, epoch, 7, now);
+    d.set_target({"engine-0", "model", "fd-1", 10}, now);
+    return d;
+}
+
+slot_acquire wanted()
+{
+    slot_acquire m;
+    m.model = "model";
+    m.account = "account";
+    m.priority = service_class::safety;
+    m.prompt_tokens = 100;
+    return m;
+}
+
+slot_acquire acquire_of(const std::string& holder, std::uint64_t request)
+{
+    auto m = wanted();
+    m.holder = holder;
+    m.request = request;
+    return m;
+}
+
+template <class Message>
+std::size_t count(const std::vector<outgoing_slot_message>& messages)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(messages, [](const auto& m) { return std::holds_alternative<Message>(m.message); }));
+}
+
+template <class Message>
+std::vector<std::pair<std::string, Message>> sent(const std::vector<group_message>& messages)
+{
+    std::vector<std::pair<std::string, Message>> found;
+    for (const auto& m : messages) {
+        if (const auto* it = std::get_if<Message>(&m.message)) {
+            found.emplace_back(m.to, *it);
+        }
+    }
+    return found;
+}
+
+slot_holding report(const std::string& holder, std::uint64_t epoch, std::size_t slots)
+{
+    slot_holding m{holder, {}, true, epoch, 1, 0, 1};
+    for (std::uint64_t n = 1; n <= slots; ++n) {
+        m.slots.push_back({1000 + n, n, "engine-0", service_class::normal, n, 100});
+    }
+    return m;
+}
+
+} // namespace
+
+TEST_CASE("a successor grants nothing before every holder has reported, so that no target exceeds its limit")
+{
+    auto d = dispatcher(former_epoch + 1);
+    d.set_holders({"entry-1", "entry-2"});
+    d.handle(report("entry-1", former_epoch + 1, 0), start);
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 50), start + milliseconds(1))) == 0);
+    CHECK(count<slot_query>(d.tick(start + milliseconds(50))) == 1);
+    const auto granted = d.handle(report("entry-2", former_epoch + 1, 9), start + milliseconds(60));
+    CHECK(count<slot_grant>(granted) == 1);
+    CHECK(d.targets()[0].in_flight == 10);
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 51), start + milliseconds(70))) == 0);
+}
+
+TEST_CASE("a holder that never reports delays the grants by 2 s and not for ever")
+{
+    auto d = dispatcher(former_epoch + 1);
+    d.set_holders({"entry-1", "entry-2"});
+    d.handle(report("entry-1", former_epoch + 1, 0), start);
+    for (std::uint64_t n = 50; n < 60; ++n) {
+        CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", n), start + milliseconds(1999))) == 0);
+    }
+    CHECK(count<slot_grant>(d.tick(start + seconds(2))) == 5);
+    CHECK(count<slot_grant>(d.tick(start + seconds(10))) == 5);
+}
+
+TEST_CASE("a dispatcher that a holder of a higher epoch follows takes over with a higher one")
+{
+    auto d = dispatcher(3);
+    const auto out = d.handle(report("entry-1", former_epoch, 2), start);
+    REQUIRE(count<slot_query>(out) == 1);
+    const auto it =
+        std::ranges::find_if(out, [](const auto& m) { return std::holds_alternative<slot_query>(m.message); });
+    CHECK(std::get<slot_query>(it->message).epoch > former_epoch);
+}
+
+TEST_CASE("a replaced dispatcher stops to grant once a holder names a higher epoch")
+{
+    auto d = dispatcher(former_epoch);
+    const auto warm = start + seconds(3);
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 1), warm)) == 1);
+    d.handle(slot_epoch{former_epoch + 1}, warm);
+    const auto answer = d.handle(acquire_of("entry-1", 2), warm);
+    CHECK(count<slot_grant>(answer) == 0);
+    CHECK(count<slot_epoch>(answer) == 1); // the holder learns it and reports, instead of asking in vain
+    CHECK(count<slot_grant>(d.tick(warm + seconds(20))) == 0);
+    // A holder that still follows it makes it take over.
+    d.handle(report("entry-1", former_epoch + 1, 0), warm + seconds(20));
+    const auto later = warm + seconds(23);
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 3), later)) == 1);
+}
+
+TEST_CASE("a holder refuses the grant of a dispatcher that was replaced while it was paused")
+{
+    slot_holder holder("entry-1");
+    holder.set_dispatchers(group, {"dispatch-1", "dispatch-2"});
+    const auto request = holder.acquire(group, wanted(), start);
+    holder.due(start);
+    holder.handle(group, "dispatch-2", slot_query{former_epoch + 1}, start + milliseconds(10));
+    CHECK(holder.dispatcher_of(group) == "dispatch-2");
+    const slot_grant late{request, 77, "engine-0", former_epoch};
+    CHECK_FALSE(holder.handle(group, "dispatch-1", late, start + milliseconds(20)));
+    CHECK(holder.held() == 0);
+    const auto out = holder.due(start + milliseconds(20));
+    const auto returned = sent<slot_release>(out);
+    REQUIRE(returned.size() == 1);
+    CHECK(returned[0].first == "dispatch-1");
+    CHECK(returned[0].second.slot == 77);
+    const auto told = sent<slot_epoch>(out);
+    REQUIRE(told.size() == 1);
+    CHECK(told[0].second.epoch == former_epoch + 1);
+    const slot_grant valid{request, 78, "engine-0", former_epoch + 1};
+    CHECK(holder.handle(group, "dispatch-2", valid, start + milliseconds(30)));
+}
+
+TEST_CASE("a holder leaves a silent dispatcher after 1 s, long before membership presumes it down")
+{
+    slot_holder holder("entry-1");
+    holder.set_dispatchers(group, {"dispatch-1", "dispatch-2"});
+    holder.acquire(group, wanted(), start);
+    holder.due(start);
+    holder.due(start + milliseconds(950));
+    CHECK(holder.dispatcher_of(group) == "dispatch-1");
+    const auto out = holder.due(start + seconds(1));
+    CHECK(holder.dispatcher_of(group) == "dispatch-2");
+    CHECK(sent<slot_holding>(out).at(0).first == "dispatch-2");
+    CHECK(sent<slot_acquire>(out).at(0).first == "dispatch-2");
+}
+
+TEST_CASE("a holder stays with a dispatcher that answers, although its call waits")
+{
+    slot_holder holder("entry-1");
+    holder.set_dispatchers(group, {"dispatch-1", "dispatch-2"});
+    holder.acquire(group, wanted(), start);
+    for (auto now = start; now < start + seconds(5); now += milliseconds(50)) {
+        if (!sent<slot_acquire>(holder.due(now)).empty()) {
+            holder.handle(group, "dispatch-1", slot_epoch{former_epoch}, now);
+        }
+    }
+    CHECK(holder.dispatcher_of(group) == "dispatch-1");
+}
+
+TEST_CASE("a report of many slots frees none of them, in whatever order its parts arrive")
+{
+    constexpr std::size_t held = 40;
+    auto d = make_dispatcher({}, former_epoch, 7, start);
+    d.set_target({"engine-0", "model", "fd-1", 100}, start);
+    slot_holder holder("entry-1");
+    holder.set_dispatchers(group, {"dispatch-1"});
+    const auto warm = start + seconds(3);
+    for (std::size_t n = 0; n < held; ++n) {
+        holder.acquire(group, wanted(), warm);
+    }
+    for (const auto& [to, m] : sent<slot_acquire>(holder.due(warm))) {
+        for (const auto& answer : d.handle(m, warm)) {
+            holder.handle(group, "dispatch-1", answer.message, warm);
+        }
+    }
+    REQUIRE(holder.held() == held);
+    holder.handle(group, "dispatch-1", slot_query{former_epoch}, warm);
+    auto parts = sent<slot_holding>(holder.due(warm + seconds(9)));
+    REQUIRE(parts.size() > 1);
+    std::ranges::reverse(parts);
+    for (const auto& [to, m] : parts) {
+        d.handle(m, warm + seconds(9));
+    }
+    CHECK(d.counters().slots == held);
+}
+
+TEST_CASE("slots that were granted to an earlier process of a holder are found and freed")
+{
+    auto d = dispatcher(former_epoch);
+    const auto warm = start + seconds(3);
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 1), warm)) == 1);
+    // The holder restarts within the time in which a grant may be on its way.
+    d.handle(report("entry-1", 0, 0), warm + seconds(1));
+    CHECK(d.counters().slots == 1);
+    CHECK(count<slot_query>(d.tick(warm + seconds(4))) == 1);
+    d.handle(report("entry-1", former_epoch, 0), warm + seconds(4));
+    CHECK(d.counters().slots == 0);
+}
+
+TEST_CASE("a target that fails its calls gets one at a time until one succeeds")
+{
+    auto d = dispatcher(former_epoch);
+    auto now = start + seconds(3);
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        const auto out = d.handle(acquire_of("entry-1", n), now);
+        REQUIRE(count<slot_grant>(out) == 1);
+        slot_release failed{.slot = std::get<slot_grant>(out[0].message).slot, .holder = "entry-1"};
+        failed.failed = true;
+        d.handle(failed, now);
+    }
+    CHECK(count<slot_grant>(d.handle(acquire_of("entry-1", 10), now)) == 0);
+    d.handle(acquire_of("entry-1", 11), now);
+    now += seconds(2);
+    const auto trial = d.tick(now);
+    REQUIRE(count<slot_grant>(trial) == 1);
+    const slot_release good{.slot = std::get<slot_grant>(trial[0].message).slot, .holder = "entry-1", .tokens = 5};
+    CHECK(count<slot_grant>(d.handle(good, now)) == 1);
+}
