--- a/bench/recovery_report.cpp
+++ b/bench/recovery_report.cpp
@@ -1,6 +1,9 @@
 #include "recovery_report.h"
 
+#include <chrono>
 #include <cmath>
+#include <filesystem>
+#include <fstream>
 #include <iomanip>
 #include <ostream>
 
@@ -48,9 +51,36 @@
         for (const auto& column : recovery_columns) {
             run[std::string(column.name)] = finite(r.figures.*column.value);
         }
+        run["rate"] = r.figures.rate;
+        run["started"] = r.figures.started;
         runs.push_back(std::move(run));
     }
     return {{"runs", std::move(runs)}};
 }
 
+bool write_recovery_plots(const std::string& folder, const std::vector<recovery_result>& results)
+{
+    std::error_code ec;
+    std::filesystem::create_directories(folder, ec);
+    std::ofstream script(std::filesystem::path(folder) / "plot.gp");
+    script << "set terminal svg size 1000,500\nset yrange [0:*]\nset grid\nset xlabel 's after the fault'\n"
+              "set ylabel 'tokens/s'\n";
+    for (const auto& r : results) {
+        if (r.seed != 1) {
+            continue;
+        }
+        const auto name = r.size.name + "-" + std::string(to_string(r.fault));
+        std::ofstream data(std::filesystem::path(folder) / (name + ".dat"));
+        for (std::size_t n = 0; n < r.figures.rate.size(); ++n) {
+            const double after =
+                static_cast<double>(n) * rate_step_s - std::chrono::duration<double>(recovery_failure).count();
+            data << after << ' ' << r.figures.rate[n] << ' ' << r.figures.started[n] << '\n';
+        }
+        script << "set output '" << name << ".svg'\nset title '" << name << ", served rate, seed 1' noenhanced\n"
+               << "set arrow 1 from 0, graph 0 to 0, graph 1 nohead dt 2\n"
+               << "plot '" << name << ".dat' using 1:2 with lines lw 2 notitle\n";
+    }
+    return script.good();
+}
+
 } // namespace lagoonferry::bench
--- a/bench/recovery_report.h
+++ b/bench/recovery_report.h
@@ -25,4 +25,8 @@
 /// All figures of all runs. Infinite values are null.
 nlohmann::json to_recovery_json(const std::vector<recovery_result>& results);
 
+/// Writes data files and the gnuplot script `plot.gp`, which draws the served rate around the fault. Returns false when
+/// the folder cannot be written.
+bool write_recovery_plots(const std::string& folder, const std::vector<recovery_result>& results);
+
 } // namespace lagoonferry::bench
--- a/bench/recovery_world.h
+++ b/bench/recovery_world.h
@@ -70,6 +70,7 @@
         std::unique_ptr<retry_policy> retries;
         std::map<std::uint64_t, std::size_t> calls; ///< by request id
         std::vector<bool> seen;                     ///< dispatchers that this instance takes for alive
+        bool follow_due = true;                     ///< the holder does not know the present dispatchers
         std::map<std::string, slot_dispatcher> groups;
         std::vector<std::function<void()>> postponed; ///< datagrams that wait for a paused dispatcher
     };
@@ -127,6 +128,7 @@
     std::vector<instance> m_instances;
     std::shared_ptr<const group_map> m_map;
     std::unordered_map<std::string, std::vector<std::size_t>> m_order; ///< dispatchers of a group, first one first
+    std::vector<std::string> m_listed;                                 ///< holders that the dispatchers take for alive
     std::vector<bool> m_cut;                                           ///< holders that cannot reach `m_cut_from`
     std::optional<std::size_t> m_cut_from;
     std::deque<call> m_calls;
