--- a/bench/micro_dispatch.cpp
+++ b/bench/micro_dispatch.cpp
@@ -2,13 +2,16 @@
 
 #include <benchmark/benchmark.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdlib>
+#include <malloc.h>
 #include <new>
 
 namespace {
 
 std::atomic<std::uint64_t> g_allocations = 0;
+std::atomic<std::int64_t> g_bytes = 0; // allocated and not freed, with the rounding of the allocator
 
 } // namespace
 
@@ -17,6 +20,7 @@
 {
     ++g_allocations;
     if (void* p = std::malloc(size)) {
+        g_bytes += static_cast<std::int64_t>(malloc_usable_size(p));
         return p;
     }
     throw std::bad_alloc();
@@ -24,11 +28,13 @@
 
 [[gnu::noinline]] void operator delete(void* p) noexcept
 {
+    g_bytes -= static_cast<std::int64_t>(malloc_usable_size(p));
     std::free(p);
 }
 
 [[gnu::noinline]] void operator delete(void* p, std::size_t /*size*/) noexcept
 {
+    g_bytes -= static_cast<std::int64_t>(malloc_usable_size(p));
     std::free(p);
 }
 
@@ -98,8 +104,69 @@
     }
 }
 
+/// A successor with `targets` targets that learns `share` percent of all slots from the reports of eight holders, in
+/// parts of 16 slots, until it may grant. The memory it keeps is the bytes allocated and not freed.
+void rebuild(benchmark::State& state)
+{
+    constexpr std::uint64_t epoch = 1;
+    constexpr std::size_t holders = 8;
+    constexpr std::size_t part_slots = 16;
+    const auto targets = static_cast<std::size_t>(state.range(0));
+    const auto held = targets * slots * static_cast<std::size_t>(state.range(1)) / 100;
+    std::vector<std::string> ids;
+    std::vector<slot_holding> reports;
+    for (std::size_t h = 0; h < holders; ++h) {
+        ids.push_back("entry-" + std::to_string(h));
+        const std::size_t count = held / holders + (h < held % holders ? 1 : 0);
+        const auto parts = std::max<std::size_t>(1, (count + part_slots - 1) / part_slots);
+        for (std::size_t part = 0; part < parts; ++part) {
+            slot_holding m{ids.back(),
+                           {},
+                           parts == 1,
+                           epoch,
+                           1,
+                           static_cast<std::uint32_t>(part),
+                           static_cast<std::uint32_t>(parts)};
+            for (std::size_t n = part * part_slots; n < std::min(count, (part + 1) * part_slots); ++n) {
+                const std::uint64_t slot = 1 + h + n * holders;
+                m.slots.push_back(
+                    {slot, slot, "allocation-" + std::to_string(slot % targets), service_class::normal, slot, 4000});
+            }
+            reports.push_back(std::move(m));
+        }
+    }
+    std::uint64_t allocations = 0;
+    std::int64_t kept = 0;
+    for (auto _ : state) {
+        state.PauseTiming();
+        const std::int64_t bytes_before = g_bytes;
+        auto d = make_dispatcher({}, epoch, 1, timestamp{0});
+        d.set_holders(ids);
+        for (std::size_t n = 0; n < targets; ++n) {
+            d.set_target({"allocation-" + std::to_string(n), "allocation", "fd-1", slots}, timestamp{0});
+        }
+        const auto before = g_allocations.load();
+        state.ResumeTiming();
+        for (const auto& m : reports) {
+            benchmark::DoNotOptimize(d.handle(m, timestamp{1000}));
+        }
+        state.PauseTiming();
+        allocations += g_allocations - before;
+        kept = g_bytes - bytes_before;
+        if (d.counters().slots != held) {
+            state.SkipWithError("not all slots are known");
+        }
+        state.ResumeTiming();
+    }
+    state.counters["held"] = static_cast<double>(held);
+    state.counters["allocations"] =
+        benchmark::Counter(static_cast<double>(allocations), benchmark::Counter::kAvgIterations);
+    state.counters["bytes"] = static_cast<double>(kept);
+}
+
 } // namespace
 
+BENCHMARK(rebuild)->ArgsProduct({{5, 40, 400}, {10, 50, 100}})->Unit(benchmark::kMicrosecond);
 BENCHMARK(acquire_and_release)->Arg(5)->Arg(10)->Arg(20)->Arg(40);
 BENCHMARK(tick)->Arg(5)->Arg(10)->Arg(20)->Arg(40);
 
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -123,6 +123,7 @@
     m_shares.prune(now);
     update_typical();
     update_demand(now);
+    refuse_without_target(out);
     if (m_settings.refuse_late) {
         refuse_late(now, out);
     }
@@ -533,6 +534,19 @@
     }
 }
 
+/// Refuses calls whose last usable target has gone: the holder finds another group.
+void slot_dispatcher::refuse_without_target(output& out)
+{
+    for (std::size_t n = m_queue.calls().size(); n > 0; --n) {
+        if (any_usable(m_queue.calls()[n - 1].acquire)) {
+            continue;
+        }
+        const auto call = m_queue.take(n - 1);
+        ++m_counters.refused_no_target;
+        refuse(call.acquire, {call.acquire.request, retry_after(0), result_code::no_target}, out);
+    }
+}
+
 void slot_dispatcher::expire_slots(timestamp now)
 {
     for (const auto id : m_slots.silent_since(now - m_settings.holder_timeout)) {
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -99,6 +99,7 @@
     void ask_about_unlisted(timestamp now, output& out);
 
     void refuse_late(timestamp now, output& out);
+    void refuse_without_target(output& out);
     void expire_slots(timestamp now);
     void preempt_for_urgent(timestamp now, output& out);
     slot_record* youngest_bulk();
--- a/tests/slot_recovery_test.cpp
+++ b/tests/slot_recovery_test.cpp
@@ -230,3 +230,19 @@
     const slot_release good{.slot = std::get<slot_grant>(trial[0].message).slot, .holder = "entry-1", .tokens = 5};
     CHECK(count<slot_grant>(d.handle(good, now)) == 1);
 }
+
+TEST_CASE("a call whose last target is lost is refused with a time and does not wait for its deadline")
+{
+    auto d = dispatcher(former_epoch);
+    const auto warm = start + seconds(3);
+    for (std::uint64_t n = 1; n <= 10; ++n) {
+        d.handle(acquire_of("entry-1", n), warm);
+    }
+    CHECK(d.handle(acquire_of("entry-1", 11), warm).empty());
+    d.set_target({"engine-0", "model", "fd-1", 10, target_state::gone}, warm);
+    const auto out = d.tick(warm + milliseconds(50));
+    REQUIRE(count<slot_refuse>(out) == 1);
+    const auto& refused = std::get<slot_refuse>(out[0].message);
+    CHECK(refused.reason == result_code::no_target);
+    CHECK(refused.retry_after > milliseconds(0));
+}
