--- a/src/dispatch/slot_holder.cpp
+++ b/src/dispatch/slot_holder.cpp
@@ -71,7 +71,7 @@
 {
     const auto state = m_groups.find(group);
     if (state != m_groups.end() && state->second.dispatcher == from) {
-        state->second.unanswered.reset();
+        state->second.unanswered = timestamp{0};
     }
     if (const auto* m = std::get_if<slot_grant>(&message)) {
         return on_grant(group, from, *m, now);
@@ -159,7 +159,7 @@
 {
     state.dispatcher = dispatcher;
     state.report_due = true;
-    state.unanswered.reset();
+    state.unanswered = timestamp{0};
     for (auto& [request, item] : m_waiting) {
         if (item.group == group) {
             item.next_send = timestamp{0};
@@ -171,7 +171,7 @@
 void slot_holder::leave_silent(timestamp now)
 {
     for (auto& [group, state] : m_groups) {
-        if (!state.unanswered || now - *state.unanswered < dispatcher_silence || state.order.size() < 2) {
+        if (state.unanswered.count() == 0 || now - state.unanswered < dispatcher_silence || state.order.size() < 2) {
             continue;
         }
         const auto present = std::ranges::find(state.order, state.dispatcher);
@@ -272,7 +272,7 @@
         }
         out.push_back({item.group, item.wanted, {}});
         group_state& state = m_groups[item.group];
-        state.unanswered = state.unanswered.value_or(now);
+        state.unanswered = state.unanswered.count() == 0 ? now : state.unanswered;
         item.next_send = now + item.interval;
         item.interval = std::min(item.interval * 2, longest_resend);
     }
--- a/src/dispatch/slot_holder.h
+++ b/src/dispatch/slot_holder.h
@@ -119,7 +119,7 @@
         std::uint64_t epoch = 0;        ///< highest one accepted
         bool report_due = false;
         timestamp next_progress{0};
-        std::optional<timestamp> unanswered; ///< first acquire since the last message of the dispatcher
+        timestamp unanswered{0}; ///< first acquire since the last message of the dispatcher, 0 for none
     };
 
     std::optional<slot_event> on_grant(std::string_view group, std::string_view from, const slot_grant& m,
