--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -2,6 +2,7 @@
 #include "load_command.h"
 #include "orders_command.h"
 #include "policy_command.h"
+#include "recovery_command.h"
 
 #include <algorithm>
 #include <array>
@@ -20,6 +21,7 @@
 constexpr std::array subcommands{
     subcommand{"policy", lagoonferry::bench::policy_command},
     subcommand{"orders", lagoonferry::bench::orders_command},
+    subcommand{"recovery", lagoonferry::bench::recovery_command},
     subcommand{"demo", lagoonferry::bench::demo_command},
     subcommand{"load", lagoonferry::bench::load_command},
 };
@@ -36,7 +38,7 @@
     }
     const auto* it = std::ranges::find(subcommands, arguments.front(), &subcommand::name);
     if (it == subcommands.end()) {
-        std::cerr << "Usage: lagoonferry_bench [policy|orders|demo|load] [options]\n";
+        std::cerr << "Usage: lagoonferry_bench [policy|orders|recovery|demo|load] [options]\n";
         return 2;
     }
     return it->run(arguments);
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -134,7 +134,8 @@
     m_replicas = m_process.keep(actors.spawn(replica_controller, m_id, m_process.start_time(), copies));
     m_releases =
         m_process.keep(actors.spawn<caf::detached>(release_controller, &m_process.shared(), &m_process.engines()));
-    m_slots = m_process.keep(actors.spawn(slot_controller, m_id, &m_process.shared(), &m_process.sender()));
+    m_slots = m_process.keep(
+        actors.spawn(slot_controller, m_id, m_process.start_time(), &m_process.shared(), &m_process.sender()));
     ownership_options options;
     options.self = m_id;
     options.start_time = m_process.start_time();
