Measure membership at the large size and halve its traffic

Cause: two processes of a node sent 6.5 KB/s of heartbeats; with 7 KB/s of slot messages that is 13.5 KB/s, above the limit of 11 KB/s. Change: lagoonferry_micro runs the tables, the codec and the authentication of a whole fleet. Updates are lists without field names; large fleets carry one update and one document version in turn; answers to newcomers carry more. Backups of a partition watch each other only after its owner has failed: with 54 contacts and fewer forwarded updates, a live contact was presumed down within 20 s in a fleet of 340. Tests: the damaged encodings of an update follow the new encoding.

--- /dev/null
+++ b/bench/micro_membership.cpp
@@ -0,0 +1,187 @@
+#include "membership/member_table.h"
+#include "membership/placement.h"
+#include "membership/takeover_choice.h"
+#include "peer/cluster_key.h"
+#include "peer/datagram_codec.h"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::bench {
+
+namespace {
+
+constexpr timestamp round_time = std::chrono::milliseconds(500);
+constexpr int warm_rounds = 20;
+constexpr int newcomer_rounds = 120;
+constexpr std::size_t domains = 9;
+constexpr std::size_t partitions_per_entry = 6;
+constexpr std::uint64_t start_time = 1'780'000'000'000;
+constexpr std::size_t random_peers = 3;
+
+/// Processes, half of them entry and half dispatch processes, that exchange heartbeats as datagrams on virtual time.
+class membership_fleet {
+public:
+    membership_fleet(std::size_t processes, std::size_t targets) : m_key("membership-bench-key")
+    {
+        std::vector<listed_instance> list;
+        for (std::size_t n = 0; n < processes; ++n) {
+            m_members.push_back(process(n));
+            const member& item = m_members.back();
+            list.push_back({item.id, item.role, item.address, item.failure_domain, false});
+        }
+        for (std::size_t n = 0; n < targets; ++n) {
+            list.push_back({"engine-" + std::to_string(n), member_role::target, {}, domain_of(n), false});
+        }
+        const std::size_t before = ::mallinfo2().uordblks;
+        for (std::size_t n = 0; n < processes; ++n) {
+            m_tables.push_back(
+                std::make_unique<member_table>(m_members[n], member_timing{}, std::uint16_t{0}, n + 1, m_now));
+            m_tables.back()->merge_instances(list, m_now);
+        }
+        share_partitions();
+        // Answers to newcomers carry more than those of the steady state.
+        for (const auto& table : m_tables) {
+            for (int n = 0; n < newcomer_rounds; ++n) {
+                table->next_heartbeat({}, {}, m_now);
+            }
+        }
+        for (int n = 0; n < warm_rounds; ++n) {
+            round();
+        }
+        m_table_bytes = (::mallinfo2().uordblks - before) / processes;
+        m_bytes = 0;
+        m_datagrams = 0;
+    }
+
+    /// Every process sends its heartbeats of 500 ms and gets the answers.
+    void round()
+    {
+        for (std::size_t n = 0; n < m_tables.size(); ++n) {
+            const auto message = encode(n, m_tables[n]->next_heartbeat(m_documents, m_owned[n], m_now));
+            for (const member& peer : m_tables[n]->next_peers(random_peers, m_now)) {
+                const std::size_t to = number_of(peer);
+                const auto heard = decode(message);
+                if (m_tables[to]->receive(heard, m_now)) {
+                    auto answer = m_tables[to]->answer(heard, m_owned[to], m_now);
+                    answer.documents = m_documents;
+                    m_tables[n]->receive(decode(encode(to, answer)), m_now);
+                }
+                count(message);
+            }
+        }
+        m_now += round_time;
+        ++m_rounds;
+    }
+
+    std::size_t size() const { return m_tables.size(); }
+    std::size_t table_bytes() const { return m_table_bytes; }
+    double bytes() const { return static_cast<double>(m_bytes); }
+    double datagrams() const { return static_cast<double>(m_datagrams); }
+
+private:
+    static std::string domain_of(std::size_t n) { return "domain-" + std::to_string(n % domains); }
+
+    static member process(std::size_t n)
+    {
+        const bool entry = n % 2 == 0;
+        const std::string ip = "10.0." + std::to_string(n / 500) + "." + std::to_string(n / 2 % 250 + 1);
+        return {(entry ? "entry-" : "dispatch-") + std::to_string(n),
+                first_incarnation(start_time + n),
+                member_state::alive,
+                entry ? member_role::entry : member_role::dispatch,
+                {ip, 8080, 8081, 8082},
+                domain_of(n / 2)};
+    }
+
+    static std::size_t number_of(const member& item) { return std::stoul(item.id.substr(item.id.find('-') + 1)); }
+
+    void share_partitions()
+    {
+        std::vector<member> entries;
+        std::ranges::copy_if(m_members, std::back_inserter(entries),
+                             [](const member& item) { return item.role == member_role::entry; });
+        const placement places(entries);
+        std::vector<head_view> heads;
+        m_owned.resize(m_members.size());
+        for (std::uint32_t p = 0; p < entries.size() * partitions_per_entry; ++p) {
+            const auto placed = *places.of(p);
+            heads.push_back({300, placed.owner, start_time, {}});
+            for (const std::string& id : placed.backups) {
+                heads.back().backups.push_back({id, start_time});
+            }
+            const auto owner = std::ranges::find(m_members, placed.owner, &member::id);
+            m_owned[static_cast<std::size_t>(owner - m_members.begin())].push_back({p, 300});
+        }
+        for (const auto& table : m_tables) {
+            table->set_contacts(sharing_members(table->self().id, heads), m_now);
+        }
+    }
+
+    std::vector<std::byte> encode(std::size_t from, const heartbeat& message)
+    {
+        auto bytes =
+            encode_datagram({datagram_kind::heartbeat, m_members[from].id, to_cbor_text(to_json(message))}, m_key);
+        if (!message.wants_answer) {
+            count(bytes);
+        }
+        return bytes;
+    }
+
+    heartbeat decode(const std::vector<std::byte>& bytes) const
+    {
+        const auto message = decode_datagram(bytes, m_key);
+        return *heartbeat_from_json(*from_cbor_text(message->body));
+    }
+
+    void count(const std::vector<std::byte>& bytes)
+    {
+        m_bytes += bytes.size();
+        ++m_datagrams;
+    }
+
+    cluster_key m_key;
+    timestamp m_now = std::chrono::seconds(1'000);
+    std::vector<member> m_members;
+    std::vector<std::unique_ptr<member_table>> m_tables;
+    std::vector<std::vector<owned_partition>> m_owned;
+    std::vector<document_version> m_documents{documents_in_turn, {"boat-assignment", 300}};
+    std::size_t m_table_bytes = 0;
+    std::size_t m_bytes = 0;
+    std::size_t m_datagrams = 0;
+    std::size_t m_rounds = 0;
+};
+
+/// One round of 500 ms of a quiet fleet. Counters are for one process: share of a core in percent, bytes and datagrams
+/// sent per second of virtual time without UDP and IP headers, and heap bytes of its member table.
+void membership_round(benchmark::State& state)
+{
+    membership_fleet fleet(static_cast<std::size_t>(state.range(0)), static_cast<std::size_t>(state.range(1)));
+    for (auto _ : state) {
+        fleet.round();
+    }
+    const double process_seconds = static_cast<double>(state.iterations()) * static_cast<double>(fleet.size()) * 0.5;
+    using benchmark::Counter;
+    state.counters["core_percent"] = Counter(process_seconds / 100, Counter::kIsRate | Counter::kInvert);
+    state.counters["bytes_per_s"] = fleet.bytes() / process_seconds;
+    state.counters["datagrams_per_s"] = fleet.datagrams() / process_seconds;
+    state.counters["table_bytes"] = static_cast<double>(fleet.table_bytes());
+}
+
+} // namespace
+
+BENCHMARK(membership_round)
+    ->Args({16, 36})
+    ->Args({170, 775})
+    ->Args({340, 1'550})
+    ->Args({680, 3'100})
+    ->Iterations(8)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace lagoonferry::bench
--- a/src/document/document_table.cpp
+++ b/src/document/document_table.cpp
@@ -83,11 +83,11 @@
     }
 }
 
-std::vector<document_version> document_table::next_heartbeat(std::size_t limit)
+std::vector<document_version> document_table::next_heartbeat(std::size_t limit, std::size_t in_turn)
 {
     std::vector<std::string> services = recent_changes(limit);
     auto it = m_entries.upper_bound(m_last_announced);
-    for (std::size_t n = 0; n < m_entries.size() && services.size() < limit; ++n) {
+    for (std::size_t n = 0; n < m_entries.size() && services.size() < in_turn; ++n) {
         it = it == m_entries.end() ? m_entries.begin() : it;
         if (it->second.in_force && std::ranges::find(services, it->first) == services.end()) {
             services.push_back(it->first);
--- a/src/document/document_table.h
+++ b/src/document/document_table.h
@@ -54,8 +54,10 @@
     /// Ends a fetch without a usable record.
     void fetch_failed(const document_fetch& fetch, timestamp now);
 
-    /// Returns up to `limit` versions for the next heartbeat: recent changes first, then the others in turn.
-    std::vector<document_version> next_heartbeat(std::size_t limit);
+    /// Returns up to `limit` versions for the next heartbeat: recent changes first, then others in turn until there are
+    /// `in_turn` versions.
+    std::vector<document_version> next_heartbeat(std::size_t limit, std::size_t in_turn);
+    std::vector<document_version> next_heartbeat(std::size_t limit) { return next_heartbeat(limit, limit); }
 
     /// Returns the document in force, or null.
     std::shared_ptr<const document_in_force> find(std::string_view service) const;
--- a/src/membership/heartbeat.cpp
+++ b/src/membership/heartbeat.cpp
@@ -2,9 +2,11 @@
 
 #include "settings/label.h"
 
+#include <arpa/inet.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <string_view>
 #include <tuple>
@@ -24,21 +26,58 @@
 constexpr auto max_process_role = static_cast<std::uint64_t>(member_role::dispatch);
 constexpr std::uint64_t max_number = std::numeric_limits<std::uint64_t>::max();
 
+// An update is a list of values without names, because a heartbeat carries several and its names took a quarter of it.
+enum update_part : std::size_t {
+    part_id,
+    part_incarnation,
+    part_state,
+    part_role,
+    part_ip, ///< an IPv4 address as a number, any other text as it is
+    part_http_port,
+    part_datagram_port,
+    part_rpc_port,
+    part_domain,
+    part_load,
+    part_capacity,
+    part_sequence,
+    part_age,
+    update_parts
+};
+
+json encode_ip(const std::string& text)
+{
+    in_addr address{};
+    if (::inet_pton(AF_INET, text.c_str(), &address) != 1) {
+        return text;
+    }
+    return ntohl(address.s_addr);
+}
+
+std::string ip_text(std::uint64_t number)
+{
+    const in_addr address{htonl(static_cast<std::uint32_t>(number))};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ::inet_ntop(AF_INET, &address, text.data(), text.size());
+    return text.data();
+}
+
 json encode(const member_update& update)
 {
     const member& about = update.about;
     const member_address& address = about.address;
-    return {{"i", about.id},
-            {"n", about.incarnation},
-            {"s", static_cast<unsigned>(about.state)},
-            {"r", static_cast<unsigned>(about.role)},
-            {"a", address.ip},
-            {"p", {address.http_port, address.datagram_port, address.rpc_port}},
-            {"f", about.failure_domain},
-            {"l", about.load_percent},
-            {"c", about.capacity},
-            {"q", update.sequence},
-            {"g", update.age_ms}};
+    return {about.id,
+            about.incarnation,
+            static_cast<unsigned>(about.state),
+            static_cast<unsigned>(about.role),
+            encode_ip(address.ip),
+            address.http_port,
+            address.datagram_port,
+            address.rpc_port,
+            about.failure_domain,
+            about.load_percent,
+            about.capacity,
+            update.sequence,
+            update.age_ms};
 }
 
 /// Reads fields and remembers whether all of them were valid.
@@ -46,28 +85,6 @@
 public:
     explicit field_reader(const json& item) : m_item(item), m_valid(item.is_object()) {}
 
-    std::uint64_t number(const char* field, std::uint64_t min, std::uint64_t max)
-    {
-        const json* value = find(field);
-        if (value == nullptr || !value->is_number_unsigned()) {
-            m_valid = false;
-            return min;
-        }
-        const auto result = value->get<std::uint64_t>();
-        m_valid = m_valid && result >= min && result <= max;
-        return result;
-    }
-
-    std::string text(const char* field, std::size_t max_length)
-    {
-        const json* value = find(field);
-        if (value == nullptr || !value->is_string() || value->get_ref<const std::string&>().size() > max_length) {
-            m_valid = false;
-            return {};
-        }
-        return value->get<std::string>();
-    }
-
     /// Returns a list, or an empty one when the field is absent.
     const json& list(const char* field, std::size_t max_size)
     {
@@ -100,38 +117,67 @@
     bool m_valid;
 };
 
-void decode_ports(field_reader& in, member_address& address)
-{
-    const json& ports = in.list("p", 3);
-    const auto is_port = [](const json& port) {
-        return port.is_number_unsigned() && port.get<std::uint64_t>() <= max_port;
-    };
-    if (ports.size() != 3 || !std::ranges::all_of(ports, is_port)) {
-        in.require(false);
-        return;
+/// Reads the parts of an update and remembers whether all of them were valid.
+class part_reader {
+public:
+    explicit part_reader(const json& parts) : m_parts(parts), m_valid(parts.is_array() && parts.size() == update_parts)
+    {
     }
-    address.http_port = ports[0];
-    address.datagram_port = ports[1];
-    address.rpc_port = ports[2];
-}
 
-std::optional<member_update> decode_update(const json& item)
+    std::uint64_t number(update_part part, std::uint64_t min, std::uint64_t max)
+    {
+        if (!m_valid || !m_parts[part].is_number_unsigned()) {
+            m_valid = false;
+            return min;
+        }
+        const auto result = m_parts[part].get<std::uint64_t>();
+        m_valid = result >= min && result <= max;
+        return result;
+    }
+
+    std::uint16_t port(update_part part) { return static_cast<std::uint16_t>(number(part, 0, max_port)); }
+
+    std::string text(update_part part, std::size_t max_length)
+    {
+        if (!m_valid || !m_parts[part].is_string() || m_parts[part].get_ref<const std::string&>().size() > max_length) {
+            m_valid = false;
+            return {};
+        }
+        return m_parts[part].get<std::string>();
+    }
+
+    std::string ip()
+    {
+        if (m_valid && m_parts[part_ip].is_number_unsigned()) {
+            return ip_text(number(part_ip, 0, std::numeric_limits<std::uint32_t>::max()));
+        }
+        return text(part_ip, max_ip);
+    }
+
+    void require(bool condition) { m_valid = m_valid && condition; }
+    bool valid() const { return m_valid; }
+
+private:
+    const json& m_parts;
+    bool m_valid;
+};
+
+std::optional<member_update> decode_update(const json& parts)
 {
-    field_reader in(item);
+    part_reader in(parts);
     member_update update;
     member& about = update.about;
-    about.id = in.text("i", max_member_id);
+    about.id = in.text(part_id, max_member_id);
     in.require(is_label(about.id));
-    about.incarnation = in.number("n", 0, max_number);
-    about.state = static_cast<member_state>(in.number("s", 0, max_state));
-    about.role = static_cast<member_role>(in.number("r", 0, max_process_role));
-    about.address.ip = in.text("a", max_ip);
-    decode_ports(in, about.address);
-    about.failure_domain = in.text("f", max_domain);
-    about.load_percent = static_cast<std::uint32_t>(in.number("l", 0, 1'000));
-    about.capacity = static_cast<std::uint32_t>(in.number("c", 1, 100));
-    update.sequence = in.number("q", 0, max_number);
-    update.age_ms = static_cast<std::uint32_t>(in.number("g", 0, std::numeric_limits<std::uint32_t>::max()));
+    about.incarnation = in.number(part_incarnation, 0, max_number);
+    about.state = static_cast<member_state>(in.number(part_state, 0, max_state));
+    about.role = static_cast<member_role>(in.number(part_role, 0, max_process_role));
+    about.address = {in.ip(), in.port(part_http_port), in.port(part_datagram_port), in.port(part_rpc_port)};
+    about.failure_domain = in.text(part_domain, max_domain);
+    about.load_percent = static_cast<std::uint32_t>(in.number(part_load, 0, 1'000));
+    about.capacity = static_cast<std::uint32_t>(in.number(part_capacity, 1, 100));
+    update.sequence = in.number(part_sequence, 0, max_number);
+    update.age_ms = static_cast<std::uint32_t>(in.number(part_age, 0, std::numeric_limits<std::uint32_t>::max()));
     return in.valid() ? std::optional(update) : std::nullopt;
 }
 
--- a/src/membership/heartbeat.h
+++ b/src/membership/heartbeat.h
@@ -16,6 +16,9 @@
 inline constexpr std::size_t max_heartbeat_updates = 8;
 inline constexpr std::size_t max_heartbeat_targets = 200;
 inline constexpr std::size_t max_heartbeat_documents = 4;
+
+/// Versions of documents in turn when none has changed. Four in each heartbeat and answer were 1 KB/s of a process.
+inline constexpr std::size_t documents_in_turn = 1;
 inline constexpr std::size_t max_heartbeat_partitions = 24;
 
 /// Largest heartbeat in CBOR, bytes. With its envelope it stays below the 1,200 bytes that every path carries whole.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,5 +1,7 @@
 #include "membership/member_table.h"
 
+#include "util/rendezvous.h"
+
 #include <algorithm>
 #include <bit>
 #include <functional>
@@ -15,8 +17,13 @@
 /// Up to this number of processes, each is a contact of each.
 constexpr std::size_t small_fleet = 24;
 
-/// Updates in turn when there is little news: few, so that a quiet fleet has little traffic.
+/// Updates in turn when there is little news: few, so that a quiet fleet has little traffic. In a large fleet, 3 in
+/// each heartbeat were 1.1 KB/s of a process.
 constexpr std::size_t processes_in_turn = 3;
+constexpr std::size_t processes_in_turn_large_fleet = 1;
+
+/// Answers to a process in its first minute carry updates in turn, because it has yet to learn the addresses of others.
+constexpr std::uint64_t newcomer_rounds = 120;
 constexpr std::size_t targets_in_turn = 4;
 
 /// With at most this number of contacts one of the peers of a heartbeat is chosen at random.
@@ -25,9 +32,10 @@
 /// Time after which a heartbeat to a contact is repeated when it was not answered.
 constexpr timestamp repetition_time = std::chrono::seconds(1);
 
-/// Processes per step of the judgement times for members that are not contacts: their news arrives only through
-/// forwarded updates, about 18 a second.
-constexpr std::size_t processes_per_scale_step = 8;
+/// The judgement times of members that are not contacts grow by this factor for each process of the fleet: their news
+/// arrives only through forwarded updates, about 6 a second.
+constexpr std::size_t scale_numerator = 3;
+constexpr std::size_t scale_denominator = 8;
 
 /// A target is gone when this number of answers of the instance list in a row did not have it.
 constexpr std::size_t target_absences = 2;
@@ -165,7 +173,8 @@
 {
     ++m_self.known.sequence;
     heartbeat message{m_self.known, true, {}, {}, std::move(documents), std::move(partitions)};
-    std::vector<record*> processes = to_tell(true, max_heartbeat_updates, processes_in_turn, m_last_process_told);
+    const std::size_t in_turn = m_process_count > small_fleet ? processes_in_turn_large_fleet : processes_in_turn;
+    std::vector<record*> processes = to_tell(true, max_heartbeat_updates, in_turn, m_last_process_told);
     std::vector<record*> targets = to_tell(false, max_heartbeat_targets, targets_in_turn, m_last_target_told);
     std::vector<member_update> updates;
     std::ranges::transform(processes, std::back_inserter(updates),
@@ -192,15 +201,20 @@
         (known->known.about.state > sender.state || known->known.about.incarnation > sender.incarnation)) {
         result.updates.push_back(known->known);
     }
-    if (!m_has_news) {
+    const bool newcomer = message.sender.sequence <= newcomer_rounds && m_process_count > small_fleet;
+    if (!m_has_news && !newcomer) {
         return result;
     }
+    std::vector<const record*> processes = news_for(message, true);
+    if (newcomer) {
+        add_in_turn(processes, message.sender.sequence);
+    }
+    std::vector<member_update> updates;
+    std::ranges::transform(processes, std::back_inserter(updates),
+                           [&](const record* item) { return as_told(*item, now); });
     std::vector<target_update> targets;
     std::ranges::transform(news_for(message, false), std::back_inserter(targets),
                            [](const record* item) { return update_of(item->known.about); });
-    std::vector<member_update> updates;
-    std::ranges::transform(news_for(message, true), std::back_inserter(updates),
-                           [&](const record* item) { return as_told(*item, now); });
     updates.resize(std::min(updates.size(), max_heartbeat_updates - result.updates.size()));
     add_fitting(result, result.updates, updates, any_order);
     targets.resize(std::min(targets.size(), max_heartbeat_targets));
@@ -208,6 +222,21 @@
     return result;
 }
 
+// Each peer of the newcomer starts somewhere else, so that their answers differ.
+void member_table::add_in_turn(std::vector<const record*>& chosen, std::uint64_t round) const
+{
+    std::vector<const record*> useful;
+    for (const auto& [id, item] : m_records) {
+        if (is_process(item.known.about) && is_of_use(item.known.about) && item.tellings_left == 0) {
+            useful.push_back(&item);
+        }
+    }
+    const std::uint64_t start = stable_hash(self().id) + round * max_heartbeat_updates;
+    for (std::size_t n = 0; n < useful.size() && chosen.size() < max_heartbeat_updates; ++n) {
+        chosen.push_back(useful[(start + n) % useful.size()]);
+    }
+}
+
 std::vector<const member_table::record*> member_table::news_for(const heartbeat& message, bool processes) const
 {
     std::set<std::string_view> told{message.sender.about.id};
@@ -556,7 +585,7 @@
     if (!is_process(item.known.about)) {
         return member_judgement::heard;
     }
-    const std::size_t steps = item.contact ? 1 : 1 + m_process_count / processes_per_scale_step;
+    const std::size_t steps = item.contact ? 1 : 1 + m_process_count * scale_numerator / scale_denominator;
     const timestamp silent = now - (item.contact ? std::max(item.last_heard, item.contact_since) : item.last_heard);
     if (silent >= m_timing.presumed_down * static_cast<std::int64_t>(steps)) {
         return member_judgement::presumed_down;
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -128,6 +128,7 @@
     void update_contacts(timestamp now);
     std::vector<record*> to_tell(bool processes, std::size_t limit, std::size_t in_turn, std::string& last_told);
     std::vector<const record*> news_for(const heartbeat& message, bool processes) const;
+    void add_in_turn(std::vector<const record*>& chosen, std::uint64_t round) const;
     void order_contacts(std::vector<record*>& contacts, timestamp now);
     bool contactable(const record& item) const;
     member addressed(const record& item) const;
--- a/src/membership/takeover_choice.cpp
+++ b/src/membership/takeover_choice.cpp
@@ -8,10 +8,13 @@
 {
     std::set<std::string, std::less<>> result;
     for (const head_view& head : heads) {
-        if (head.owner == self || std::ranges::find(head.backups, self, &head_backup::id) != head.backups.end()) {
+        const bool backup = std::ranges::find(head.backups, self, &head_backup::id) != head.backups.end();
+        if (backup) {
             result.insert(head.owner);
-            for (const head_backup& backup : head.backups) {
-                result.insert(backup.id);
+        }
+        if (head.owner == self || (backup && head.owner.empty())) {
+            for (const head_backup& other : head.backups) {
+                result.insert(other.id);
             }
         }
     }
--- a/src/membership/takeover_choice.h
+++ b/src/membership/takeover_choice.h
@@ -32,8 +32,10 @@
     failed,  ///< another process may take the partition over now
 };
 
-/// Returns the members that share a partition with `self`: for each head that names `self` as its owner or as a backup,
-/// the other members that it names. They are the contacts of the member table. Thread-safe.
+/// Returns the contacts of `self`: the backups of its own partitions, and the owners of the partitions of which it is a
+/// backup. Backups of the same partition watch each other only when its head is given without an owner, which stands
+/// for a failed one: with them a process of a fleet of 340 had 54 contacts, heard each only every 4.5 s, and took live
+/// ones for down. Thread-safe.
 std::set<std::string, std::less<>> sharing_members(std::string_view self, std::span<const head_view> heads);
 
 /// Returns the backups that have the copy: those among `members` that run with the start that the head names.
--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -179,7 +179,9 @@
     std::vector<head_view> heads;
     for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
         if (m_records[partition].owned || is_backup(partition)) {
-            heads.push_back(m_records[partition].head);
+            head_view head = m_records[partition].head;
+            head.owner = m_records[partition].owned || reachable(head.owner) ? head.owner : std::string();
+            heads.push_back(std::move(head));
         }
     }
     m_board->contacts.write(sharing_members(m_options.self, heads));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -205,6 +205,7 @@
 {
     heartbeat message = heartbeat_of(entry_member(1), 7, {{entry_member(2), 9}});
     message.wants_answer = true;
+    message.updates.front().about.address.ip = "fd00::1";
     message.targets = {{"target-1", 1, member_state::leaving}, {"target-12", 1, member_state::leaving},
                        {"target-2", 1, member_state::gone},    {"target-3", 2, member_state::gone},
                        {"tar", 2, member_state::gone},         {"other", 2, member_state::gone}};
@@ -218,13 +219,15 @@
         return !heartbeat_from_json(damaged);
     };
     CHECK(refuses("/m", 1));
-    CHECK(refuses("/m/i", std::string(33, 'a')));
-    CHECK(refuses("/m/i", "a b"));
-    CHECK(refuses("/m/p/0", 70'000));
-    CHECK(refuses("/m/r", 2));
-    CHECK(refuses("/u/0/s", 3));
-    CHECK(refuses("/u/0/n", -1));
-    CHECK(refuses("/u/0/c", 0));
+    CHECK(refuses("/m/0", std::string(33, 'a')));
+    CHECK(refuses("/m/0", "a b"));
+    CHECK(refuses("/m/5", 70'000));
+    CHECK(refuses("/m/3", 2));
+    CHECK(refuses("/u/0/2", 3));
+    CHECK(refuses("/u/0/1", -1));
+    CHECK(refuses("/u/0/10", 0));
+    CHECK(refuses("/u/0/4", 4'294'967'296));
+    CHECK(refuses("/u/0/13", 0));
     CHECK(refuses("/t/0/0", 3));
     CHECK(refuses("/t/0/1", -1));
     CHECK(refuses("/t/0/2", 1));
@@ -477,6 +480,28 @@
     CHECK(time < seconds(5));
 }
 
+TEST_CASE("a process in its first minute hears of members in answers, which carry only news later")
+{
+    member_table table = table_of(0);
+    for (std::size_t n = 1; n < 100; ++n) {
+        table.receive(heartbeat_of(entry_member(n), 1), seconds(1));
+    }
+    table.next_peers(3, seconds(1));
+    for (int n = 0; n < 200; ++n) {
+        table.next_heartbeat({}, {}, seconds(1));
+    }
+    std::set<std::string> heard;
+    for (std::uint64_t round = 1; round <= 120; ++round) {
+        const heartbeat answer = table.answer(heartbeat_of(entry_member(1), round), {}, seconds(1));
+        CHECK(encoded_bytes(answer) <= max_heartbeat_bytes);
+        for (const member_update& update : answer.updates) {
+            heard.insert(update.about.id);
+        }
+    }
+    CHECK(heard.size() == 99);
+    CHECK(table.answer(heartbeat_of(entry_member(1), 121), {}, seconds(1)).updates.empty());
+}
+
 TEST_CASE("a leaving target told at an entry process reaches dispatch processes, which are nobody's contacts")
 {
     fleet all(680, 2, 340);
@@ -604,6 +629,15 @@
     CHECK_FALSE(placement({}).successor(7, placed.backups));
 }
 
+TEST_CASE("an owner and its backups are contacts, and backups of one partition only after its owner has failed")
+{
+    const std::vector<head_view> heads{{1, "me", 1, {{"a", 1}, {"b", 1}}},
+                                       {1, "c", 1, {{"me", 1}, {"d", 1}}},
+                                       {1, "", 1, {{"e", 1}, {"me", 1}}},
+                                       {1, "f", 1, {{"g", 1}}}};
+    CHECK(sharing_members("me", heads) == std::set<std::string, std::less<>>{"a", "b", "c", "e"});
+}
+
 TEST_CASE("a backup that restarted has no copy, so the other backup takes over")
 {
     std::vector<member> members = entries(9);
