--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -208,6 +208,23 @@
     CHECK(content_of(system.turn(program, 1, "say 200 tokens")) == content_of(running));
 }
 
+TEST_CASE("an owner that restarts at once is replaced long before its silence would be noticed")
+{
+    local_system system(15s);
+    const std::string program = system.open_program();
+    const std::string first = content_of(system.turn(program, 1, "first"));
+    const std::string owner = system.owner_of(program);
+    system.entry(owner).send_signal(SIGKILL);
+    CHECK(system.entry(owner).wait_for_exit(5s));
+    const auto killed = std::chrono::steady_clock::now();
+    system.start_entry(owner, "fd-" + owner.substr(owner.find('-') + 1));
+    CHECK(system.turn(program, 2, "second").status == 200);
+    const auto time = std::chrono::steady_clock::now() - killed;
+    MESSAGE("replaced after " << std::chrono::duration_cast<std::chrono::milliseconds>(time).count() << " ms");
+    CHECK(time < 8s);
+    CHECK(content_of(system.turn(program, 1, "first")) == first);
+}
+
 TEST_CASE("a process whose id a newer one has taken stops, and the programs it owned go on")
 {
     local_system system;
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -65,7 +65,7 @@
     return true;
 }
 
-local_system::local_system()
+local_system::local_system(std::chrono::milliseconds presumed_down) : m_presumed_down(presumed_down)
 {
     start_standins();
     for (int n = 1; n <= 3; ++n) {
@@ -124,7 +124,7 @@
                                        "--instances-address=" + m_addresses.at("instances"),
                                        "--heartbeat-ms=100",
                                        "--suspicion-ms=1000",
-                                       "--presumed-down-ms=2000",
+                                       "--presumed-down-ms=" + std::to_string(m_presumed_down.count()),
                                        "--address-ttl-ms=500",
                                        "--instance-poll-ms=300",
                                        "--intent-confirmation-ms=1000",
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,7 +28,7 @@
     static constexpr auto service = "boat-assignment";
 
     /// Starts all processes, stores a service document and waits until every entry instance serves it.
-    local_system();
+    explicit local_system(std::chrono::milliseconds presumed_down = std::chrono::milliseconds(2'000));
 
     /// Ends all processes at once; tests of the planned stop send their own signal.
     ~local_system();
@@ -91,6 +92,7 @@
     void start_dispatcher();
     std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain) const;
 
+    std::chrono::milliseconds m_presumed_down;
     std::map<std::string, std::string> m_addresses;
     std::string m_seed;
     std::unique_ptr<child_process> m_standins;
