Notice a newer process with the same id in its own heartbeat

Cause: a heartbeat whose sender has this process's id was ignored, so a process that is the only seed of its newer double never stopped. In the process tests the seed was one process, also for its own replacement. Change: the sender is treated like any other update about this process, and the process tests pass all entry instances as seeds. Test: the seed in 'a process learns that it is leaving or superseded'.

--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -101,9 +101,7 @@
 
 bool member_table::receive(const heartbeat& message, timestamp now)
 {
-    if (message.sender.about.id != self().id) {
-        apply(message.sender, now);
-    }
+    apply(message.sender, now);
     for (const member_update& update : message.updates) {
         apply(update, now);
     }
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -348,9 +348,16 @@
     table.receive(heartbeat_of(entry_member(1), 1, {{about, 0}}), seconds(1));
     CHECK(table.self().state == member_state::leaving);
     CHECK_FALSE(table.superseded());
+    table.receive(heartbeat_of(about, 1), seconds(1));
+    CHECK_FALSE(table.superseded());
     ++about.incarnation;
     table.receive(heartbeat_of(entry_member(1), 2, {{about, 0}}), seconds(1));
     CHECK(table.superseded());
+
+    // The newer process may know no other one yet than its predecessor, its seed.
+    member_table seed = table_of(0);
+    seed.receive(heartbeat_of(about, 1), seconds(1));
+    CHECK(seed.superseded());
 }
 
 TEST_CASE("a target is gone after two missing answers and comes back with a new incarnation")
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -130,8 +130,13 @@
                                        "--intent-confirmation-ms=1000",
                                        "--partitions=6",
                                        "--log-level=off"};
-    if (!m_seed.empty()) {
-        arguments.push_back("--seeds=" + m_seed);
+    // A restarted process needs seeds other than its predecessor.
+    std::string seeds;
+    for (const auto& [entry, address] : m_seeds) {
+        seeds += (seeds.empty() ? "" : ",") + address;
+    }
+    if (!seeds.empty()) {
+        arguments.push_back("--seeds=" + seeds);
     }
     return arguments;
 }
@@ -151,8 +156,8 @@
         if (line->starts_with("http ")) {
             m_addresses[id] = address;
         }
-        else if (line->starts_with("datagram ") && m_seed.empty()) {
-            m_seed = address;
+        else if (line->starts_with("datagram ")) {
+            m_seeds[id] = address;
         }
     }
     m_entries[id] = std::move(process);
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -94,7 +94,7 @@
 
     std::chrono::milliseconds m_presumed_down;
     std::map<std::string, std::string> m_addresses;
-    std::string m_seed;
+    std::map<std::string, std::string> m_seeds; ///< datagram addresses of entry instances by id
     std::unique_ptr<child_process> m_standins;
     std::unique_ptr<child_process> m_dispatcher;
     std::map<std::string, std::unique_ptr<child_process>> m_entries;
