--- a/src/roles/ownership_controller.cpp
+++ b/src/roles/ownership_controller.cpp
@@ -179,7 +179,9 @@
     std::vector<head_view> heads;
     for (std::uint32_t partition = 0; partition < m_records.size(); ++partition) {
         if (m_records[partition].owned || is_backup(partition)) {
-            heads.push_back(m_records[partition].head);
+            head_view head = m_records[partition].head;
+            head.owner = m_records[partition].owned || reachable(head.owner) ? head.owner : std::string();
+            heads.push_back(std::move(head));
         }
     }
     m_board->contacts.write(sharing_members(m_options.self, heads));
@@ -330,6 +332,10 @@
 void ownership_state::take_over(std::uint32_t partition, timestamp now)
 {
     m_records[partition].next_takeover = now + takeover_retry;
+    // A superseded process hears from nobody, because its heartbeats count no more, and takes all others for down.
+    if (*m_board->stopping.read() || *m_board->superseded.read()) {
+        return;
+    }
     log(log_part::program, log_level::info, "Taking a partition over.", field("partition", partition));
     m_records[partition].active = true;
     send_peers(partition);
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -24,6 +25,7 @@
 
 /// What a test changes in its processes.
 struct system_options {
+    std::chrono::milliseconds presumed_down{2000};
     int engines = 2;
     std::chrono::milliseconds intent_confirmation{1000};
     std::chrono::milliseconds tool_deadline{3000};
@@ -126,7 +128,7 @@
 
     system_options m_options;
     std::map<std::string, std::string> m_addresses;
-    std::string m_seed;
+    std::map<std::string, std::string> m_seeds; ///< datagram addresses of entry instances by id
     std::unique_ptr<child_process> m_standins;
     std::unique_ptr<child_process> m_dispatcher;
     std::map<std::string, std::unique_ptr<child_process>> m_relays;
