--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -25,6 +25,7 @@
 #include <caf/event_based_actor.hpp>
 #include <caf/send.hpp>
 #include <httplib.h>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include <iostream>
@@ -46,6 +47,16 @@
 // A stop that has not ended by then (a partition without successor, a stream without end) is forced.
 constexpr milliseconds longest_stop{600'000};
 
+/// Makes the allocator return memory to the system. With the defaults of the C library an entry under turns of 60 KB
+/// kept 82 MB, with these values 54 MB. Call before other threads start.
+void configure_allocator()
+{
+    constexpr int arenas = 2;
+    constexpr int mapped_from_bytes = 64 * 1024;
+    ::mallopt(M_ARENA_MAX, arenas);
+    ::mallopt(M_MMAP_THRESHOLD, mapped_from_bytes);
+}
+
 std::size_t history_bytes(const settings& values)
 {
     return std::size_t{values.memory.history_mb} * 1024 * 1024;
@@ -241,6 +252,7 @@
     if (!start.values) {
         return start.status;
     }
+    configure_allocator();
     block_stop_signals();
     apply_log_settings(start.values->log);
     entry_role role(*start.values);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -63,9 +63,10 @@
 };
 
 struct memory_settings {
-    /// Three quarters for the texts of owned programs, a quarter for the copies kept for other owners. An entry with
-    /// 1,000 open streams and 850 programs takes about 68 MB without them, and 128 MB is its bound.
-    ranged<std::uint32_t, 8, 65'536> history_mb = 48;
+    /// Three quarters for the texts of owned programs, a quarter for the copies kept for other owners. A process may
+    /// use 128 MB: an entry with 1,000 open streams and 850 programs takes about 68 MB without histories, and requests
+    /// in flight and the allocator took about 40 MB in trials with turns of 60 KB.
+    ranged<std::uint32_t, 8, 65'536> history_mb = 24;
 };
 
 struct timing_settings {
