Drop texts of small segments when nothing else keeps the bound

In two trials at 24 MB, an entry with 360 programs of three 60 KB turns served no further turns: their segments of 60 KB are below the 64 KB from which texts may leave memory, and 16 of them in each of 32 partitions are 30 MB. Texts of small segments now leave as well when the larger ones do not bring the sum below the bound.

--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -99,7 +99,7 @@
     void expire_result(const std::string& program, const std::string& key, const std::string& call);
 
     /// See `segment_set::evict`.
-    std::vector<std::uint64_t> evict(std::string_view program) { return m_segments.evict(program); }
+    std::vector<std::uint64_t> evict(std::string_view program, bool small) { return m_segments.evict(program, small); }
 
     /// See `segment_set::keys_of_evicted`.
     std::vector<std::string> keys_of_evicted(std::string_view program) const
--- a/src/journal/segment_set.cpp
+++ b/src/journal/segment_set.cpp
@@ -67,7 +67,7 @@
     });
 }
 
-std::vector<std::uint64_t> segment_set::evict(std::string_view program)
+std::vector<std::uint64_t> segment_set::evict(std::string_view program, bool small)
 {
     const auto of_program = [program](const segment_text& it) { return it.number != 0 && it.program == program; };
     std::set<std::uint64_t> held;
@@ -79,14 +79,14 @@
     std::ranges::for_each(m_pending, [&](const pending_text& it) { hold(place(it.text)); });
     std::ranges::for_each(m_batch.content.texts, hold);
     for (const segment& it : m_segments) {
-        if (!it.evictable) {
+        if (!it.evictable && !small) {
             std::ranges::for_each(it.texts, hold);
         }
     }
     std::vector<std::uint64_t> evicted;
     for (segment& it : m_segments) {
         for (segment_text& text : it.texts) {
-            if (it.evictable && of_program(text) && !held.contains(text.number)) {
+            if ((it.evictable || small) && of_program(text) && !held.contains(text.number)) {
                 text.text.reset();
                 evicted.push_back(text.number);
             }
--- a/src/journal/segment_set.h
+++ b/src/journal/segment_set.h
@@ -39,9 +39,9 @@
     /// Drops the texts for which `unused` returns true, from memory and from later segments.
     void drop(const std::function<bool(const segment_text&)>& unused);
 
-    /// Removes from memory what the key-value service holds of a program's turns, apart from small segments. Returns
-    /// the numbers of the turns that are in no other place here.
-    std::vector<std::uint64_t> evict(std::string_view program);
+    /// Removes from memory what the key-value service holds of a program's turns, apart from small segments unless
+    /// `small` is set. Returns the numbers of the turns that are in no other place here.
+    std::vector<std::uint64_t> evict(std::string_view program, bool small);
 
     /// Keys of the segments that hold turns of a program which are not in memory.
     std::vector<std::string> keys_of_evicted(std::string_view program) const;
--- a/src/program/owner_core.h
+++ b/src/program/owner_core.h
@@ -156,7 +156,8 @@
     void refuse_waiting(const std::string& program, const refusal& reason);
     void drop_loads(const std::string& program);
     void evict_texts();
-    void evict(program_state& program);
+    void evict_until_share(bool small);
+    void evict(program_state& program, bool small);
     bool needs_texts(const program_state& program) const;
     void count_texts(program_state& program);
     void count_bytes(std::size_t bytes);
--- a/src/program/owner_history.cpp
+++ b/src/program/owner_history.cpp
@@ -225,7 +225,18 @@
     if (m_now >= m_next_eviction) {
         m_next_eviction = m_now + eviction_interval;
     }
-    if (!m_memory->near_limit() || m_history_bytes <= m_memory->share()) {
+    if (m_memory->near_limit()) {
+        evict_until_share(false);
+    }
+    // Small segments alone can exceed the bound: 16 of 60 KB in each of 32 partitions are 30 MB.
+    if (m_memory->near_limit()) {
+        evict_until_share(true);
+    }
+}
+
+void partition_owner::core::evict_until_share(bool small)
+{
+    if (m_history_bytes <= m_memory->share()) {
         return;
     }
     std::vector<program_state*> order;
@@ -239,13 +250,13 @@
         if (m_history_bytes <= m_memory->share()) {
             return;
         }
-        evict(*it);
+        evict(*it, small);
     }
 }
 
-void partition_owner::core::evict(program_state& program)
+void partition_owner::core::evict(program_state& program, bool small)
 {
-    for (const std::uint64_t number : m_journal.evict(program.opened.program)) {
+    for (const std::uint64_t number : m_journal.evict(program.opened.program, small)) {
         if (number > program.turns.size()) {
             continue;
         }
--- a/tests/history_memory_test.cpp
+++ b/tests/history_memory_test.cpp
@@ -381,6 +381,23 @@
     CHECK(answered_ok(rig, rig.turn(turn + 1, message_of(turn_text_bytes), "0-0")));
 }
 
+TEST_CASE("texts of small segments alone do not fill the memory for ever, so that work is not refused without end")
+{
+    cluster shared;
+    owner_settings settings;
+    settings.memory = std::make_shared<history_memory>(small_limit);
+    owner_rig rig(shared, "a", settings);
+    rig.take_over();
+    for (std::size_t n = 0; n < 30; ++n) {
+        rig.open(name_of(n), large_limits);
+        CHECK(answered_ok(rig, rig.turn(1, message_of(turn_text_bytes), name_of(n))));
+        rig.advance(3 * second);
+    }
+    CHECK(settings.memory->used() <= small_limit);
+    CHECK(answered_ok(rig, rig.turn(2, message_of(10), "0-0")));
+    CHECK(rig.engine_calls.back().messages.size() == 3);
+}
+
 TEST_CASE("partitions of one process share one bound, so that an idle one gives up its memory for a busy one")
 {
     cluster shared;
