Bound slow senders and floods of connections of an HTTP listener, with process tests

Cause: the new tests found two faults of the listener. cpp-httplib keeps a header line of any length in memory, so a connection that never ended its request line was read for as long as it sent (20 s in the test, without an end). A connection beyond the pool and its queue ran in the accepting thread, which waited 3 s for each idle one: with 1,500 idle connections a caller was served after 12.1 s, and later turns took 3.0 s.

Change: bounded_server reads requests through request_stream, which bounds the header (64 KB), silence (10 s) and a whole request (30 s). Idle connections give way after 500 ms while others wait for a thread. A connection beyond the limits is answered 503 "overloaded", not run, and closed without a wait. The tests ignore SIGPIPE, which ended the test process when its client wrote to a refused connection, and started processes get the default again.

--- a/src/peer/bounded_pool.cpp
+++ b/src/peer/bounded_pool.cpp
@@ -4,6 +4,12 @@
 
 namespace lagoonferry {
 
+namespace {
+
+thread_local bool g_refusing = false;
+
+} // namespace
+
 bounded_pool::bounded_pool(std::size_t max_threads, std::size_t max_queued)
     : m_max_threads(max_threads), m_max_queued(max_queued)
 {
@@ -15,7 +21,9 @@
     const bool idle_thread = m_idle > m_tasks.size();
     if (!idle_thread && m_threads.size() >= m_max_threads && m_tasks.size() >= m_max_queued) {
         lock.unlock();
+        g_refusing = true;
         task();
+        g_refusing = false;
         return;
     }
     m_tasks.push_back(std::move(task));
@@ -25,6 +33,17 @@
     m_ready.notify_one();
 }
 
+bool bounded_pool::crowded()
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_tasks.empty();
+}
+
+bool bounded_pool::refusing()
+{
+    return g_refusing;
+}
+
 void bounded_pool::work()
 {
     std::unique_lock lock(m_mutex);
--- a/src/peer/bounded_pool.h
+++ b/src/peer/bounded_pool.h
@@ -17,13 +17,19 @@
 public:
     bounded_pool(std::size_t max_threads, std::size_t max_queued);
 
-    /// Runs `task` on a free thread, or queues it. A task beyond the queue's limit runs in the accepting thread,
-    /// which delays further accepts until it has finished.
+    /// Runs `task` on a free thread, or queues it. A task beyond the queue's limit runs in the accepting thread with
+    /// `refusing` set. It must not wait, because no connection is accepted until it has finished.
     void enqueue(std::function<void()> task) override;
 
     /// Finishes queued tasks and joins all threads.
     void shutdown() override;
 
+    /// Returns whether tasks wait for a thread. Thread-safe.
+    bool crowded();
+
+    /// Returns whether the calling thread runs a task beyond the queue's limit.
+    static bool refusing();
+
 private:
     void work();
 
--- a/src/peer/http_listener.cpp
+++ b/src/peer/http_listener.cpp
@@ -1,6 +1,6 @@
 #include "peer/http_listener.h"
 
-#include "peer/bounded_pool.h"
+#include "peer/bounded_server.h"
 
 #include <httplib.h>
 
@@ -12,20 +12,13 @@
 
 // cpp-httplib listens with a backlog of 5; a burst of connections beyond it was lost.
 constexpr int listen_backlog = 1024;
-constexpr std::size_t requests_per_connection = 1'000'000;
-
-// A stop waits this long for idle connections; with 30 s a planned stop took longer than 20 s after its last request.
-constexpr time_t keep_alive_s = 3;
 
 } // namespace
 
-http_listener::http_listener(const http_limits& limits) : m_server(std::make_unique<httplib::Server>())
+http_listener::http_listener(const http_limits& limits)
+    : m_server(std::make_unique<bounded_server>(limits.threads, limits.max_queued, limits.request))
 {
-    m_server->new_task_queue = [limits] { return new bounded_pool(limits.threads, limits.max_queued); };
     m_server->set_payload_max_length(limits.max_body_bytes);
-    m_server->set_read_timeout(limits.read_timeout_s, 0);
-    m_server->set_keep_alive_max_count(requests_per_connection);
-    m_server->set_keep_alive_timeout(keep_alive_s);
     m_server->set_tcp_nodelay(true);
     m_server->set_socket_options([this](socket_t fd) {
         m_listen_fd = fd;
--- a/src/peer/http_listener.h
+++ b/src/peer/http_listener.h
@@ -1,15 +1,12 @@
 #pragma once
 
 #include "peer/network_address.h"
+#include "peer/request_stream.h"
 
 #include <memory>
 #include <optional>
 #include <thread>
 
-namespace httplib {
-class Server;
-}
-
 namespace lagoonferry {
 
 /// Limits of an HTTP listener.
@@ -17,11 +14,11 @@
     std::size_t threads = 64;     ///< connections served at the same time
     std::size_t max_queued = 256; ///< accepted connections that wait for a thread
     std::size_t max_body_bytes = std::size_t{4} * 1024 * 1024;
-    int read_timeout_s = 10; ///< a slower sender is disconnected
+    request_limits request;
 };
 
 /// An HTTP server of cpp-httplib with a bounded thread pool, a listen backlog that survives a burst of connections,
-/// and its own accept thread. Connections beyond the limits are closed at once.
+/// and its own accept thread. Connections beyond the limits are refused at once, see bounded_server.h.
 class http_listener {
 public:
     explicit http_listener(const http_limits& limits);
--- /dev/null
+++ b/src/peer/request_stream.cpp
@@ -0,0 +1,124 @@
+#include "peer/request_stream.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <string_view>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::string_view header_end = "\r\n\r\n";
+constexpr std::chrono::milliseconds write_timeout{5'000};
+
+short wait_for_event(int socket, short events, std::chrono::milliseconds wait)
+{
+    pollfd entry{socket, events, 0};
+    int ready = 0;
+    do {
+        ready = ::poll(&entry, 1, static_cast<int>(wait.count()));
+    } while (ready < 0 && errno == EINTR);
+    return ready > 0 ? entry.revents : short{0};
+}
+
+void read_address(const sockaddr_in& address, std::string& ip, int& port)
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    ip = ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) == nullptr ? "" : text.data();
+    port = ntohs(address.sin_port);
+}
+
+} // namespace
+
+bool request_stream::wait_for_request(std::chrono::milliseconds wait) const
+{
+    return buffered() > 0 || (wait_for_event(m_socket, POLLIN, wait) & POLLIN) != 0;
+}
+
+void request_stream::begin_request()
+{
+    m_deadline = steady_now() + m_limits.longest_request;
+    m_header_bytes = 0;
+    m_matched = 0;
+}
+
+std::chrono::milliseconds request_stream::time_left() const
+{
+    const timestamp left = std::min(m_deadline - steady_now(), m_limits.longest_silence);
+    return std::chrono::ceil<std::chrono::milliseconds>(std::max(left, timestamp{0}));
+}
+
+bool request_stream::is_readable() const
+{
+    return buffered() > 0 || (wait_for_event(m_socket, POLLIN, time_left()) & POLLIN) != 0;
+}
+
+bool request_stream::is_writable() const
+{
+    const short events = wait_for_event(m_socket, POLLOUT | POLLRDHUP, write_timeout);
+    return (events & POLLOUT) != 0 && (events & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
+}
+
+ssize_t request_stream::read(char* data, std::size_t size)
+{
+    if (buffered() == 0) {
+        if (!is_readable()) {
+            return -1;
+        }
+        const ssize_t received = ::recv(m_socket, m_buf.data(), m_buf.size(), 0);
+        if (received <= 0) {
+            return received;
+        }
+        m_begin = 0;
+        m_end = static_cast<std::size_t>(received);
+    }
+    const std::size_t n = std::min(size, buffered());
+    std::copy_n(m_buf.begin() + static_cast<std::ptrdiff_t>(m_begin), n, data);
+    m_begin += n;
+    return count_header(data, n) ? static_cast<ssize_t>(n) : -1;
+}
+
+bool request_stream::count_header(const char* data, std::size_t size)
+{
+    for (std::size_t n = 0; n < size && m_matched < header_end.size(); ++n) {
+        ++m_header_bytes;
+        if (data[n] == header_end[m_matched]) {
+            ++m_matched;
+        }
+        else {
+            m_matched = data[n] == header_end.front() ? 1 : 0;
+        }
+    }
+    return m_header_bytes <= m_limits.max_header_bytes;
+}
+
+ssize_t request_stream::write(const char* data, std::size_t size)
+{
+    if ((wait_for_event(m_socket, POLLOUT, write_timeout) & POLLOUT) == 0) {
+        return -1;
+    }
+    return ::send(m_socket, data, size, MSG_NOSIGNAL);
+}
+
+void request_stream::get_remote_ip_and_port(std::string& ip, int& port) const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    ::getpeername(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
+    read_address(address, ip, port);
+}
+
+void request_stream::get_local_ip_and_port(std::string& ip, int& port) const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
+    read_address(address, ip, port);
+}
+
+} // namespace lagoonferry
--- a/standins/tcp_relay.cpp
+++ b/standins/tcp_relay.cpp
@@ -55,13 +55,15 @@
 int connect_to(const std::string& target)
 {
     const auto parsed = parse_address(target);
-    const int out = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (!parsed) {
-        return out;
+        return -1;
     }
+    const int out = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in address = socket_address(*parsed);
-    // A failed connection ends the client's one at its first read.
-    ::connect(out, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    if (::connect(out, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+        ::close(out);
+        return -1;
+    }
     send_at_once(out);
     return out;
 }
@@ -150,7 +152,9 @@
     else {
         ::close(client);
     }
-    ::close(server);
+    if (server >= 0) {
+        ::close(server);
+    }
 }
 
 void tcp_relay::pump(int client, int server)
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -69,9 +69,18 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
-    const int error = ::posix_spawn(&m_pid, words[0].c_str(), &actions, nullptr, pointers_to(words).data(),
+    // The test ignores SIGPIPE, which would otherwise be inherited.
+    sigset_t defaults;
+    sigemptyset(&defaults);
+    sigaddset(&defaults, SIGPIPE);
+    posix_spawnattr_t attributes;
+    posix_spawnattr_init(&attributes);
+    posix_spawnattr_setsigdefault(&attributes, &defaults);
+    posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+    const int error = ::posix_spawn(&m_pid, words[0].c_str(), &actions, &attributes, pointers_to(words).data(),
                                     pointers_to(variables).data());
     posix_spawn_file_actions_destroy(&actions);
+    posix_spawnattr_destroy(&attributes);
     ::close(output[1]);
     m_output = output[0];
     REQUIRE_MESSAGE(error == 0, "cannot start " << words[0]);
