--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -130,9 +130,9 @@
         "lagoonferry_standins", std::vector<std::string>{"all", "--engines=2", "--tools=1", "--tool=book_boat=0",
                                                          "--model=allocation", "--decode-speed=200"});
     for (int n = 0; n < standin_count; ++n) {
-        const auto line = m_standins->read_listening(20s);
-        REQUIRE(line);
-        std::istringstream words(*line);
+        const std::string line = m_standins->read_listening(20s).value_or("");
+        REQUIRE(!line.empty());
+        std::istringstream words(line);
         std::string kind;
         std::string name;
         std::string address;
@@ -143,7 +143,7 @@
 
 std::string local_system::kv_address_of(const std::string& id)
 {
-    const std::string address = m_addresses.at("kv");
+    std::string address = m_addresses.at("kv");
     if (!m_options.kv_relays) {
         return address;
     }
@@ -151,13 +151,13 @@
                                                  std::vector<std::string>{"relay", "--target=" + address});
     constexpr std::string_view relay_prefix = "relay ";
     constexpr std::string_view control_prefix = "control ";
-    const auto relayed = relay->read_listening(20s);
-    const auto control = relay->read_listening(20s);
-    REQUIRE(relayed);
-    REQUIRE(control);
-    m_addresses["kv-relay-" + id] = control->substr(control_prefix.size());
+    const std::string relayed = relay->read_listening(20s).value_or("");
+    const std::string control = relay->read_listening(20s).value_or("");
+    REQUIRE(!relayed.empty());
+    REQUIRE(!control.empty());
+    m_addresses["kv-relay-" + id] = control.substr(control_prefix.size());
     m_relays[id] = std::move(relay);
-    return relayed->substr(relay_prefix.size());
+    return relayed.substr(relay_prefix.size());
 }
 
 std::vector<std::string> local_system::common_arguments(const std::string& id, const std::string& failure_domain)
@@ -193,13 +193,13 @@
         std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1",
                                  std::string("LAGOONFERRY_OPERATOR_KEY=") + operator_key});
     for (int n = 0; n < 3; ++n) {
-        const auto line = process->read_listening(20s);
-        REQUIRE(line);
-        const std::string address = line->substr(line->find(' ') + 1);
-        if (line->starts_with("http ")) {
+        const std::string line = process->read_listening(20s).value_or("");
+        REQUIRE(!line.empty());
+        const std::string address = line.substr(line.find(' ') + 1);
+        if (line.starts_with("http ")) {
             m_addresses[id] = address;
         }
-        else if (line->starts_with("datagram ") && m_seed.empty()) {
+        else if (line.starts_with("datagram ") && m_seed.empty()) {
             m_seed = address;
         }
     }
--- a/tests/process/raw_connection.cpp
+++ b/tests/process/raw_connection.cpp
@@ -21,15 +21,16 @@
 
 raw_connection::raw_connection(const std::string& address)
 {
-    const auto parsed = parse_address(address);
-    REQUIRE(parsed);
+    const network_address parsed = parse_address(address).value_or(network_address{});
+    REQUIRE(parsed.port != 0);
     sockaddr_in target{};
     target.sin_family = AF_INET;
-    target.sin_port = htons(parsed->port);
-    ::inet_pton(AF_INET, parsed->host.c_str(), &target.sin_addr);
+    target.sin_port = htons(parsed.port);
+    ::inet_pton(AF_INET, parsed.host.c_str(), &target.sin_addr);
     m_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     REQUIRE(m_socket >= 0);
-    ::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    const int error = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    m_closed = error != 0 && errno != EINPROGRESS;
 }
 
 raw_connection::~raw_connection()
