--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -257,6 +257,7 @@
 std::vector<std::string> local_system::entry_ids() const
 {
     std::vector<std::string> ids;
+    ids.reserve(m_entries.size());
     for (const auto& [id, process] : m_entries) {
         ids.push_back(id);
     }
@@ -333,9 +334,9 @@
 {
     const http_answer answer = ask_standin("kv", "GET", "/inspect/" + head_key(partition));
     REQUIRE(answer.status == 200);
-    const auto head = decode_head(answer.body.at("value").get<std::string>());
+    auto head = decode_head(answer.body.at("value").get<std::string>());
     REQUIRE(head);
-    return *head;
+    return std::move(head).value_or(head_record{});
 }
 
 void local_system::wait_until_flushed(const std::string& program)
