--- a/tests/process/failure_process_test.cpp
+++ b/tests/process/failure_process_test.cpp
@@ -443,7 +443,7 @@
 
 TEST_CASE("an owner that restarts at once is replaced long before its silence would be noticed")
 {
-    local_system system(15s);
+    local_system system({.presumed_down = 15s});
     const std::string program = system.open_program();
     const std::string first = content_of(system.turn(program, 1, "first"));
     const std::string owner = system.owner_of(program);
