--- a/bench/micro_membership.cpp
+++ b/bench/micro_membership.cpp
@@ -111,7 +111,7 @@
         std::vector<head_view> heads;
         m_owned.resize(m_members.size());
         for (std::uint32_t p = 0; p < entries.size() * partitions_per_entry; ++p) {
-            const auto placed = *places.of(p);
+            const auto placed = places.of(p).value_or(partition_placement{});
             heads.push_back({300, placed.owner, start_time, {}});
             for (const std::string& id : placed.backups) {
                 heads.back().backups.push_back({id, start_time});
@@ -137,7 +137,11 @@
     heartbeat decode(const std::vector<std::byte>& bytes) const
     {
         const auto message = decode_datagram(bytes, m_key);
-        return *heartbeat_from_json(*from_cbor_text(message->body));
+        const auto body = message ? from_cbor_text(message->body) : std::nullopt;
+        if (!body) {
+            return {};
+        }
+        return heartbeat_from_json(*body).value_or(heartbeat{});
     }
 
     void count(const std::vector<std::byte>& bytes)
--- a/src/membership/placement.cpp
+++ b/src/membership/placement.cpp
@@ -45,8 +45,8 @@
     if (order.empty()) {
         return std::nullopt;
     }
-    const auto is_backup = [&](const candidate* item) { return std::ranges::find(backups, item->id) != backups.end(); };
-    const auto it = std::ranges::find_if(order, is_backup);
+    const auto has_copy = [&](const candidate* item) { return std::ranges::find(backups, item->id) != backups.end(); };
+    const auto it = std::ranges::find_if_not(order, has_copy);
     return it == order.end() ? order.front()->id : (*it)->id;
 }
 
--- a/src/membership/placement.h
+++ b/src/membership/placement.h
@@ -36,8 +36,9 @@
     /// Returns all entries in the order in which the partition prefers them.
     std::vector<std::string> order(std::uint32_t partition) const;
 
-    /// Returns who takes over a partition whose owner is presumed down: the first of its backups that is among the
-    /// entries, because it has the replica, or else the first entry by score. Nothing without entries.
+    /// Returns who takes over a partition whose owner is presumed down: the first entry by score that is none of
+    /// `backups`, which hold the copies, or else the first entry. If the successor fails as well, no further copy is
+    /// lost; a takeover that lacks a copy must end the open programs. Nothing without entries.
     std::optional<std::string> successor(std::uint32_t partition, std::span<const std::string> backups) const;
 
 private:
