Keep the replaced owner out of the list of backups for 10 s

Cause: a successor can be asked to take over by the member that noticed the failure. It then still took the failed owner for alive and named it as a backup; when the successor died soon after, the next takeover waited for a copy that nobody has.

--- a/src/journal/journal.cpp
+++ b/src/journal/journal.cpp
@@ -233,6 +233,9 @@
 void journal::seal()
 {
     head_record next = head();
+    if (next.owner.id != m_self.id) {
+        m_replaced_owner = backup_ref{next.owner.id, next.owner.address, next.owner_incarnation};
+    }
     next.epoch += 1;
     next.owner = m_self;
     next.owner_incarnation = m_incarnation;
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -125,6 +125,9 @@
     /// The head record as last known.
     const head_record& head() const { return m_chain.record(); }
 
+    /// The process that owned the partition before the last takeover, or nothing after a handover and at first.
+    const std::optional<backup_ref>& replaced_owner() const { return m_replaced_owner; }
+
     /// The epoch that this object sealed, or 0.
     std::uint64_t epoch() const { return m_epoch; }
 
@@ -189,6 +192,7 @@
     std::uint32_t m_partition;
     instance_ref m_self;
     std::uint64_t m_incarnation;
+    std::optional<backup_ref> m_replaced_owner;
     const journal_settings* m_settings;
     kv_outbox m_outbox;
     head_chain m_chain;
--- a/src/program/backup_set.cpp
+++ b/src/program/backup_set.cpp
@@ -50,12 +50,22 @@
     m_peers = std::move(peers);
 }
 
-bool backup_set::usable(const peer_state& peer) const
+void backup_set::avoid(const std::optional<backup_ref>& replaced_owner, timestamp until)
 {
+    m_avoided = replaced_owner;
+    m_avoided_until = until;
+}
+
+bool backup_set::usable(const peer_state& peer, timestamp now) const
+{
+    if (m_avoided && now < m_avoided_until && peer.instance.id == m_avoided->id &&
+        peer.incarnation == m_avoided->incarnation) {
+        return false;
+    }
     return peer.listed && !peer.presumed_down && !peer.leaving && peer.instance.id != m_settings->self.id;
 }
 
-std::vector<backup_ref> backup_set::choose(const std::vector<backup_ref>& current) const
+std::vector<backup_ref> backup_set::choose(const std::vector<backup_ref>& current, timestamp now) const
 {
     std::vector<backup_ref> chosen;
     std::vector<std::string> domains;
@@ -65,7 +75,7 @@
     };
     for (const backup_ref& it : current) {
         const peer_state* peer = find_peer(it);
-        if (peer != nullptr && usable(*peer) && chosen.size() < m_settings->backups) {
+        if (peer != nullptr && usable(*peer, now) && chosen.size() < m_settings->backups) {
             add(*peer);
         }
     }
@@ -75,7 +85,8 @@
             const bool own_domain = it.failure_domain == m_settings->failure_domain;
             const bool used_domain = std::ranges::count(domains, it.failure_domain) > 0;
             const bool wanted = pass == 3 || (!own_domain && (pass == 2 || !used_domain));
-            if (wanted && usable(it) && chosen.size() < m_settings->backups && !contains_id(chosen, it.instance.id)) {
+            if (wanted && usable(it, now) && chosen.size() < m_settings->backups &&
+                !contains_id(chosen, it.instance.id)) {
                 add(it);
             }
         }
@@ -232,7 +243,7 @@
     if (log.phase() != journal_phase::ready) {
         return;
     }
-    const std::vector<backup_ref> wanted = choose(m_backups);
+    const std::vector<backup_ref> wanted = choose(m_backups, now);
     const bool same = wanted.size() == m_backups.size() &&
                       std::ranges::all_of(wanted, [this](const backup_ref& it) { return contains(m_backups, it); });
     if (same || wanted.empty()) {
--- a/src/program/backup_set.h
+++ b/src/program/backup_set.h
@@ -23,7 +23,10 @@
     void set_peers(std::vector<peer_state> peers);
 
     /// Returns the preferred list, keeping healthy members of `current`.
-    std::vector<backup_ref> choose(const std::vector<backup_ref>& current) const;
+    std::vector<backup_ref> choose(const std::vector<backup_ref>& current, timestamp now) const;
+
+    /// Does not choose this process until then: the one whose failure led to the takeover.
+    void avoid(const std::optional<backup_ref>& replaced_owner, timestamp until);
 
     /// Begins an ownership. Everything up to `flushed` is in the key-value service.
     void start(std::uint64_t epoch, std::vector<backup_ref> backups, std::uint64_t flushed);
@@ -64,7 +67,7 @@
     const stream_state* find_stream(const backup_ref& backup) const;
     void add_stream(const backup_ref& backup);
     void keep_streams(const std::vector<backup_ref>& wanted);
-    bool usable(const peer_state& peer) const;
+    bool usable(const peer_state& peer, timestamp now) const;
     bool believed_up(const stream_state& it) const;
     bool still_listed(const stream_state& it) const;
     std::uint64_t acknowledged_by(const std::vector<backup_ref>& backups, const journal& log, timestamp now) const;
@@ -75,6 +78,8 @@
     void send(stream_state& it, const journal& log, timestamp now, std::vector<action>& out);
 
     const owner_settings* m_settings;
+    std::optional<backup_ref> m_avoided;
+    timestamp m_avoided_until{0};
     std::vector<peer_state> m_peers;
     bool m_active = false;
     std::uint64_t m_epoch = 0;
--- a/src/program/owner_core.cpp
+++ b/src/program/owner_core.cpp
@@ -213,7 +213,8 @@
     m_counters.digest_mismatches += recovered.digest_mismatches;
     m_counters.unavailable_programs += recovered.unavailable.size();
     restore_programs(recovered);
-    m_journal.finish_takeover(std::move(recovered.items), std::move(closing), m_backups.choose({}), m_now);
+    m_backups.avoid(m_journal.replaced_owner(), m_now + m_settings.avoid_replaced);
+    m_journal.finish_takeover(std::move(recovered.items), std::move(closing), m_backups.choose({}, m_now), m_now);
     m_journal.poll(m_now);
 }
 
--- a/src/program/owner_settings.h
+++ b/src/program/owner_settings.h
@@ -42,6 +42,8 @@
     timestamp confirm_timeout{std::chrono::seconds{2}};     ///< for the intent of an irreversible call
     timestamp resend_after{std::chrono::milliseconds{200}}; ///< for batches and fetches without reply
     timestamp retention{std::chrono::minutes{10}};          ///< of ended programs and of results of calls
+    /// The replaced owner becomes no backup for this time, in which this instance may not have noticed its failure yet.
+    timestamp avoid_replaced{std::chrono::seconds{10}};
     std::uint32_t idempotent_attempts = 3;
 
     std::size_t max_turn_bytes = std::size_t{256} * 1024;            ///< new messages of one turn
--- a/tests/owner_test.cpp
+++ b/tests/owner_test.cpp
@@ -1,5 +1,7 @@
 #include "owner_rig.h"
 
+#include "program/backup_set.h"
+
 #include "program/history.h"
 
 #include <doctest/doctest.h>
@@ -545,3 +547,23 @@
     CHECK(reason.code == result_code::platform_unavailable);
     CHECK(reason.run == run_state::not_run);
 }
+
+// The successor may be asked to take over before it has noticed the failure itself. With the failed owner in its list
+// of backups, a second failure would block the next takeover.
+TEST_CASE("the replaced owner is no backup until the successor can judge it")
+{
+    owner_settings settings;
+    settings.self = {"c", "c:1"};
+    settings.failure_domain = "z3";
+    backup_set backups(settings);
+    backups.set_peers({{{"a", "a:1"}, 5, "z1"}, {{"b", "b:1"}, 5, "z2"}});
+    const timestamp until = std::chrono::seconds(10);
+    const backup_ref a{"a", "a:1", 5};
+    const backup_ref b{"b", "b:1", 5};
+    CHECK(backups.choose({}, timestamp{0}) == std::vector{a, b});
+    backups.avoid(a, until);
+    CHECK(backups.choose({}, timestamp{0}) == std::vector{b});
+    CHECK(backups.choose({}, until) == std::vector{a, b});
+    backups.set_peers({{{"a", "a:1"}, 6, "z1"}, {{"b", "b:1"}, 5, "z2"}});
+    CHECK(backups.choose({}, timestamp{0}) == std::vector{backup_ref{"a", "a:1", 6}, b});
+}
