--- a/src/peer/request_stream.cpp
+++ b/src/peer/request_stream.cpp
@@ -1,11 +1,10 @@
 #include "peer/request_stream.h"
 
+#include "peer/socket_events.h"
+
 #include <algorithm>
-#include <cerrno>
 #include <string_view>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -16,23 +15,6 @@
 constexpr std::string_view header_end = "\r\n\r\n";
 constexpr std::chrono::milliseconds write_timeout{5'000};
 
-short wait_for_event(int socket, short events, std::chrono::milliseconds wait)
-{
-    pollfd entry{socket, events, 0};
-    int ready = 0;
-    do {
-        ready = ::poll(&entry, 1, static_cast<int>(wait.count()));
-    } while (ready < 0 && errno == EINTR);
-    return ready > 0 ? entry.revents : short{0};
-}
-
-void read_address(const sockaddr_in& address, std::string& ip, int& port)
-{
-    std::array<char, INET_ADDRSTRLEN> text{};
-    ip = ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) == nullptr ? "" : text.data();
-    port = ntohs(address.sin_port);
-}
-
 } // namespace
 
 bool request_stream::wait_for_request(std::chrono::milliseconds wait) const
@@ -107,18 +89,12 @@
 
 void request_stream::get_remote_ip_and_port(std::string& ip, int& port) const
 {
-    sockaddr_in address{};
-    socklen_t size = sizeof(address);
-    ::getpeername(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    read_address(address, ip, port);
+    read_remote_address(m_socket, ip, port);
 }
 
 void request_stream::get_local_ip_and_port(std::string& ip, int& port) const
 {
-    sockaddr_in address{};
-    socklen_t size = sizeof(address);
-    ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    read_address(address, ip, port);
+    read_local_address(m_socket, ip, port);
 }
 
 } // namespace lagoonferry
--- a/standins/server_connection.cpp
+++ b/standins/server_connection.cpp
@@ -1,9 +1,9 @@
 #include "server_connection.h"
 
+#include "peer/socket_events.h"
+
 #include <algorithm>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -13,23 +13,6 @@
 
 constexpr std::chrono::milliseconds io_timeout{5'000};
 
-short wait_for_event(int socket, short events, std::chrono::milliseconds timeout)
-{
-    pollfd entry{socket, events, 0};
-    int ready = 0;
-    do {
-        ready = ::poll(&entry, 1, static_cast<int>(timeout.count()));
-    } while (ready < 0 && errno == EINTR);
-    return ready > 0 ? entry.revents : short{0};
-}
-
-void read_address(const sockaddr_in& address, std::string& ip, int& port)
-{
-    std::array<char, INET_ADDRSTRLEN> text{};
-    ip = ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) == nullptr ? "" : text.data();
-    port = ntohs(address.sin_port);
-}
-
 } // namespace
 
 bool server_connection::wait_for_request(std::chrono::milliseconds timeout) const
@@ -77,18 +60,12 @@
 
 void server_connection::get_remote_ip_and_port(std::string& ip, int& port) const
 {
-    sockaddr_in address{};
-    socklen_t size = sizeof(address);
-    ::getpeername(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    read_address(address, ip, port);
+    read_remote_address(m_socket, ip, port);
 }
 
 void server_connection::get_local_ip_and_port(std::string& ip, int& port) const
 {
-    sockaddr_in address{};
-    socklen_t size = sizeof(address);
-    ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
-    read_address(address, ip, port);
+    read_local_address(m_socket, ip, port);
 }
 
 } // namespace lagoonferry::standin
