Give each system of the process tests its own cluster key

Cause: systems that run at the same time shared key and instance ids. A port of a killed process may go to a process of another system, which then accepted heartbeats that were not for it. Change: the key of each local_system is random.

--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -92,7 +92,8 @@
     return true;
 }
 
-local_system::local_system(system_options options) : m_options(std::move(options))
+local_system::local_system(system_options options)
+    : m_options(std::move(options)), m_cluster_key("cluster-test-key-" + random_hex(8))
 {
     start_standins();
     for (int n = 1; n <= 3; ++n) {
@@ -198,7 +199,7 @@
     arguments.insert(arguments.begin(), "entry");
     auto process = std::make_unique<child_process>(
         "lagoonferry", arguments,
-        std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1",
+        std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=" + m_cluster_key,
                                  std::string("LAGOONFERRY_OPERATOR_KEY=") + operator_key});
     for (int n = 0; n < 3; ++n) {
         const std::string line = process->read_listening(20s).value_or("");
@@ -227,7 +228,7 @@
     arguments.insert(arguments.begin(), "dispatch");
     arguments.push_back("--weight-loads-per-minute=60");
     m_dispatcher = std::make_unique<child_process>(
-        "lagoonferry", arguments, std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=cluster-test-key-1"});
+        "lagoonferry", arguments, std::vector<std::string>{"LAGOONFERRY_CLUSTER_KEY=" + m_cluster_key});
     REQUIRE(m_dispatcher->read_listening(20s));
 }
 
--- a/tests/process/local_system.h
+++ b/tests/process/local_system.h
@@ -127,6 +127,9 @@
     std::vector<std::string> common_arguments(const std::string& id, const std::string& failure_domain);
 
     system_options m_options;
+    /// Systems that run at the same time take over ports of each other's killed processes. With one key they would
+    /// accept each other's heartbeats.
+    std::string m_cluster_key;
     std::map<std::string, std::string> m_addresses;
     std::map<std::string, std::string> m_seeds; ///< datagram addresses of entry instances by id
     std::unique_ptr<child_process> m_standins;
