--- a/src/platform/call_counts.cpp
+++ b/src/backends/call_counts.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_counts.h"
+#include "backends/call_counts.h"
 
 namespace lagoonferry {
 
--- a/src/platform/completion_reader.cpp
+++ b/src/backends/completion_reader.cpp
@@ -1,4 +1,4 @@
-#include "platform/completion_reader.h"
+#include "backends/completion_reader.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/completion_reader.h
+++ b/src/backends/completion_reader.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/engine_answer.h"
-#include "platform/engine_client.h"
+#include "backends/engine_answer.h"
+#include "backends/engine_client.h"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/platform/connection_pool.cpp
+++ b/src/backends/connection_pool.cpp
@@ -1,6 +1,6 @@
-#include "platform/connection_pool.h"
+#include "backends/connection_pool.h"
 
-#include "platform/http_connection.h"
+#include "backends/http_connection.h"
 
 #include <algorithm>
 
--- a/src/platform/engine_call.h
+++ b/src/backends/engine_call.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/fencing_token.h"
+#include "backends/fencing_token.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/platform/engine_client.h
+++ b/src/backends/engine_client.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "platform/call_counts.h"
-#include "platform/engine_answer.h"
-#include "platform/engine_call.h"
-#include "platform/engine_report.h"
+#include "backends/call_counts.h"
+#include "backends/engine_answer.h"
+#include "backends/engine_call.h"
+#include "backends/engine_report.h"
 
 #include <chrono>
 #include <cstdint>
--- a/src/platform/engine_request.cpp
+++ b/src/backends/engine_request.cpp
@@ -1,6 +1,6 @@
-#include "platform/engine_request.h"
+#include "backends/engine_request.h"
 
-#include "platform/target_headers.h"
+#include "backends/target_headers.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/engine_request.h
+++ b/src/backends/engine_request.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/engine_call.h"
-#include "platform/http_connection.h"
+#include "backends/engine_call.h"
+#include "backends/http_connection.h"
 
 namespace lagoonferry {
 
--- a/src/platform/event_stream.cpp
+++ b/src/backends/event_stream.cpp
@@ -1,4 +1,4 @@
-#include "platform/event_stream.h"
+#include "backends/event_stream.h"
 
 namespace lagoonferry {
 
--- a/src/platform/http_connection.cpp
+++ b/src/backends/http_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_connection.h"
+#include "backends/http_connection.h"
 
 #include "util/time.h"
 
--- a/src/platform/http_connection.h
+++ b/src/backends/http_connection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/call_counts.h"
+#include "backends/call_counts.h"
 
 #include <atomic>
 #include <chrono>
--- a/src/platform/http_engine_client.cpp
+++ b/src/backends/http_engine_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_engine_client.h"
+#include "backends/http_engine_client.h"
 
-#include "platform/completion_reader.h"
-#include "platform/connection_pool.h"
-#include "platform/engine_request.h"
-#include "platform/event_stream.h"
-#include "platform/http_connection.h"
-#include "platform/json_reply.h"
+#include "backends/completion_reader.h"
+#include "backends/connection_pool.h"
+#include "backends/engine_request.h"
+#include "backends/event_stream.h"
+#include "backends/http_connection.h"
+#include "backends/json_reply.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/platform/http_engine_client.h
+++ b/src/backends/http_engine_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/engine_client.h"
+#include "backends/engine_client.h"
 
 #include <cstddef>
 #include <memory>
--- a/src/platform/http_kv_leases.cpp
+++ b/src/backends/http_kv_leases.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_kv_leases.h"
+#include "backends/http_kv_leases.h"
 
-#include "platform/call_counts.h"
-#include "platform/http_connection.h"
-#include "platform/json_reply.h"
-#include "platform/kv_reply.h"
+#include "backends/call_counts.h"
+#include "backends/http_connection.h"
+#include "backends/json_reply.h"
+#include "backends/kv_reply.h"
 
 namespace lagoonferry {
 
--- a/src/platform/http_kv_leases.h
+++ b/src/backends/http_kv_leases.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/kv_leases.h"
+#include "backends/kv_leases.h"
 
 #include <memory>
 
--- a/src/platform/http_kv_watch.cpp
+++ b/src/backends/http_kv_watch.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_kv_watch.h"
+#include "backends/http_kv_watch.h"
 
-#include "platform/call_counts.h"
-#include "platform/http_connection.h"
-#include "platform/json_reply.h"
+#include "backends/call_counts.h"
+#include "backends/http_connection.h"
+#include "backends/json_reply.h"
 
 namespace lagoonferry {
 
--- a/src/platform/http_kv_watch.h
+++ b/src/backends/http_kv_watch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/kv_watch.h"
+#include "backends/kv_watch.h"
 
 #include <memory>
 
--- a/src/platform/http_tool_client.cpp
+++ b/src/backends/http_tool_client.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_tool_client.h"
+#include "backends/http_tool_client.h"
 
-#include "platform/connection_pool.h"
-#include "platform/http_connection.h"
-#include "platform/json_reply.h"
-#include "platform/target_headers.h"
+#include "backends/connection_pool.h"
+#include "backends/http_connection.h"
+#include "backends/json_reply.h"
+#include "backends/target_headers.h"
 
 namespace lagoonferry {
 
--- a/src/platform/http_tool_client.h
+++ b/src/backends/http_tool_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/tool_client.h"
+#include "backends/tool_client.h"
 
 #include <cstddef>
 #include <memory>
--- a/src/platform/http_weight_store.h
+++ b/src/backends/http_weight_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/weight_store.h"
+#include "backends/weight_store.h"
 
 #include <chrono>
 #include <memory>
--- a/src/platform/json_reply.cpp
+++ b/src/backends/json_reply.cpp
@@ -1,4 +1,4 @@
-#include "platform/json_reply.h"
+#include "backends/json_reply.h"
 
 namespace lagoonferry {
 
--- a/src/platform/json_reply.h
+++ b/src/backends/json_reply.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/http_connection.h"
+#include "backends/http_connection.h"
 #include "util/failure.h"
 
 #include <nlohmann/json.hpp>
--- a/src/platform/kv_leases.h
+++ b/src/backends/kv_leases.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/kv_store.h"
+#include "backends/kv_store.h"
 #include "util/failure.h"
 
 #include <chrono>
--- a/src/platform/kv_reply.cpp
+++ b/src/backends/kv_reply.cpp
@@ -1,6 +1,6 @@
-#include "platform/kv_reply.h"
+#include "backends/kv_reply.h"
 
-#include "platform/json_reply.h"
+#include "backends/json_reply.h"
 
 #include <charconv>
 
--- a/src/platform/kv_reply.h
+++ b/src/backends/kv_reply.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/http_connection.h"
-#include "platform/kv_store.h"
+#include "backends/http_connection.h"
+#include "backends/kv_store.h"
 #include "util/failure.h"
 
 #include <string_view>
--- a/src/platform/target_headers.cpp
+++ b/src/backends/target_headers.cpp
@@ -1,4 +1,4 @@
-#include "platform/target_headers.h"
+#include "backends/target_headers.h"
 
 namespace lagoonferry {
 
--- a/src/platform/target_headers.h
+++ b/src/backends/target_headers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/fencing_token.h"
-#include "platform/http_connection.h"
+#include "backends/fencing_token.h"
+#include "backends/http_connection.h"
 
 #include <optional>
 
--- a/src/platform/tool_client.h
+++ b/src/backends/tool_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/call_counts.h"
-#include "platform/fencing_token.h"
+#include "backends/call_counts.h"
+#include "backends/fencing_token.h"
 #include "util/failure.h"
 
 #include <chrono>
--- a/src/dispatch/cache_follower.h
+++ b/src/dispatch/cache_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dispatch/target_info.h"
-#include "platform/engine_report.h"
+#include "backends/engine_report.h"
 
 #include <cstdint>
 #include <map>
--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -6,7 +6,7 @@
 #include "entry/call_session.h"
 #include "entry/partition_router.h"
 #include "entry/refusal_json.h"
-#include "platform/http_kv_store.h"
+#include "backends/http_kv_store.h"
 #include "roles/ask.h"
 #include "roles/messages.h"
 #include "util/digest.h"
--- a/src/entry/tool_runner.cpp
+++ b/src/entry/tool_runner.cpp
@@ -1,7 +1,7 @@
 #include "entry/tool_runner.h"
 
 #include "blackboard/board.h"
-#include "platform/tool_client.h"
+#include "backends/tool_client.h"
 #include "util/log.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/turn_runner.cpp
+++ b/src/entry/turn_runner.cpp
@@ -2,7 +2,7 @@
 
 #include "blackboard/board.h"
 #include "entry/slot_ticket.h"
-#include "platform/engine_client.h"
+#include "backends/engine_client.h"
 #include "roles/messages.h"
 #include "util/log.h"
 #include "util/rendezvous.h"
--- a/src/entry/turn_runner.h
+++ b/src/entry/turn_runner.h
@@ -3,7 +3,7 @@
 #include "dispatch/retry_policy.h"
 #include "dispatch/slot_holder.h"
 #include "entry/call_options.h"
-#include "platform/engine_answer.h"
+#include "backends/engine_answer.h"
 #include "program/action.h"
 #include "program/event.h"
 
--- a/src/roles/document_fetcher.cpp
+++ b/src/roles/document_fetcher.cpp
@@ -3,8 +3,8 @@
 #include "blackboard/board.h"
 #include "membership/duty.h"
 #include "peer/rpc_client.h"
-#include "platform/http_kv_store.h"
-#include "platform/http_kv_watch.h"
+#include "backends/http_kv_store.h"
+#include "backends/http_kv_watch.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/document_fetcher.h
+++ b/src/roles/document_fetcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "document/document_table.h"
-#include "platform/kv_store.h"
-#include "platform/kv_watch.h"
+#include "backends/kv_store.h"
+#include "backends/kv_watch.h"
 #include "roles/messages.h"
 
 #include <caf/behavior.hpp>
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -6,7 +6,7 @@
 #include "entry/partition_router.h"
 #include "entry/tool_runner.h"
 #include "entry/turn_runner.h"
-#include "platform/http_tool_client.h"
+#include "backends/http_tool_client.h"
 #include "program/history_memory.h"
 #include "roles/ask.h"
 #include "roles/ownership_controller.h"
--- a/src/roles/instance_poller.cpp
+++ b/src/roles/instance_poller.cpp
@@ -3,7 +3,7 @@
 #include "blackboard/board.h"
 #include "membership/duty.h"
 #include "peer/network_address.h"
-#include "platform/http_instance_list.h"
+#include "backends/http_instance_list.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/instance_poller.h
+++ b/src/roles/instance_poller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/instance_list.h"
+#include "backends/instance_list.h"
 #include "roles/messages.h"
 
 #include <caf/actor.hpp>
--- a/src/roles/order_sender.cpp
+++ b/src/roles/order_sender.cpp
@@ -1,6 +1,6 @@
 #include "roles/order_sender.h"
 
-#include "platform/engine_client.h"
+#include "backends/engine_client.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/platform_worker.cpp
+++ b/src/roles/platform_worker.cpp
@@ -1,6 +1,6 @@
 #include "roles/platform_worker.h"
 
-#include "platform/http_kv_store.h"
+#include "backends/http_kv_store.h"
 
 #include <caf/event_based_actor.hpp>
 
--- a/src/roles/platform_worker.h
+++ b/src/roles/platform_worker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/kv_store.h"
+#include "backends/kv_store.h"
 #include "roles/messages.h"
 
 #include <caf/behavior.hpp>
--- a/src/roles/role_process.h
+++ b/src/roles/role_process.h
@@ -7,8 +7,8 @@
 #include "peer/datagram_socket.h"
 #include "peer/http_listener.h"
 #include "peer/rpc_server.h"
-#include "platform/call_counts.h"
-#include "platform/http_engine_client.h"
+#include "backends/call_counts.h"
+#include "backends/http_engine_client.h"
 #include "settings/settings.h"
 
 #include <caf/actor.hpp>
--- a/standins/engine_core.h
+++ b/standins/engine_core.h
@@ -2,7 +2,7 @@
 
 #include "prefix_cache.h"
 
-#include "platform/engine_report.h"
+#include "backends/engine_report.h"
 #include "util/time.h"
 
 #include <condition_variable>
--- a/standins/fence_book.h
+++ b/standins/fence_book.h
@@ -2,7 +2,7 @@
 
 #include "fault.h"
 
-#include "platform/fencing_token.h"
+#include "backends/fencing_token.h"
 
 #include <cstdint>
 #include <map>
--- a/standins/kv_state.h
+++ b/standins/kv_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/kv_store.h"
-#include "platform/kv_watch.h"
+#include "backends/kv_store.h"
+#include "backends/kv_watch.h"
 #include "util/time.h"
 
 #include <cstdint>
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -7,16 +7,16 @@
 #include "tool_server.h"
 #include "weights_server.h"
 
-#include "platform/completion_reader.h"
-#include "platform/event_stream.h"
-#include "platform/http_connection.h"
-#include "platform/http_engine_client.h"
-#include "platform/http_instance_list.h"
-#include "platform/http_kv_leases.h"
-#include "platform/http_kv_store.h"
-#include "platform/http_kv_watch.h"
-#include "platform/http_tool_client.h"
-#include "platform/http_weight_store.h"
+#include "backends/completion_reader.h"
+#include "backends/event_stream.h"
+#include "backends/http_connection.h"
+#include "backends/http_engine_client.h"
+#include "backends/http_instance_list.h"
+#include "backends/http_kv_leases.h"
+#include "backends/http_kv_store.h"
+#include "backends/http_kv_watch.h"
+#include "backends/http_tool_client.h"
+#include "backends/http_weight_store.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/standins_process_test.cpp
+++ b/tests/process/standins_process_test.cpp
@@ -1,7 +1,7 @@
 #include "child_process.h"
 
-#include "platform/call_counts.h"
-#include "platform/http_instance_list.h"
+#include "backends/call_counts.h"
+#include "backends/http_instance_list.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/turn_runner_test.cpp
+++ b/tests/turn_runner_test.cpp
@@ -5,7 +5,7 @@
 #include "blackboard/board.h"
 #include "entry/slot_ticket.h"
 #include "entry/turn_runner.h"
-#include "platform/http_engine_client.h"
+#include "backends/http_engine_client.h"
 #include "roles/messages.h"
 
 #include <caf/actor_system.hpp>
