--- /dev/null
+++ b/src/gateway/budget_keeper.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "gateway/fleet_link.h"
+#include "ledger/budget_ledger.h"
+#include "store/store_client.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lagoonferry {
+
+/// Carries the decisions of the budget ledger between gateways and the store. One gateway owns the record of a program,
+/// the next by rendezvous hashing keeps a copy. Runs on one event loop; not thread-safe.
+class budget_keeper {
+public:
+    /// `certain_from_start`: no program was under way when this process started. All references must outlive it.
+    budget_keeper(asio::any_io_executor loop, fleet_link& fleet, store_client& store, bool certain_from_start);
+
+    /// Registers with the fleet and starts the upkeep of records.
+    void start();
+
+    /// Asks for the tokens of a turn, at this gateway or its owner's.
+    asio::awaitable<budget_answer> reserve(budget_request request);
+
+    /// Tells the end of a turn that was granted.
+    void settle(const budget_settlement& message);
+
+    /// Hands all records that this gateway owns to their next owners.
+    void hand_over();
+
+    /// Deletes this process's view of who answers; for tests and for settings that change.
+    const budget_ledger& ledger() const { return m_ledger; }
+
+private:
+    struct waiting_ask {
+        explicit waiting_ask(asio::any_io_executor loop) : wake(std::move(loop)) {}
+        asio::steady_timer wake;
+        std::optional<budget_answer> answer;
+    };
+    struct waiting_copy {
+        explicit waiting_copy(asio::any_io_executor loop) : wake(std::move(loop)) {}
+        asio::steady_timer wake;
+        std::optional<program_copy> answer;
+    };
+
+    asio::awaitable<budget_answer> decide(budget_request request);
+    asio::awaitable<budget_answer> decide_alone(const budget_request& request);
+    asio::awaitable<std::optional<budget_answer>> ask(const std::string& owner, const budget_request& request);
+    asio::awaitable<void> find_record(const budget_request& request);
+    asio::awaitable<bool> write_mark(const budget_request& request);
+    asio::awaitable<void> answer_ask(std::string sender, budget_request request);
+    asio::awaitable<void> keep_up();
+    void on_ask(const std::string& sender, const nlohmann::json& body);
+    void on_reply(const nlohmann::json& body);
+    void on_end(const nlohmann::json& body);
+    void on_copy_ask(const std::string& sender, const nlohmann::json& body);
+    void on_copy(const nlohmann::json& body);
+    void apply_settlement(const budget_settlement& message);
+    void send_copy(const std::string& program);
+    void hand_over_to_owners();
+    bool certain() const;
+    bool silent(const std::string& id) const;
+
+    asio::any_io_executor m_loop;
+    fleet_link& m_fleet;
+    store_client& m_store;
+    bool m_certain_from_start;
+    timestamp m_started;
+    budget_ledger m_ledger;
+    std::map<std::string, std::shared_ptr<waiting_ask>, std::less<>> m_asks;    ///< by request id
+    std::map<std::string, std::shared_ptr<waiting_copy>, std::less<>> m_copies; ///< by program
+    std::set<std::string, std::less<>> m_deciding;                              ///< programs with a decision under way
+    std::set<std::string, std::less<>> m_answering;                             ///< requests of others in decision
+    std::map<std::string, timestamp, std::less<>> m_silent_until;               ///< owners that did not answer
+    std::set<std::string, std::less<>> m_owned;                                 ///< programs decided here
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/client_session.cpp
@@ -0,0 +1,360 @@
+#include "gateway/client_session.h"
+
+#include "gateway/exchange.h"
+#include "net/pause.h"
+#include "net/socket_options.h"
+#include "net/spawn.h"
+#include "util/log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Connections that wait to be accepted. A burst of callers must not overflow the queue: the next try comes a second
+/// later.
+constexpr int accept_backlog = 1'024;
+
+/// Descriptors that are kept for files, datagrams, the store and targets.
+constexpr std::size_t reserved_descriptors = 700;
+
+/// Time in which a caller has to take a piece of an answer, before it counts as gone.
+constexpr milliseconds write_limit{5'000};
+
+/// Time in which a request has to arrive after its head.
+constexpr milliseconds body_limit{10'000};
+
+/// Pause after a connection could not be accepted.
+constexpr milliseconds accept_pause{20};
+
+/// How long an answer to "where to connect" holds. Callers may keep it three times as long, and a stopping gateway must
+/// outlive that.
+constexpr milliseconds address_ttl{2'000};
+
+/// Addresses in one answer.
+constexpr std::size_t most_addresses = 64;
+
+milliseconds idle_timeout(const gateway_board& board)
+{
+    return board.routes ? board.routes->document().limits.idle_timeout : caller_limits{}.idle_timeout;
+}
+
+/// Counts a request while it is under way.
+class request_count {
+public:
+    explicit request_count(gateway_board& board) : m_board(board) { ++m_board.requests_under_way; }
+    request_count(const request_count&) = delete;
+    request_count& operator=(const request_count&) = delete;
+    ~request_count() { --m_board.requests_under_way; }
+
+private:
+    gateway_board& m_board;
+};
+
+std::string chunk(std::string_view bytes)
+{
+    std::array<char, 16> size{};
+    const auto [end, ec] = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+    std::string out(size.data(), end);
+    out += "\r\n";
+    out += bytes;
+    out += "\r\n";
+    return out;
+}
+
+} // namespace
+
+client_session::client_session(gateway_board& board, tcp::socket socket, listener_kind kind)
+    : m_board(board), m_stream(std::move(socket)), m_kind(kind)
+{
+    ++m_board.caller_connections;
+}
+
+client_session::~client_session()
+{
+    --m_board.caller_connections;
+}
+
+asio::awaitable<void> client_session::serve(std::shared_ptr<client_session> self)
+{
+    co_await self->run();
+}
+
+asio::awaitable<void> client_session::run()
+{
+    harden_socket(m_stream.socket());
+    while (m_keep && m_stream.socket().is_open()) {
+        http_request request;
+        if (!co_await read_request(request)) {
+            break;
+        }
+        m_keep = request.keep_alive();
+        m_chunked = request.version() >= 11;
+        m_head_request = request.method() == http::verb::head;
+        const request_count counted(m_board);
+        m_kind == listener_kind::callers ? co_await serve_caller(request) : co_await serve_local(request);
+    }
+    error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_stream.socket().close(ec);
+}
+
+asio::awaitable<bool> client_session::read_request(http_request& out)
+{
+    const caller_limits limits = m_board.routes ? m_board.routes->document().limits : caller_limits{};
+    if (m_buffer.size() == 0) {
+        constexpr std::size_t first_read_bytes = 8'192;
+        m_stream.expires_after(idle_timeout(m_board));
+        const auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(first_read_bytes), no_throw);
+        if (ec) {
+            co_return false;
+        }
+        m_buffer.commit(n);
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    m_stream.expires_after(limits.header_timeout);
+    const auto [head_ec, head_n] = co_await http::async_read_header(m_stream, m_buffer, parser, no_throw);
+    if (head_ec) {
+        co_await answer_bad_request(head_ec);
+        co_return false;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        if (!co_await write("HTTP/1.1 100 Continue\r\n\r\n")) {
+            co_return false;
+        }
+    }
+    m_stream.expires_after(body_limit);
+    const auto [body_ec, body_n] = co_await http::async_read(m_stream, m_buffer, parser, no_throw);
+    if (body_ec) {
+        co_await answer_bad_request(body_ec);
+        co_return false;
+    }
+    out = parser.release();
+    co_return true;
+}
+
+// Nothing of a request that cannot be read is passed on, and the connection ends with it.
+asio::awaitable<void> client_session::answer_bad_request(error_code reason)
+{
+    m_keep = false;
+    unsigned status = 400;
+    if (reason == http::error::end_of_stream || reason == http::error::partial_message ||
+        reason == asio::error::connection_reset || reason == asio::error::operation_aborted) {
+        co_return;
+    }
+    if (reason == http::error::header_limit) {
+        status = 431;
+    }
+    else if (reason == http::error::body_limit) {
+        status = 413;
+    }
+    else if (reason == beast::error::timeout) {
+        status = 408;
+    }
+    log(log_part::entry, log_level::warning, "A request cannot be read.", field("status", status),
+        field("reason", reason.message()));
+    co_await send_whole(status, {}, reason.message());
+}
+
+asio::awaitable<void> client_session::serve_caller(const http_request& request)
+{
+    const auto running = std::make_shared<exchange>(m_board, request, *this);
+    spawn(m_board.loop, watch_for_close(shared_from_this(), running), "caller watch");
+    co_await running->run();
+    if (m_stream.socket().is_open()) {
+        error_code ec;
+        m_stream.socket().cancel(ec); // ends the watch
+    }
+}
+
+asio::awaitable<void> client_session::watch_for_close(std::shared_ptr<client_session> self,
+                                                      std::weak_ptr<exchange> running)
+{
+    if (self->m_buffer.size() > 0) {
+        co_return; // the next request is here already, so the caller is too
+    }
+    tcp::socket& socket = self->m_stream.socket();
+    const auto [ec] = co_await socket.async_wait(tcp::socket::wait_read, no_throw);
+    const auto present = running.lock();
+    if (!ec && present && socket.is_open() && peer_closed(socket)) {
+        self->m_keep = false;
+        present->abort();
+    }
+}
+
+asio::awaitable<void> client_session::serve_local(const http_request& request)
+{
+    const std::string_view target = to_std(request.target());
+    http_fields fields;
+    switch (m_board.speech.local_call_of(to_std(request.method_string()), target)) {
+    case local_call::readiness: {
+        const bool ready = !m_board.stopping && m_board.routes != nullptr;
+        co_await send_whole(ready ? 200 : 503, fields, "");
+        break;
+    }
+    case local_call::lookup:
+        if (m_board.routes == nullptr) {
+            co_await send_whole(503, fields, "no routing document is known");
+        }
+        else {
+            fields.set(http::field::content_type, "application/json");
+            co_await send_whole(200, fields, lookup_answer(request));
+        }
+        break;
+    case local_call::metrics:
+        fields.set(http::field::content_type, "text/plain; version=0.0.4");
+        m_board.metrics.set_targets(m_board.targets.size());
+        m_board.metrics.set_connections(m_board.caller_connections, m_board.pool.size());
+        co_await send_whole(200, fields, m_board.metrics.text());
+        break;
+    case local_call::none:
+        co_await send_whole(404, fields, "no such call");
+        break;
+    }
+}
+
+std::string client_session::lookup_answer(const http_request& /*request*/) const
+{
+    std::vector<std::string> addresses;
+    for (const member& item : m_board.fleet.usable()) {
+        if (addresses.size() < most_addresses && item.address.http_port != 0) {
+            addresses.push_back(item.address.ip + ":" + std::to_string(item.address.http_port));
+        }
+    }
+    return m_board.speech.lookup_body(addresses, std::min(address_ttl, m_board.settings.address_ttl_max));
+}
+
+std::string client_session::head(unsigned status, const http_fields& fields, std::string_view framing) const
+{
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+    out += to_std(http::obsolete_reason(static_cast<http::status>(status)));
+    out += "\r\n";
+    for (const auto& item : fields) {
+        out += to_std(item.name_string());
+        out += ": ";
+        out += to_std(item.value());
+        out += "\r\n";
+    }
+    out += framing;
+    out += m_keep ? "" : "Connection: close\r\n";
+    out += "\r\n";
+    return out;
+}
+
+asio::awaitable<bool> client_session::write(std::string_view bytes)
+{
+    m_stream.expires_after(write_limit);
+    const auto [ec, n] = co_await asio::async_write(m_stream, asio::buffer(bytes), no_throw);
+    if (ec) {
+        m_keep = false;
+    }
+    co_return !ec;
+}
+
+asio::awaitable<bool> client_session::send_whole(unsigned status, http_fields fields, std::string_view body)
+{
+    m_keep = m_keep && !m_board.stopping;
+    std::string out = head(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    if (!m_head_request) {
+        out += body;
+    }
+    co_return co_await write(out);
+}
+
+asio::awaitable<bool> client_session::start_stream(unsigned status, http_fields fields, std::string_view first)
+{
+    m_keep = m_keep && m_chunked && !m_board.stopping;
+    std::string out = head(status, fields, m_chunked ? "Transfer-Encoding: chunked\r\n" : "");
+    out += m_chunked ? chunk(first) : std::string(first);
+    co_return co_await write(out);
+}
+
+asio::awaitable<bool> client_session::send_piece(std::string_view bytes)
+{
+    const std::string out = m_chunked ? chunk(bytes) : std::string(bytes);
+    co_return co_await write(out);
+}
+
+asio::awaitable<bool> client_session::end_stream(std::string_view last)
+{
+    std::string out = m_chunked && !last.empty() ? chunk(last) : std::string(last);
+    out += m_chunked ? "0\r\n\r\n" : "";
+    co_return out.empty() || co_await write(out);
+}
+
+void client_session::break_off()
+{
+    m_keep = false;
+    // A reset, so that an answer without a length does not look complete.
+    error_code ec;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+    m_stream.socket().close(ec);
+}
+
+namespace {
+
+asio::awaitable<void> accept_sessions(gateway_board& board, tcp::acceptor acceptor, listener_kind kind)
+{
+    const std::size_t most = board.settings.max_descriptors > 2 * reserved_descriptors
+                                 ? board.settings.max_descriptors - reserved_descriptors
+                                 : board.settings.max_descriptors / 2;
+    while (true) {
+        auto [ec, socket] = co_await acceptor.async_accept(no_throw);
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            // Out of descriptors, or the caller is gone already. A pause keeps the loop from spinning.
+            log(log_part::entry, log_level::warning, "Cannot accept a connection.", field("reason", ec.message()));
+            co_await pause(board.loop, accept_pause);
+            continue;
+        }
+        if (board.caller_connections >= most) {
+            log(log_part::entry, log_level::warning, "Too many connections; one is closed unread.",
+                field("open", board.caller_connections));
+            continue;
+        }
+        const auto session = std::make_shared<client_session>(board, std::move(socket), kind);
+        spawn(board.loop, client_session::serve(session), "caller session");
+    }
+}
+
+} // namespace
+
+bool listen_for_sessions(gateway_board& board, const listen_address& address, listener_kind kind)
+{
+    error_code ec;
+    const auto ip = asio::ip::make_address(address.ip, ec);
+    tcp::acceptor acceptor(board.loop);
+    const tcp::endpoint endpoint(ip, address.port);
+    if (!ec) {
+        acceptor.open(endpoint.protocol(), ec);
+    }
+    if (!ec) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        acceptor.bind(endpoint, ec);
+    }
+    if (!ec) {
+        acceptor.listen(accept_backlog, ec);
+    }
+    if (ec) {
+        log(log_part::entry, log_level::error, "Cannot listen.", field("ip", address.ip), field("port", address.port),
+            field("reason", ec.message()));
+        return false;
+    }
+    spawn(board.loop, accept_sessions(board, std::move(acceptor), kind), "listener");
+    return true;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/document_feed.cpp
@@ -0,0 +1,174 @@
+#include "gateway/document_feed.h"
+
+#include "net/pause.h"
+#include "net/spawn.h"
+
+#include <algorithm>
+#include <array>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How long one watch waits. A shorter wait costs calls; a silent connection is noticed by its keep-alive probes.
+constexpr milliseconds watch_wait{12'000};
+
+/// Pause after a failed call to the store.
+constexpr milliseconds failure_pause{250};
+
+/// Gateways that try to acknowledge an order, each after the one before it had this time.
+constexpr std::size_t acknowledging_gateways = 3;
+constexpr milliseconds acknowledge_step{600};
+constexpr int most_acknowledge_tries = 20;
+
+} // namespace
+
+document_feed::document_feed(gateway_board& board) : m_board(board) {}
+
+void document_feed::start()
+{
+    m_board.fleet.on_newer_document([this](std::uint64_t version) {
+        if (!m_reading_newer) {
+            m_reading_newer = true;
+            spawn(m_board.loop, read_newer(version), "newer document");
+        }
+    });
+    spawn(m_board.loop, run(), "routing document");
+}
+
+asio::awaitable<void> document_feed::run()
+{
+    while (true) {
+        const bool done = m_loaded ? co_await wait_for_changes() : co_await read_all();
+        if (done != m_board.routes_confirmed) {
+            log(log_part::platform, done ? log_level::info : log_level::warning,
+                done ? "The store answers on the routing document."
+                     : "The store does not answer on the routing document.",
+                field("revision", m_revision));
+        }
+        m_board.routes_confirmed = done;
+        if (!done) {
+            m_loaded = false;
+            co_await pause(m_board.loop, failure_pause);
+        }
+    }
+}
+
+asio::awaitable<bool> document_feed::read_all()
+{
+    const store_reply reply = co_await m_board.store.read_all(m_board.speech.layout().operator_prefix);
+    if (reply.status != store_status::ok) {
+        co_return false;
+    }
+    take(reply.found.items, "read");
+    m_revision = reply.found.revision;
+    m_loaded = true;
+    co_return true;
+}
+
+asio::awaitable<bool> document_feed::wait_for_changes()
+{
+    const store_reply reply =
+        co_await m_board.store.watch(m_board.speech.layout().operator_prefix, m_revision, watch_wait);
+    if (reply.status == store_status::compacted) {
+        m_loaded = false;
+        co_return true;
+    }
+    if (reply.status != store_status::ok) {
+        co_return false;
+    }
+    take(reply.found.items, "watch");
+    for (const store_item& item : reply.found.items) {
+        m_revision = std::max(m_revision, item.revision);
+    }
+    // An empty answer may hide changes while the store drops its history, so the keys are read again.
+    m_loaded = !reply.found.items.empty();
+    co_return true;
+}
+
+asio::awaitable<void> document_feed::read_newer(std::uint64_t version)
+{
+    log(log_part::document, log_level::info, "Another gateway knows a newer routing document.",
+        field("version", version));
+    const store_reply reply = co_await m_board.store.read(m_board.speech.layout().routing_document);
+    if (reply.status == store_status::ok) {
+        take(reply.found.items, "heartbeat");
+    }
+    else {
+        co_await pause(m_board.loop, failure_pause);
+    }
+    m_reading_newer = false;
+}
+
+void document_feed::take(std::span<const store_item> items, std::string_view source)
+{
+    const store_layout& layout = m_board.speech.layout();
+    for (const store_item& item : items) {
+        if (item.key == layout.routing_document && !item.removed) {
+            take_document(item, source);
+        }
+        else if (item.key.starts_with(layout.empty_orders) && !item.removed) {
+            const std::string machine = item.key.substr(layout.empty_orders.size());
+            std::uint64_t& newest = m_emptying[machine];
+            if (item.revision > newest) {
+                newest = item.revision;
+                spawn(m_board.loop, acknowledge_emptying(machine, item.revision), "emptying of a machine");
+            }
+        }
+    }
+}
+
+void document_feed::take_document(const store_item& item, std::string_view source)
+{
+    failure reason;
+    auto document = m_board.speech.read_routing(item.value, reason);
+    if (!document) {
+        log(log_part::document, log_level::error, "The routing document cannot be read.",
+            field("revision", item.revision), field("reason", reason.text));
+        return;
+    }
+    const std::uint64_t present = m_board.routes ? m_board.routes->document().version : 0;
+    if (document->version <= present) {
+        return;
+    }
+    log(log_part::document, log_level::info, "A routing document is in force.", field("version", document->version),
+        field("former", present), field("revision", item.revision), field("routes", document->routes.size()),
+        field("source", source));
+    m_board.fleet.set_document_version(document->version);
+    m_board.routes = std::make_shared<const route_table>(std::move(*document));
+}
+
+// No gateway keeps anything on disks, so a machine is empty at once. The order's place among the gateways is by the
+// machine's name, so that the machine itself need not be alive.
+asio::awaitable<void> document_feed::acknowledge_emptying(std::string machine, std::uint64_t order_revision)
+{
+    const std::size_t rank = m_board.fleet.own_rank(machine);
+    if (rank >= acknowledging_gateways) {
+        co_return;
+    }
+    co_await pause(m_board.loop, acknowledge_step * rank);
+    const std::string key = m_board.speech.layout().empty_reports + machine;
+    store_condition present{key, 0};
+    for (int tries = 0; tries < most_acknowledge_tries && m_emptying[machine] == order_revision; ++tries) {
+        const std::array conditions{present};
+        const std::array items{store_item{key, m_board.speech.emptied_report(), 0, false}};
+        const store_reply reply = co_await m_board.store.write(conditions, items);
+        if (reply.status == store_status::ok) {
+            log(log_part::platform, log_level::info, "A machine is reported as empty.", field("machine", machine),
+                field("revision", reply.revision));
+            co_return;
+        }
+        if (reply.status == store_status::conflict && !reply.found.items.empty()) {
+            if (reply.found.items.front().revision > order_revision) {
+                co_return; // another gateway was first
+            }
+            present.revision = reply.found.items.front().revision;
+            continue;
+        }
+        co_await pause(m_board.loop, failure_pause);
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/exchange.cpp
@@ -0,0 +1,597 @@
+#include "gateway/exchange.h"
+
+#include "util/log.h"
+#include "util/rendezvous.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time to open a connection to a target. It takes 1 ms and two ways; more means that the target is cut off or full.
+constexpr milliseconds connect_limit{250};
+
+/// Attempts of one request in all, also those that were refused.
+constexpr int most_attempts = 6;
+
+/// Attempts after which the request may have run.
+constexpr int most_failures = 3;
+
+/// An idempotent request without an answer is sent again after this time: the longest work on the users' sheets, on a
+/// slow machine.
+constexpr milliseconds idempotent_answer_limit{450};
+
+/// A stream without a first event, or with a pause, is continued on a new connection after these times.
+constexpr milliseconds first_event_limit{1'400};
+constexpr milliseconds event_gap_limit{900};
+
+/// Answers of plain services are read whole before they are passed on, so that a broken one can be replaced.
+constexpr std::size_t whole_answer_limit = 4'194'304;
+
+/// Answers to earlier requests that a target may send late on one connection.
+constexpr int most_late_answers = 3;
+
+/// A refused caller comes back within this range, spread so that callers refused together do not return together.
+constexpr int retry_after_min_ms = 120;
+constexpr int retry_after_max_ms = 450;
+
+/// Output tokens of a turn, as a part of the most that it may have; turns are placed by it.
+constexpr double usual_output_part = 0.5;
+
+std::minstd_rand& random_source()
+{
+    static std::minstd_rand source{std::random_device{}()};
+    return source;
+}
+
+std::string retry_after_text()
+{
+    std::uniform_int_distribution<int> spread(retry_after_min_ms, retry_after_max_ms);
+    const std::string ms = std::to_string(spread(random_source()));
+    return "0." + std::string(3 - ms.size(), '0') + ms;
+}
+
+std::string connection_key(const target_record& target)
+{
+    return target.id + "/" + std::to_string(target.start) + "/" + target.address;
+}
+
+std::optional<tcp::endpoint> endpoint_of(std::string_view address)
+{
+    const std::size_t colon = address.rfind(':');
+    error_code ec;
+    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
+    const int port = std::atoi(std::string(address.substr(colon + 1)).c_str());
+    return ec || port <= 0 ? std::nullopt : std::optional(tcp::endpoint(ip, static_cast<std::uint16_t>(port)));
+}
+
+long long ms_since(deadline from)
+{
+    return std::chrono::duration_cast<milliseconds>(loop_clock::now() - from).count();
+}
+
+} // namespace
+
+exchange::exchange(gateway_board& board, const http_request& request, answer_sink& sink)
+    : m_board(board), m_request(request), m_sink(sink), m_call(board.speech.read_call(request)), m_routes(board.routes),
+      m_arrived(loop_clock::now()), m_until(m_arrived), m_last_event(m_call.last_event)
+{
+}
+
+void exchange::abort()
+{
+    m_aborted = true;
+    if (m_active != nullptr) {
+        m_active->close();
+    }
+}
+
+std::string_view exchange::host() const
+{
+    return to_std(m_request[http::field::host]);
+}
+
+bool exchange::time_is_up() const
+{
+    return loop_clock::now() >= m_until;
+}
+
+std::uint32_t exchange::tokens_per_event() const
+{
+    const target_service* service = m_routes->service(m_service);
+    return service == nullptr ? 1 : std::max(1U, service->tokens_per_event);
+}
+
+asio::awaitable<void> exchange::run()
+{
+    if (!m_routes) {
+        co_return co_await refuse(503, "no routing document is known");
+    }
+    m_route = m_routes->match(host(), to_std(m_request.target()));
+    if (m_route == nullptr) {
+        // Without the store's word there may be a newer document that has the route.
+        const unsigned status = m_board.routes_confirmed ? 404 : 503;
+        co_return co_await refuse(status, "no route matches");
+    }
+    m_until = m_arrived + std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
+    const std::string& key = m_call.program.empty() ? m_call.request_id : m_call.program;
+    m_service = choose_service(*m_route, stable_hash(key));
+    const bool stream = m_route->rule == repeat_rule::event_stream;
+    if (stream && m_call.token_budget && !m_call.program.empty()) {
+        if (!co_await reserve_tokens()) {
+            co_return;
+        }
+    }
+    if (!m_aborted) {
+        stream ? co_await run_stream() : co_await run_whole();
+    }
+    if (m_aborted) {
+        note_result("aborted", "the caller has closed the connection");
+    }
+    settle();
+}
+
+asio::awaitable<bool> exchange::reserve_tokens()
+{
+    budget_request ask;
+    ask.request = m_call.request_id;
+    ask.program = m_call.program;
+    ask.session = m_call.session;
+    ask.budget = *m_call.token_budget;
+    ask.tokens = m_call.max_output_tokens;
+    const budget_answer answer = co_await m_board.budgets.reserve(std::move(ask));
+    m_session_target = answer.session_target;
+    switch (answer.verdict) {
+    case budget_verdict::granted:
+        m_board.metrics.on_budget("granted");
+        m_granted = true;
+        co_return true;
+    case budget_verdict::spent:
+        m_board.metrics.on_budget("spent");
+        co_await refuse(402, "the budget does not hold this turn");
+        co_return false;
+    case budget_verdict::undecided:
+        break;
+    }
+    m_board.metrics.on_budget("undecided");
+    co_await refuse(503, "the budget cannot be checked without the store");
+    co_return false;
+}
+
+void exchange::settle()
+{
+    if (!m_granted) {
+        return;
+    }
+    budget_settlement message;
+    message.request = m_call.request_id;
+    message.program = m_call.program;
+    message.session = m_call.session;
+    message.tokens = m_events * tokens_per_event();
+    message.target = m_last_target;
+    m_board.budgets.settle(message);
+}
+
+// Targets that ended do not count against the limit of the route.
+std::vector<std::string> exchange::targets_that_ran() const
+{
+    std::vector<std::string> ran;
+    std::ranges::copy_if(m_ran_at, std::back_inserter(ran),
+                         [this](const std::string& id) { return m_board.targets.listed(id); });
+    return ran;
+}
+
+const target_record* exchange::choose_target()
+{
+    const timestamp now = steady_now();
+    std::vector<const target_record*> candidates = m_board.targets.usable(m_service, now);
+    const auto ran = targets_that_ran();
+    if (ran.size() >= m_route->max_targets) {
+        std::erase_if(candidates,
+                      [&ran](const target_record* item) { return std::ranges::find(ran, item->id) == ran.end(); });
+    }
+    placement_request request;
+    request.prompt = m_call.prompt;
+    request.output_tokens = static_cast<std::uint32_t>(m_call.max_output_tokens * usual_output_part);
+    request.session_target = m_session_target;
+    request.own_domain = m_board.settings.failure_domain;
+    request.avoided = m_avoided;
+    const target_record* best = m_board.loads.choose(candidates, request, now);
+    if (best == nullptr && !m_avoided.empty()) {
+        // All others have failed as well: the one that failed first may do better now.
+        request.avoided = {};
+        best = m_board.loads.choose(candidates, request, now);
+    }
+    return best;
+}
+
+asio::awaitable<bool> exchange::connect(attempt& current)
+{
+    current.connection = m_board.pool.take(connection_key(current.target));
+    if (current.connection) {
+        co_return true;
+    }
+    const auto to = endpoint_of(current.target.address);
+    if (!to) {
+        current.problem = "the address is not usable";
+        co_return false;
+    }
+    current.connection = m_board.pool.make();
+    m_active = current.connection.get();
+    const error_code ec = co_await current.connection->connect(*to, std::min(m_until, deadline_after(connect_limit)));
+    m_active = nullptr;
+    if (ec) {
+        current.problem = "connect: " + ec.message();
+    }
+    co_return !ec;
+}
+
+asio::awaitable<std::optional<exchange::attempt>> exchange::open_attempt()
+{
+    while (!m_aborted && !time_is_up() && m_attempts < most_attempts) {
+        const target_record* target = choose_target();
+        if (target == nullptr) {
+            m_last_problem = "no target is usable";
+            co_return std::nullopt;
+        }
+        ++m_attempts;
+        attempt current;
+        current.target = *target;
+        m_board.loads.on_sent(current.target, steady_now());
+        if (co_await connect(current)) {
+            co_return current;
+        }
+        m_board.loads.on_end(current.target.id, steady_now());
+        m_board.loads.on_failure(current.target.id, steady_now());
+        m_board.metrics.on_attempt("unreachable");
+        m_avoided.push_back(current.target.id);
+        m_last_problem = current.problem;
+        log(log_part::dispatch, log_level::warning, "A target cannot be reached.", field("request", m_call.request_id),
+            field("target", current.target.id), field("reason", current.problem));
+    }
+    co_return std::nullopt;
+}
+
+unsigned exchange::priority() const
+{
+    constexpr unsigned most = 9;
+    return std::min(most, m_route->rank * 2 + 2);
+}
+
+http_request exchange::forwarded(const attempt& current) const
+{
+    http_request out{m_request.method(), m_request.target(), 11};
+    forward_facts facts;
+    facts.time_left = time_left(m_until);
+    facts.target_id = current.target.id;
+    facts.resume_behind = m_last_event;
+    if (m_route->rule == repeat_rule::event_stream) {
+        facts.priority = priority();
+    }
+    m_board.speech.write_forward_fields(out, m_request, facts);
+    out.body() = m_request.body();
+    out.prepare_payload();
+    return out;
+}
+
+// A kept connection may still carry an answer to an earlier request.
+asio::awaitable<bool> exchange::read_own_head(attempt& current, milliseconds limit)
+{
+    const deadline until = std::min(m_until, deadline_after(limit));
+    for (int n = 0; n <= most_late_answers; ++n) {
+        current.reader = std::make_unique<answer_reader>(*current.connection);
+        const error_code ec = co_await current.reader->read_head(until);
+        if (ec) {
+            current.problem = "answer: " + ec.message();
+            co_return false;
+        }
+        current.facts = m_board.speech.read_answer(current.reader->fields());
+        const std::string& id = current.facts.request_id;
+        const bool unnamed_refusal = id.empty() && (current.facts.not_executed || current.reader->status() == 421);
+        if (id == m_call.request_id || unnamed_refusal) {
+            co_return true;
+        }
+        std::string late;
+        if (co_await current.reader->read_rest(late, whole_answer_limit, until)) {
+            break;
+        }
+    }
+    current.problem = "the answer belongs to another request";
+    co_return false;
+}
+
+asio::awaitable<exchange::send_result> exchange::send(attempt& current, milliseconds first_byte_limit)
+{
+    const http_request out = forwarded(current);
+    m_active = current.connection.get();
+    current.sent = steady_now();
+    const error_code ec = co_await current.connection->send(out, m_until);
+    bool answered = false;
+    if (ec) {
+        current.problem = "send: " + ec.message();
+    }
+    else {
+        answered = co_await read_own_head(current, first_byte_limit);
+    }
+    m_active = nullptr;
+    if (!answered) {
+        co_return send_result::failed;
+    }
+    if (current.facts.load) {
+        m_board.loads.on_report(current.target.id, *current.facts.load, steady_now());
+    }
+    constexpr unsigned misdirected = 421;
+    if (current.facts.not_executed || current.reader->status() == misdirected) {
+        current.problem = "not executed, status " + std::to_string(current.reader->status());
+        co_return send_result::not_executed;
+    }
+    co_return send_result::answered;
+}
+
+void exchange::end_attempt(attempt& current, bool reusable)
+{
+    m_board.loads.on_end(current.target.id, steady_now());
+    if (reusable && current.reader && current.reader->keeps_connection()) {
+        m_board.pool.put(connection_key(current.target), std::move(current.connection), current.facts.keep_alive);
+    }
+    else if (current.connection) {
+        current.connection->close();
+    }
+}
+
+void exchange::fail_attempt(attempt& current)
+{
+    const bool stream = m_route->rule == repeat_rule::event_stream;
+    end_attempt(current, false);
+    if (m_aborted) {
+        return;
+    }
+    ++m_failures;
+    m_board.loads.on_failure(current.target.id, steady_now());
+    m_board.metrics.on_attempt("failed");
+    m_last_problem = current.problem;
+    if (std::ranges::find(m_ran_at, current.target.id) == m_ran_at.end()) {
+        m_ran_at.push_back(current.target.id);
+    }
+    if (!stream) {
+        m_avoided.push_back(current.target.id);
+    }
+    log(log_part::dispatch, log_level::warning, "An attempt failed after the request was sent.",
+        field("request", m_call.request_id), field("route", m_route->name), field("target", current.target.id),
+        field("reason", current.problem), field("events", m_events),
+        field("after_ms", (steady_now() - current.sent).count() / 1'000));
+}
+
+asio::awaitable<void> exchange::run_whole()
+{
+    const bool repeatable = m_route->repeatable();
+    while (auto current = co_await open_attempt()) {
+        const milliseconds limit = repeatable ? idempotent_answer_limit : m_route->timeout;
+        const send_result result = co_await send(*current, limit);
+        if (result == send_result::not_executed) {
+            ++m_refusals;
+            m_board.metrics.on_attempt("refused");
+            m_board.loads.on_refusal(current->target.id, steady_now());
+            m_avoided.push_back(current->target.id);
+            m_last_problem = current->problem;
+            std::string rest;
+            const error_code ec =
+                co_await current->reader->read_rest(rest, whole_answer_limit, deadline_after(connect_limit));
+            end_attempt(*current, !ec);
+            continue;
+        }
+        std::string body;
+        bool whole = false;
+        if (result == send_result::answered) {
+            m_active = current->connection.get();
+            const error_code ec = co_await current->reader->read_rest(body, whole_answer_limit, m_until);
+            m_active = nullptr;
+            const bool success = current->reader->status() < 300;
+            const bool genuine = !success || (current->facts.signed_by_target && !current->facts.encoded);
+            whole = !ec && genuine;
+            current->problem = ec ? "body: " + ec.message() : genuine ? "" : "the answer is not signed by the target";
+        }
+        if (whole) {
+            m_board.loads.on_success(current->target.id);
+            m_board.loads.on_service_time(
+                current->target.id, static_cast<double>((steady_now() - current->sent).count()) / 1'000, steady_now());
+            m_board.metrics.on_attempt("answered");
+            m_last_target = current->target.id;
+            const unsigned status = current->reader->status();
+            http_fields fields;
+            m_board.speech.write_answer_fields(fields, current->reader->fields());
+            end_attempt(*current, true);
+            const bool sent = co_await m_sink.send_whole(status, std::move(fields), body);
+            note_result(sent ? "answered" : "caller_gone", "");
+            co_return;
+        }
+        fail_attempt(*current);
+        if (!repeatable || m_failures >= most_failures) {
+            break;
+        }
+    }
+    if (!m_aborted) {
+        co_await give_up();
+    }
+}
+
+asio::awaitable<bool> exchange::pass_events(attempt& current, std::string_view bytes)
+{
+    std::string out;
+    for (stream_event& item : m_splitter.feed(bytes)) {
+        if (item.id && m_last_event && *item.id <= *m_last_event) {
+            continue; // the caller has it
+        }
+        if (item.id && m_last_event && *item.id > *m_last_event + 1) {
+            current.problem = "an event is missing";
+            break;
+        }
+        out += item.text;
+        ++m_events;
+        m_last_event = item.id ? item.id : m_last_event;
+        if (!m_first_event_at) {
+            m_first_event_at = steady_now();
+        }
+    }
+    bool sent = true;
+    if (!out.empty() && !m_started) {
+        http_fields fields;
+        m_board.speech.write_answer_fields(fields, current.reader->fields());
+        m_started = true;
+        sent = co_await m_sink.start_stream(current.reader->status(), std::move(fields), out);
+    }
+    else if (!out.empty()) {
+        sent = co_await m_sink.send_piece(out);
+    }
+    if (!sent) {
+        m_aborted = true;
+    }
+    co_return sent&& current.problem.empty();
+}
+
+// Returns whether the stream came to its end.
+asio::awaitable<bool> exchange::relay_events(attempt& current)
+{
+    m_splitter = {};
+    const std::uint64_t events_before = m_events;
+    timestamp first{};
+    while (!current.reader->done()) {
+        std::string bytes;
+        const milliseconds limit = m_events == events_before ? first_event_limit : event_gap_limit;
+        const error_code ec = co_await current.reader->read_piece(bytes, std::min(m_until, deadline_after(limit)));
+        if (!co_await pass_events(current, bytes)) {
+            co_return false;
+        }
+        if (m_events > events_before && first == timestamp{}) {
+            first = steady_now();
+            m_board.loads.on_prompt(current.target.id, m_call.prompt, first);
+        }
+        if (ec) {
+            current.problem = "stream: " + ec.message();
+            co_return false;
+        }
+    }
+    const auto later_events = static_cast<double>(m_events - events_before) - 1;
+    if (later_events >= 2) {
+        const double ms = static_cast<double>((steady_now() - first).count()) / 1'000;
+        m_board.loads.on_token_time(current.target.id, ms / (later_events * tokens_per_event()), steady_now());
+    }
+    co_return true;
+}
+
+asio::awaitable<void> exchange::run_stream()
+{
+    while (auto current = co_await open_attempt()) {
+        const send_result result = co_await send(*current, first_event_limit);
+        if (result == send_result::not_executed) {
+            ++m_refusals;
+            m_board.metrics.on_attempt("refused");
+            m_board.loads.on_refusal(current->target.id, steady_now());
+            m_avoided.push_back(current->target.id);
+            m_last_problem = current->problem;
+            std::string rest;
+            const error_code ec =
+                co_await current->reader->read_rest(rest, whole_answer_limit, deadline_after(connect_limit));
+            end_attempt(*current, !ec);
+            continue;
+        }
+        if (result == send_result::answered && current->reader->status() >= 300) {
+            std::string body;
+            const error_code ec = co_await current->reader->read_rest(body, whole_answer_limit, m_until);
+            if (!ec && !m_started) {
+                const unsigned status = current->reader->status();
+                http_fields fields;
+                m_board.speech.write_answer_fields(fields, current->reader->fields());
+                end_attempt(*current, true);
+                co_await m_sink.send_whole(status, std::move(fields), body);
+                note_result("target_error", std::to_string(status));
+                co_return;
+            }
+            current->problem = "status " + std::to_string(current->reader->status());
+        }
+        else if (result == send_result::answered && (!current->facts.signed_by_target || current->facts.encoded)) {
+            current->problem = "the answer is not signed by the target";
+        }
+        else if (result == send_result::answered) {
+            m_active = current->connection.get();
+            const bool whole = co_await relay_events(*current);
+            m_active = nullptr;
+            m_last_target = current->target.id;
+            if (whole && m_started) {
+                m_board.loads.on_success(current->target.id);
+                m_board.metrics.on_attempt("answered");
+                const std::string rest = m_splitter.rest();
+                end_attempt(*current, true);
+                const bool sent = co_await m_sink.end_stream(rest);
+                note_result(sent ? "answered" : "caller_gone", "");
+                co_return;
+            }
+            if (whole) {
+                current->problem = "the stream has no event";
+            }
+        }
+        fail_attempt(*current);
+        if (m_aborted || !m_route->repeatable() || m_failures >= most_failures) {
+            break;
+        }
+        m_board.metrics.on_resume();
+    }
+    if (!m_aborted) {
+        co_await give_up();
+    }
+}
+
+asio::awaitable<void> exchange::give_up()
+{
+    if (m_started) {
+        m_sink.break_off();
+        note_result("broken_off", m_last_problem);
+        co_return;
+    }
+    if (m_failures == 0) {
+        co_return co_await refuse(503, m_last_problem.empty() ? "the time is up" : m_last_problem);
+    }
+    co_await answer_own(time_is_up() ? 504 : 502, m_last_problem, false);
+    note_result(time_is_up() ? "timed_out" : "failed", m_last_problem);
+}
+
+asio::awaitable<void> exchange::refuse(unsigned status, std::string_view reason)
+{
+    co_await answer_own(status, reason, status == 503);
+    note_result("refused_" + std::to_string(status), reason);
+}
+
+asio::awaitable<void> exchange::answer_own(unsigned status, std::string_view reason, bool retry)
+{
+    http_fields fields;
+    m_board.speech.write_own_answer_fields(fields, m_call);
+    fields.set(http::field::content_type, "text/plain");
+    if (retry) {
+        fields.set(http::field::retry_after, retry_after_text());
+    }
+    co_await m_sink.send_whole(status, std::move(fields), reason);
+}
+
+void exchange::note_result(std::string_view outcome, std::string_view reason)
+{
+    const std::string_view route_name = m_route == nullptr ? std::string_view("none") : m_route->name;
+    const auto total = ms_since(m_arrived);
+    m_board.metrics.on_answer(route_name, outcome, static_cast<double>(total) / 1'000);
+    const auto first =
+        m_first_event_at
+            ? (*m_first_event_at - std::chrono::duration_cast<timestamp>(m_arrived.time_since_epoch())).count() / 1'000
+            : -1;
+    log(log_part::entry, log_level::info, "Request ended.", field("request", m_call.request_id),
+        field("program", m_call.program), field("route", route_name), field("outcome", outcome),
+        field("reason", reason), field("target", m_last_target), field("attempts", m_attempts),
+        field("refusals", m_refusals), field("failures", m_failures), field("events", m_events),
+        field("first_ms", first), field("ms", total), field("document", m_routes ? m_routes->document().version : 0));
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/fleet_link.cpp
@@ -0,0 +1,309 @@
+#include "gateway/fleet_link.h"
+
+#include "net/pause.h"
+#include "net/spawn.h"
+#include "util/log.h"
+#include "util/rendezvous.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <ranges>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Name of the routing document among the versions that heartbeats carry.
+constexpr std::string_view document_name = "routing";
+
+/// Peers of a heartbeat in a small fleet.
+constexpr std::size_t least_peers = 3;
+
+/// How long a gateway does not trust its own records after a pause: others need this long to hand theirs back.
+constexpr milliseconds distrust_after_pause{3'000};
+
+/// A clock that was set back gives a new process a lower number than its predecessor; each renewal adds this much.
+constexpr std::uint64_t renewal_step_ms = 10'000;
+
+std::uint64_t wall_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
+/// The clock that counts the time in which the machine was suspended.
+timestamp boot_clock()
+{
+    timespec ts{};
+    clock_gettime(CLOCK_BOOTTIME, &ts);
+    return std::chrono::seconds(ts.tv_sec) +
+           std::chrono::duration_cast<timestamp>(std::chrono::nanoseconds(ts.tv_nsec));
+}
+
+std::optional<udp::endpoint> endpoint_of(const std::string& ip, std::uint16_t port)
+{
+    error_code ec;
+    const auto address = asio::ip::make_address(ip, ec);
+    return ec || port == 0 ? std::nullopt : std::optional(udp::endpoint(address, port));
+}
+
+} // namespace
+
+fleet_link::fleet_link(asio::any_io_executor loop, const gateway_settings& settings, fleet_timing timing)
+    : m_loop(loop), m_settings(settings), m_timing(timing),
+      // The platform hands out no secret. The store's address keeps apart the gateways of different systems.
+      m_key(settings.store.ip + ":" + std::to_string(settings.store.port)), m_socket(loop),
+      m_seed_ips(settings.seed_ips)
+{
+    const timestamp now = steady_now();
+    member_timing judging;
+    judging.suspicion = timing.suspicion;
+    judging.presumed_down = timing.presumed_down;
+    m_table = std::make_unique<member_table>(own_member(first_incarnation(wall_ms())), judging, settings.datagram_port,
+                                             stable_hash(settings.id), now);
+    m_last_beat = boot_clock();
+    refresh(now);
+}
+
+member fleet_link::own_member(std::uint64_t incarnation) const
+{
+    member self;
+    self.id = m_settings.id;
+    self.incarnation = incarnation;
+    self.role = member_role::entry;
+    self.address = {m_settings.ip, m_settings.callers.port, m_settings.datagram_port, 0};
+    self.failure_domain = m_settings.failure_domain;
+    self.capacity = std::clamp<std::uint32_t>(m_settings.capacity, 1, 100);
+    return self;
+}
+
+bool fleet_link::start()
+{
+    const auto own = endpoint_of(m_settings.ip, m_settings.datagram_port);
+    error_code ec = asio::error::invalid_argument;
+    if (own) {
+        m_socket.open(udp::v4(), ec);
+        if (!ec) {
+            m_socket.bind(*own, ec);
+        }
+    }
+    if (ec) {
+        log(log_part::membership, log_level::error, "Cannot open the datagram socket.", field("ip", m_settings.ip),
+            field("port", m_settings.datagram_port), field("reason", ec.message()));
+        return false;
+    }
+    spawn(m_loop, receive(), "datagrams");
+    spawn(m_loop, beat(), "heartbeats");
+    return true;
+}
+
+asio::awaitable<void> fleet_link::beat()
+{
+    while (true) {
+        const timestamp now = steady_now();
+        note_pause(boot_clock());
+        renew_if_superseded(now);
+        send_heartbeats(now);
+        refresh(now);
+        co_await pause(m_loop, std::chrono::duration_cast<milliseconds>(m_timing.heartbeat));
+    }
+}
+
+void fleet_link::note_pause(timestamp now)
+{
+    if (now - m_last_beat > m_timing.long_pause) {
+        m_paused_until = now + distrust_after_pause;
+        log(log_part::membership, log_level::warning, "This process was paused.",
+            field("ms", (now - m_last_beat).count() / 1'000));
+    }
+    m_last_beat = now;
+}
+
+// The number of a start comes from the time of day, which may have been set back since the former start.
+void fleet_link::renew_if_superseded(timestamp now)
+{
+    if (!m_table->superseded()) {
+        return;
+    }
+    ++m_renewals;
+    log(log_part::membership, log_level::warning, "Others know a later start of this gateway; taking a later number.",
+        field("renewals", m_renewals));
+    member_timing judging;
+    judging.suspicion = m_timing.suspicion;
+    judging.presumed_down = m_timing.presumed_down;
+    m_table = std::make_unique<member_table>(own_member(first_incarnation(wall_ms() + m_renewals * renewal_step_ms)),
+                                             judging, m_settings.datagram_port, stable_hash(m_settings.id), now);
+}
+
+std::vector<document_version> fleet_link::documents() const
+{
+    return {{std::string(document_name), m_document_version}};
+}
+
+void fleet_link::send_heartbeats(timestamp now)
+{
+    std::set<std::string, std::less<>> contacts;
+    std::ranges::transform(m_table->members(member_role::entry), std::inserter(contacts, contacts.end()), &member::id);
+    contacts.erase(m_settings.id);
+    const std::size_t known = contacts.size();
+    m_table->set_contacts(std::move(contacts), now);
+    heartbeat message = m_table->next_heartbeat(documents(), {}, now);
+    const auto rounds = static_cast<std::size_t>(m_timing.contact_round / m_timing.heartbeat);
+    const std::size_t peers = std::max(least_peers, (known + rounds - 1) / std::max<std::size_t>(rounds, 1));
+    const std::vector<member> receivers = m_table->next_peers(peers, now);
+    message.wants_answer = receivers.empty();
+    const nlohmann::json body = to_json(message);
+    for (const member& to : receivers) {
+        if (const auto address = endpoint_of(to.address.ip, to.address.datagram_port)) {
+            send_to(*address, datagram_kind::heartbeat, body);
+        }
+    }
+    if (receivers.empty()) {
+        for (const std::string& ip : m_seed_ips) {
+            const auto address = endpoint_of(ip, m_settings.datagram_port);
+            if (address && ip != m_settings.ip) {
+                send_to(*address, datagram_kind::heartbeat, body);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> fleet_link::receive()
+{
+    udp::endpoint from;
+    while (true) {
+        const auto [ec, n] = co_await m_socket.async_receive_from(asio::buffer(m_buffer), from, no_throw);
+        if (ec) {
+            if (ec == asio::error::operation_aborted) {
+                co_return;
+            }
+            continue; // an ICMP error of an earlier send
+        }
+        const auto message = decode_datagram(std::span(m_buffer).first(n), m_key);
+        const auto body = message ? from_cbor_text(message->body) : std::nullopt;
+        if (!body || message->sender == m_settings.id) {
+            continue;
+        }
+        const timestamp now = steady_now();
+        m_table->heard_from(message->sender, now);
+        m_last_heard[message->sender] = now;
+        if (message->kind == datagram_kind::heartbeat) {
+            if (const auto parsed = heartbeat_from_json(*body)) {
+                on_heartbeat(*parsed, from);
+            }
+        }
+        else if (const auto it = m_handlers.find(message->kind); it != m_handlers.end()) {
+            it->second(message->sender, *body);
+        }
+    }
+}
+
+void fleet_link::on_heartbeat(const heartbeat& message, const udp::endpoint& from)
+{
+    const timestamp now = steady_now();
+    const bool wants_answer = m_table->receive(message, now);
+    if (wants_answer) {
+        heartbeat answer = m_table->answer(message, {}, now);
+        answer.documents = documents();
+        send_to(from, datagram_kind::heartbeat, to_json(answer));
+    }
+    refresh(now);
+    const auto it = std::ranges::find(message.documents, document_name, &document_version::service);
+    if (it != message.documents.end() && it->version > m_document_version && m_on_newer_document) {
+        m_on_newer_document(it->version);
+    }
+}
+
+void fleet_link::add_members(std::span<const listed_instance> found)
+{
+    const timestamp now = steady_now();
+    m_table->merge_instances(found, now);
+    refresh(now);
+}
+
+void fleet_link::leave()
+{
+    const timestamp now = steady_now();
+    m_table->mark_leaving(m_settings.id, now);
+    send_heartbeats(now);
+    refresh(now);
+    const nlohmann::json body = to_json(m_table->next_heartbeat(documents(), {}, now));
+    broadcast(datagram_kind::heartbeat, body);
+}
+
+void fleet_link::refresh(timestamp now)
+{
+    m_usable = m_table->usable(member_role::entry, now);
+}
+
+std::vector<member> fleet_link::usable() const
+{
+    return m_usable;
+}
+
+std::vector<std::string> fleet_link::ranked(std::string_view key) const
+{
+    struct candidate {
+        std::uint64_t weight;
+        const std::string* id;
+    };
+    const std::uint64_t hash = stable_hash(key);
+    std::vector<candidate> order;
+    std::ranges::transform(m_usable, std::back_inserter(order), [hash](const member& item) {
+        return candidate{rendezvous_weight(hash, item.id), &item.id};
+    });
+    std::ranges::sort(order, std::greater{}, &candidate::weight);
+    std::vector<std::string> ids;
+    std::ranges::transform(order, std::back_inserter(ids), [](const candidate& item) { return *item.id; });
+    return ids;
+}
+
+std::size_t fleet_link::own_rank(std::string_view key) const
+{
+    const auto order = ranked(key);
+    return static_cast<std::size_t>(std::ranges::find(order, m_settings.id) - order.begin());
+}
+
+bool fleet_link::well_connected() const
+{
+    const std::size_t known = m_table->members(member_role::entry).size();
+    return m_usable.size() * 2 >= known && boot_clock() >= m_paused_until;
+}
+
+bool fleet_link::heard_within(std::string_view id, timestamp span) const
+{
+    const auto it = m_last_heard.find(id);
+    return it != m_last_heard.end() && steady_now() - it->second <= span;
+}
+
+void fleet_link::send(std::string_view id, datagram_kind kind, const nlohmann::json& body)
+{
+    const auto known = m_table->find(id);
+    const auto address = known ? endpoint_of(known->address.ip, known->address.datagram_port) : std::nullopt;
+    if (address) {
+        send_to(*address, kind, body);
+    }
+}
+
+void fleet_link::broadcast(datagram_kind kind, const nlohmann::json& body)
+{
+    for (const member& to : m_usable) {
+        const auto address = endpoint_of(to.address.ip, to.address.datagram_port);
+        if (address && to.id != m_settings.id) {
+            send_to(*address, kind, body);
+        }
+    }
+}
+
+void fleet_link::send_to(const udp::endpoint& to, datagram_kind kind, const nlohmann::json& body)
+{
+    const auto bytes = encode_datagram({kind, m_settings.id, to_cbor_text(body)}, m_key);
+    error_code ec;
+    // A datagram that does not fit into the queue is lost like any other; senders repeat what must arrive.
+    m_socket.send_to(asio::buffer(bytes), to, MSG_DONTWAIT, ec);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/fleet_link.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "gateway/gateway_settings.h"
+#include "membership/member_table.h"
+#include "net/http_types.h"
+#include "peer/cluster_key.h"
+#include "peer/datagram_codec.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Times of the heartbeats between gateways.
+struct fleet_timing {
+    timestamp heartbeat = std::chrono::milliseconds(400);
+    /// Each member is contacted at least once in this time, whatever the size of the fleet.
+    timestamp contact_round = std::chrono::milliseconds(1'000);
+    timestamp suspicion = std::chrono::milliseconds(1'400);
+    timestamp presumed_down = std::chrono::milliseconds(2'200);
+    /// A pause of this process that others may have taken for its end.
+    timestamp long_pause = std::chrono::milliseconds(1'500);
+};
+
+/// The other gateways: who they are, who is alive, and datagrams to them. Runs on one event loop; not thread-safe.
+class fleet_link {
+public:
+    using handler = std::function<void(const std::string& sender, const nlohmann::json& body)>;
+
+    fleet_link(asio::any_io_executor loop, const gateway_settings& settings, fleet_timing timing = {});
+
+    /// Opens the socket and starts heartbeats. Returns false, with a log line, if the port cannot be opened.
+    bool start();
+
+    /// Sets what is called for datagrams of a kind.
+    void on(datagram_kind kind, handler call) { m_handlers[kind] = std::move(call); }
+
+    /// Sets what is called when another gateway knows a newer routing document.
+    void on_newer_document(std::function<void(std::uint64_t version)> call) { m_on_newer_document = std::move(call); }
+
+    /// Adds gateways that may run at these addresses, from the store's list.
+    void add_members(std::span<const listed_instance> found);
+
+    void set_seeds(std::vector<std::string> ips) { m_seed_ips = std::move(ips); }
+
+    /// Sets the version that heartbeats tell.
+    void set_document_version(std::uint64_t version) { m_document_version = version; }
+
+    /// Tells the others that this gateway stops.
+    void leave();
+
+    /// Returns the live gateways that do not stop, with this one unless it stops.
+    std::vector<member> usable() const;
+
+    /// Returns the ids of the live gateways, the owner of `key` first, by rendezvous hashing.
+    std::vector<std::string> ranked(std::string_view key) const;
+
+    /// Returns the position of this gateway among the live ones for a key; 0 is first.
+    std::size_t own_rank(std::string_view key) const;
+
+    /// Returns whether this gateway hears at least half of the others it knows, and was not paused lately. Others may
+    /// act for it otherwise.
+    bool well_connected() const;
+
+    /// Returns whether a datagram of a gateway arrived within `span` before now.
+    bool heard_within(std::string_view id, timestamp span) const;
+
+    /// Sends to one gateway. Datagrams may be lost; an unknown receiver is ignored.
+    void send(std::string_view id, datagram_kind kind, const nlohmann::json& body);
+
+    /// Sends to all live gateways.
+    void broadcast(datagram_kind kind, const nlohmann::json& body);
+
+    const std::string& own_id() const { return m_settings.id; }
+
+private:
+    asio::awaitable<void> beat();
+    asio::awaitable<void> receive();
+    void send_heartbeats(timestamp now);
+    void note_pause(timestamp now);
+    void renew_if_superseded(timestamp now);
+    void on_heartbeat(const heartbeat& message, const udp::endpoint& from);
+    void send_to(const udp::endpoint& to, datagram_kind kind, const nlohmann::json& body);
+    member own_member(std::uint64_t incarnation) const;
+    std::vector<document_version> documents() const;
+    void refresh(timestamp now);
+
+    static constexpr std::size_t receive_bytes = 2'048;
+
+    asio::any_io_executor m_loop;
+    gateway_settings m_settings;
+    fleet_timing m_timing;
+    cluster_key m_key;
+    udp::socket m_socket;
+    std::unique_ptr<member_table> m_table;
+    std::vector<std::string> m_seed_ips;
+    std::map<datagram_kind, handler> m_handlers;
+    std::function<void(std::uint64_t)> m_on_newer_document;
+    std::uint64_t m_document_version = 0;
+    std::uint64_t m_renewals = 0;
+    std::map<std::string, timestamp, std::less<>> m_last_heard;
+    timestamp m_last_beat{};
+    timestamp m_paused_until{};
+    std::vector<member> m_usable; ///< as of the last heartbeat or change
+    std::array<std::byte, receive_bytes> m_buffer{};
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/gateway_board.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "gateway/budget_keeper.h"
+#include "gateway/fleet_link.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/platform_dialect.h"
+#include "net/connection_pool.h"
+#include "routing/route_table.h"
+#include "routing/target_directory.h"
+#include "routing/target_loads.h"
+#include "store/store_client.h"
+
+#include <memory>
+
+namespace lagoonferry {
+
+/// What the parts of a gateway process share. Each member has one writer, named beside it. Runs on one event loop; not
+/// thread-safe.
+struct gateway_board {
+    gateway_board(asio::any_io_executor executor, gateway_settings values, const platform_dialect& speech_of_platform);
+
+    asio::any_io_executor loop;
+    gateway_settings settings;
+    const platform_dialect& speech;
+    gateway_metrics metrics;
+    target_directory targets; ///< written by target_feed
+    target_loads loads;       ///< written by exchanges
+    connection_pool pool;     ///< of exchanges
+    fleet_link fleet;
+    store_client store;
+    budget_keeper budgets;
+    std::shared_ptr<const route_table> routes; ///< in force; written by document_feed; nullptr until one is known
+    bool routes_confirmed = false;             ///< the store would tell a newer document; written by document_feed
+    bool stopping = false;                     ///< written by the role
+    std::size_t caller_connections = 0;        ///< written by sessions
+    std::size_t requests_under_way = 0;        ///< written by sessions
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "store/store_types.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lagoonferry {
+
+/// The counters and histograms of a gateway in the text form of Prometheus. Not thread-safe.
+class gateway_metrics {
+public:
+    gateway_metrics();
+    gateway_metrics(const gateway_metrics&) = delete;
+    gateway_metrics& operator=(const gateway_metrics&) = delete;
+    ~gateway_metrics();
+
+    /// Counts an answer to a caller by route and outcome, with the time that it took.
+    void on_answer(std::string_view route, std::string_view outcome, double seconds);
+    void on_attempt(std::string_view result);
+    void on_resume();
+    void on_budget(std::string_view verdict);
+    void on_store_call(std::string_view call, store_status result);
+    void on_dropped_log_lines(std::size_t count);
+    void set_targets(std::size_t count);
+    void set_connections(std::size_t callers, std::size_t kept);
+
+    std::string text() const;
+
+private:
+    struct families;
+    std::unique_ptr<families> m_families;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/gateway_registry.cpp
@@ -0,0 +1,87 @@
+#include "gateway/gateway_registry.h"
+
+#include "net/pause.h"
+#include "util/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace lagoonferry {
+
+namespace {
+
+constexpr std::string_view registry_prefix = "lagoonferry/gateways/";
+
+/// Pause after a failed call to the store.
+constexpr std::chrono::milliseconds failure_pause{700};
+
+std::string entry_of(const gateway_settings& settings)
+{
+    return nlohmann::json{{"ip", settings.ip},
+                          {"port", settings.callers.port},
+                          {"datagram_port", settings.datagram_port},
+                          {"failure_domain", settings.failure_domain}}
+        .dump();
+}
+
+std::optional<listed_instance> instance_from(const store_item& item)
+{
+    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    try {
+        listed_instance out;
+        out.id = item.key.substr(registry_prefix.size());
+        out.role = member_role::entry;
+        out.address.ip = value.at("ip").get<std::string>();
+        out.address.http_port = value.at("port").get<std::uint16_t>();
+        out.address.datagram_port = value.at("datagram_port").get<std::uint16_t>();
+        out.failure_domain = value.at("failure_domain").get<std::string>();
+        return out;
+    }
+    catch (const nlohmann::json::exception& error) {
+        log(log_part::membership, log_level::warning, "An entry of a gateway cannot be read.", field("key", item.key),
+            field("reason", std::string_view(error.what())));
+        return std::nullopt;
+    }
+}
+
+asio::awaitable<bool> write_entry(gateway_board& board)
+{
+    const std::string key = std::string(registry_prefix) + board.settings.id;
+    const std::array items{store_item{key, entry_of(board.settings), 0, false}};
+    const store_reply reply = co_await board.store.write({}, items);
+    co_return reply.status == store_status::ok;
+}
+
+asio::awaitable<bool> read_entries(gateway_board& board)
+{
+    const store_reply reply = co_await board.store.read_all(registry_prefix);
+    if (reply.status != store_status::ok) {
+        co_return false;
+    }
+    std::vector<listed_instance> found;
+    for (const store_item& item : reply.found.items) {
+        if (auto entry = instance_from(item)) {
+            found.push_back(std::move(*entry));
+        }
+    }
+    board.fleet.add_members(found);
+    co_return true;
+}
+
+} // namespace
+
+asio::awaitable<void> register_gateway(gateway_board& board)
+{
+    bool written = false;
+    while (true) {
+        written = written || co_await write_entry(board);
+        if (written && co_await read_entries(board)) {
+            co_return;
+        }
+        co_await pause(board.loop, failure_pause);
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/gateway_role.cpp
@@ -0,0 +1,244 @@
+#include "gateway/gateway_role.h"
+
+#include "gateway/client_session.h"
+#include "gateway/document_feed.h"
+#include "gateway/gateway_board.h"
+#include "gateway/gateway_registry.h"
+#include "gateway/target_feed.h"
+#include "net/pause.h"
+#include "net/spawn.h"
+#include "settings/docopt_args.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string gateway_usage = R"(Serves callers before a platform that routes by host and path.
+
+Usage:
+  lagoonferry gateway [--settings=<file>] [--log-level=<level>] [--check-settings]
+  lagoonferry gateway --help
+
+Options:
+  --settings=<file>    Settings file; by default the one that the platform places.
+  --log-level=<level>  debug, info, warning, error or off [default: info].
+  --check-settings     Read the settings, print faults, and end.
+  --help               Print this text.
+)";
+
+const std::string standby_usage = R"(Waits for SIGTERM. Keeps a machine with a disk in use without storing anything.
+
+Usage:
+  lagoonferry standby
+  lagoonferry standby --help
+
+Options:
+  --help  Print this text.
+)";
+
+/// Interval in which kept connections that are too old are closed.
+constexpr milliseconds sweep_interval{1'000};
+
+/// Time between the end of a stop and the platform's kill.
+constexpr milliseconds stop_reserve{500};
+
+/// A stopping gateway without requests for this time may end, once callers have forgotten its address.
+constexpr milliseconds quiet_before_end{600};
+constexpr milliseconds stop_poll{100};
+
+/// Callers may keep an address three times as long as told (2 s).
+constexpr milliseconds address_memory{6'000};
+
+std::optional<log_level> level_from(std::string_view text)
+{
+    struct row {
+        std::string_view name;
+        log_level level;
+    };
+    constexpr std::array rows{row{"debug", log_level::debug}, row{"info", log_level::info},
+                              row{"warning", log_level::warning}, row{"error", log_level::error},
+                              row{"off", log_level::off}};
+    const auto* it = std::ranges::find(rows, text, &row::name);
+    return it == rows.end() ? std::nullopt : std::optional(it->level);
+}
+
+std::optional<gateway_settings> load_settings(const gateway_platform& platform, const std::string& path,
+                                              failure& reason)
+{
+    std::ifstream in(path);
+    if (!in) {
+        reason = {result_code::setting_invalid, "cannot open the settings file " + path};
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return platform.read_settings(text.str(), reason);
+}
+
+std::optional<tcp::endpoint> store_endpoint(const gateway_settings& settings)
+{
+    error_code ec;
+    const auto ip = asio::ip::make_address(settings.store.ip, ec);
+    return ec ? std::nullopt : std::optional(tcp::endpoint(ip, settings.store.port));
+}
+
+/// A running gateway process.
+class gateway_process {
+public:
+    gateway_process(const gateway_platform& platform, std::string settings_path, gateway_settings settings)
+        : m_platform(platform), m_settings_path(std::move(settings_path)),
+          m_board(m_loop.get_executor(), std::move(settings), *platform.speech), m_targets(m_board),
+          m_documents(m_board)
+    {
+    }
+
+    bool start()
+    {
+        const auto store = store_endpoint(m_board.settings);
+        if (!store || !m_board.fleet.start()) {
+            return false;
+        }
+        m_board.store.set_address(*store);
+        m_board.budgets.start();
+        m_documents.start();
+        m_targets.start();
+        spawn(m_board.loop, register_gateway(m_board), "registration");
+        spawn(m_board.loop, sweep(), "connection sweep");
+        spawn(m_board.loop, wait_for_stop(), "stop signal");
+        spawn(m_board.loop, wait_for_reload(), "reload signal");
+        const gateway_settings& settings = m_board.settings;
+        return listen_for_sessions(m_board, settings.callers, listener_kind::callers) &&
+               listen_for_sessions(m_board, settings.readiness, listener_kind::local) &&
+               (settings.lookup.port == 0 || listen_for_sessions(m_board, settings.lookup, listener_kind::local));
+    }
+
+    void run() { m_loop.run(); }
+
+private:
+    asio::awaitable<void> sweep()
+    {
+        while (true) {
+            co_await pause(m_board.loop, sweep_interval);
+            m_board.pool.sweep(
+                [this](std::string_view key) { return m_board.targets.listed(key.substr(0, key.find('/'))); });
+        }
+    }
+
+    asio::awaitable<void> wait_for_reload()
+    {
+        asio::signal_set signals(m_board.loop, SIGHUP);
+        while (true) {
+            const auto [ec, number] = co_await signals.async_wait(no_throw);
+            if (ec) {
+                co_return;
+            }
+            reload();
+        }
+    }
+
+    // Addresses of listeners cannot change while callers use them; the store's and the seeds can.
+    void reload()
+    {
+        failure reason;
+        const auto settings = load_settings(m_platform, m_settings_path, reason);
+        const auto store = settings ? store_endpoint(*settings) : std::nullopt;
+        if (!store) {
+            log(log_part::main, log_level::error, "The new settings are not used.", field("reason", reason.text));
+            return;
+        }
+        m_board.store.set_address(*store);
+        m_board.fleet.set_seeds(settings->seed_ips);
+        log(log_part::main, log_level::info, "Settings are read again.", field("store", settings->store.ip));
+    }
+
+    asio::awaitable<void> wait_for_stop()
+    {
+        asio::signal_set signals(m_board.loop, SIGTERM, SIGINT);
+        co_await signals.async_wait(no_throw);
+        const deadline begun = loop_clock::now();
+        const milliseconds longest = m_board.settings.stop_grace - stop_reserve;
+        log(log_part::main, log_level::info, "Stopping.", field("requests", m_board.requests_under_way),
+            field("connections", m_board.caller_connections));
+        m_board.stopping = true;
+        m_board.fleet.leave();
+        m_board.budgets.hand_over();
+        deadline quiet_since = begun;
+        while (loop_clock::now() - begun < longest) {
+            co_await pause(m_board.loop, stop_poll);
+            const deadline now = loop_clock::now();
+            quiet_since = m_board.requests_under_way > 0 ? now : quiet_since;
+            if (now - begun >= address_memory && now - quiet_since >= quiet_before_end) {
+                break;
+            }
+        }
+        log(log_part::main, log_level::info, "Stopped.", field("requests", m_board.requests_under_way));
+        m_loop.stop();
+    }
+
+    gateway_platform m_platform;
+    std::string m_settings_path;
+    asio::io_context m_loop{1};
+    gateway_board m_board;
+    target_feed m_targets;
+    document_feed m_documents;
+};
+
+} // namespace
+
+int run_gateway_role(const gateway_platform& platform, const std::vector<std::string>& args)
+{
+    const docopt_result options = parse_docopt("gateway", gateway_usage, args, std::cout, std::cerr);
+    if (!options.values) {
+        return options.status;
+    }
+    const auto level = level_from(text_of(*options.values, "--log-level").value_or("info"));
+    if (!level) {
+        std::cerr << "--log-level: allowed are debug, info, warning, error and off\n";
+        return exit_usage;
+    }
+    const std::string path = text_of(*options.values, "--settings").value_or(platform.settings_path());
+    failure reason;
+    auto settings = load_settings(platform, path, reason);
+    if (!settings) {
+        std::cerr << "settings: " << reason.text << '\n';
+        return exit_refused;
+    }
+    if (flag_of(*options.values, "--check-settings")) {
+        std::cout << "settings of " << settings->id << " are valid\n";
+        return exit_done;
+    }
+    configure_log(*level);
+    gateway_process process(platform, path, std::move(*settings));
+    if (!process.start()) {
+        return exit_refused;
+    }
+    log(log_part::main, log_level::info, "Started.", field("settings", path));
+    process.run();
+    return exit_done;
+}
+
+int run_standby_role(const std::vector<std::string>& args)
+{
+    const docopt_result options = parse_docopt("standby", standby_usage, args, std::cout, std::cerr);
+    if (!options.values) {
+        return options.status;
+    }
+    asio::io_context loop{1};
+    asio::signal_set signals(loop, SIGTERM, SIGINT);
+    signals.async_wait([&loop](const error_code& /*ec*/, int /*number*/) { loop.stop(); });
+    loop.run();
+    return exit_done;
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+/// An IP address and a port as text. Empty: not set.
+struct listen_address {
+    std::string ip;
+    std::uint16_t port = 0;
+    bool operator==(const listen_address&) const = default;
+};
+
+/// The settings of a gateway process.
+struct gateway_settings {
+    std::string id;
+    std::string ip;
+    std::string failure_domain;
+    std::string region;
+    listen_address callers;   ///< requests
+    listen_address readiness; ///< readiness and metrics
+    listen_address lookup;    ///< where to connect
+    listen_address peers;     ///< TCP between gateways
+    std::uint16_t datagram_port = 0;
+    std::vector<std::string> seed_ips; ///< machines on which gateways may run
+    bool first_start = false;          ///< of the whole system, so no program is under way
+    std::uint32_t max_descriptors = 1'024;
+    std::uint32_t capacity = 25; ///< of this machine in percent of a core
+    listen_address store;
+    std::chrono::milliseconds drain_limit{2'000}; ///< time in which a draining target must be left
+    std::chrono::milliseconds stop_grace{8'000};  ///< between SIGTERM and SIGKILL
+    std::chrono::milliseconds address_ttl_max{5'000};
+    std::chrono::milliseconds min_lease{1'000};
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/poll_schedule.cpp
@@ -0,0 +1,17 @@
+#include "gateway/poll_schedule.h"
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+timestamp poll_age(std::size_t rank, const poll_timing& timing)
+{
+    const timestamp staggered = timing.first_age + timing.rank_step * static_cast<std::int64_t>(rank);
+    if (staggered <= timing.most_age) {
+        return staggered;
+    }
+    constexpr std::size_t spread_places = 8;
+    return timing.most_age + timing.spread_step * static_cast<std::int64_t>(rank % spread_places);
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/target_feed.cpp
@@ -0,0 +1,207 @@
+#include "gateway/target_feed.h"
+
+#include "gateway/poll_schedule.h"
+#include "net/pause.h"
+#include "net/spawn.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Key by which gateways are ranked for reading the list of targets.
+constexpr std::string_view rank_key = "targets";
+
+/// Pause after a failed call to the store.
+constexpr milliseconds failure_pause{400};
+
+/// Changes in one datagram. A target's facts are about 150 bytes.
+constexpr std::size_t most_changes = 6;
+
+nlohmann::json to_json(const target_change& change)
+{
+    nlohmann::json out{{"i", change.id}, {"v", change.revision}, {"x", change.removed}, {"l", change.maybe_lapsed}};
+    if (change.record) {
+        const target_record& record = *change.record;
+        out["r"] = {record.service,  record.address, record.failure_domain, record.start,
+                    record.sequence, record.slots,   record.draining};
+    }
+    return out;
+}
+
+target_change change_from(const nlohmann::json& in)
+{
+    target_change change;
+    change.id = in.at("i").get<std::string>();
+    change.revision = in.at("v").get<std::uint64_t>();
+    change.removed = in.at("x").get<bool>();
+    change.maybe_lapsed = in.at("l").get<bool>();
+    if (in.contains("r")) {
+        const nlohmann::json& fields = in.at("r");
+        target_record record;
+        record.id = change.id;
+        record.service = fields.at(0).get<std::string>();
+        record.address = fields.at(1).get<std::string>();
+        record.failure_domain = fields.at(2).get<std::string>();
+        record.start = fields.at(3).get<std::uint64_t>();
+        record.sequence = fields.at(4).get<std::uint64_t>();
+        record.slots = fields.at(5).get<std::uint32_t>();
+        record.draining = fields.at(6).get<bool>();
+        change.record = record;
+    }
+    return change;
+}
+
+} // namespace
+
+target_feed::target_feed(gateway_board& board) : m_board(board), m_wake(board.loop) {}
+
+void target_feed::start()
+{
+    m_board.fleet.on(datagram_kind::targets, [this](const auto& /*sender*/, const auto& body) { on_told(body); });
+    spawn(m_board.loop, run(), "target list");
+}
+
+timestamp target_feed::due() const
+{
+    if (!m_loaded || m_behind) {
+        return steady_now();
+    }
+    return m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key));
+}
+
+asio::awaitable<void> target_feed::run()
+{
+    while (true) {
+        const timestamp wait = due() - steady_now();
+        if (wait > timestamp{}) {
+            m_wake.expires_after(wait);
+            co_await m_wake.async_wait(no_throw);
+            continue;
+        }
+        const bool done = m_loaded ? co_await read_changes() : co_await read_all();
+        if (!done) {
+            co_await pause(m_board.loop, failure_pause);
+        }
+    }
+}
+
+asio::awaitable<bool> target_feed::read_all()
+{
+    const store_reply reply = co_await m_board.store.read_all(m_board.speech.layout().targets);
+    if (reply.status != store_status::ok) {
+        co_return false;
+    }
+    const auto changes = decode(reply.found.items);
+    const auto news = m_board.targets.replace(changes, reply.found.revision, steady_now());
+    note_news(news, "list");
+    m_fresh_at = steady_now();
+    m_loaded = true;
+    m_behind = false;
+    co_return true;
+}
+
+asio::awaitable<bool> target_feed::read_changes()
+{
+    const std::uint64_t from = m_board.targets.revision();
+    const store_reply reply = co_await m_board.store.watch(m_board.speech.layout().targets, from, milliseconds(0));
+    if (reply.status == store_status::compacted) {
+        log(log_part::platform, log_level::info, "The store has dropped the history of targets; reading the list.",
+            field("revision", from));
+        m_loaded = false;
+        co_return true;
+    }
+    if (reply.status != store_status::ok) {
+        co_return false;
+    }
+    const auto changes = decode(reply.found.items);
+    const auto news = m_board.targets.apply(changes, steady_now());
+    note_news(news, "changes");
+    m_fresh_at = steady_now();
+    m_behind = false;
+    tell(from, news);
+    co_return true;
+}
+
+std::vector<target_change> target_feed::decode(std::span<const store_item> items)
+{
+    std::vector<target_change> changes;
+    const std::string& prefix = m_board.speech.layout().targets;
+    for (const store_item& item : items) {
+        if (!item.key.starts_with(prefix)) {
+            continue;
+        }
+        target_change change{item.key.substr(prefix.size()), item.revision, std::nullopt, item.removed};
+        if (!item.removed) {
+            failure reason;
+            change.record = m_board.speech.read_target(item.key, item.value, reason);
+            change.removed = !change.record;
+            if (change.removed && m_unreadable.insert(item.key).second) {
+                log(log_part::platform, log_level::warning, "An entry names no target to use.", field("key", item.key),
+                    field("revision", item.revision), field("reason", reason.text));
+            }
+        }
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+void target_feed::note_news(std::span<const target_change> news, std::string_view source)
+{
+    for (const target_change& item : news) {
+        const std::string_view state = !item.record ? "removed" : item.record->draining ? "draining" : "ready";
+        log(log_part::dispatch, log_level::info, "A target has changed.", field("target", item.id),
+            field("state", state), field("revision", item.revision), field("maybe_lapsed", item.maybe_lapsed),
+            field("source", source));
+    }
+}
+
+// The last datagram covers the range up to the present revision; the others only bring their changes earlier.
+void target_feed::tell(std::uint64_t from, std::span<const target_change> news)
+{
+    const std::uint64_t to = m_board.targets.revision();
+    do {
+        const auto part = news.first(std::min(news.size(), most_changes));
+        news = news.subspan(part.size());
+        nlohmann::json body{{"f", from}, {"c", nlohmann::json::array()}};
+        std::ranges::transform(part, std::back_inserter(body["c"]), [](const auto& item) { return to_json(item); });
+        const bool last = news.empty();
+        body["t"] = last ? to : part.back().revision;
+        body["l"] = last;
+        from = body["t"];
+        m_board.fleet.broadcast(datagram_kind::targets, body);
+    } while (!news.empty());
+}
+
+void target_feed::on_told(const nlohmann::json& body)
+{
+    try {
+        const auto from = body.at("f").get<std::uint64_t>();
+        if (!m_loaded) {
+            return;
+        }
+        if (from > m_board.targets.revision()) {
+            m_behind = true;
+            m_wake.cancel();
+            return;
+        }
+        std::vector<target_change> changes;
+        std::ranges::transform(body.at("c"), std::back_inserter(changes), change_from);
+        note_news(m_board.targets.apply(changes, steady_now()), "gateway");
+        m_board.targets.advance(body.at("t").get<std::uint64_t>());
+        if (body.at("l").get<bool>()) {
+            m_fresh_at = steady_now();
+        }
+    }
+    catch (const nlohmann::json::exception& error) {
+        log(log_part::membership, log_level::warning, "A datagram on targets cannot be read.",
+            field("reason", std::string_view(error.what())));
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/gateway/target_feed.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gateway/gateway_board.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lagoonferry {
+
+/// Keeps the list of targets up to date: the gateway with the oldest right to ask reads the changes from the store and
+/// tells the others. Runs on one event loop; not thread-safe.
+class target_feed {
+public:
+    explicit target_feed(gateway_board& board);
+
+    /// Starts the reading. Call once.
+    void start();
+
+private:
+    asio::awaitable<void> run();
+    asio::awaitable<bool> read_all();
+    asio::awaitable<bool> read_changes();
+    std::vector<target_change> decode(std::span<const store_item> items);
+    void tell(std::uint64_t from, std::span<const target_change> news);
+    void on_told(const nlohmann::json& body);
+    void note_news(std::span<const target_change> news, std::string_view source);
+    timestamp due() const;
+
+    gateway_board& m_board;
+    asio::steady_timer m_wake;
+    timestamp m_fresh_at{};    ///< the list was known to be current
+    timestamp m_failed_at{-1}; ///< the last call failed
+    bool m_loaded = false;
+    bool m_behind = false;                           ///< news was told that starts behind what is known
+    std::set<std::string, std::less<>> m_unreadable; ///< entries whose fault is logged
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/ledger/budget_ledger.cpp
@@ -0,0 +1,217 @@
+#include "ledger/budget_ledger.h"
+
+#include "util/ensure.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace lagoonferry {
+
+namespace {
+
+/// Lines of turns whose targets are remembered for one program. More are seldom under way at once, and a copy of the
+/// record must fit into a datagram.
+constexpr std::size_t most_sessions = 8;
+
+std::uint64_t part_of(std::uint64_t budget, double part)
+{
+    return static_cast<std::uint64_t>(static_cast<double>(budget) * part);
+}
+
+/// Reservations of a copy carry no time, because clocks of machines differ; their life starts at the receiver.
+void start_reservations(program_record& record, timestamp now)
+{
+    for (auto& item : record.reserved | std::views::values) {
+        item.since = item.since == timestamp{} ? now : item.since;
+    }
+    record.last_use = now;
+}
+
+} // namespace
+
+std::uint64_t budget_ledger::unmarked_limit(std::uint64_t budget) const
+{
+    return part_of(budget, m_rules.unmarked_part);
+}
+
+ledger_step budget_ledger::reserve(const budget_request& request, timestamp now)
+{
+    const auto it = m_records.find(request.program);
+    if (it == m_records.end()) {
+        return ledger_step::needs_copy;
+    }
+    program_record& record = it->second;
+    record.last_use = now;
+    if (record.reserved.contains(request.request)) {
+        return ledger_step::granted;
+    }
+    const std::uint64_t total = record.committed() + request.tokens;
+    if (total > record.budget) {
+        return ledger_step::spent;
+    }
+    if (total > std::max(record.unmarked, record.marked)) {
+        return ledger_step::needs_mark;
+    }
+    record.reserved[request.request] = {request.tokens, now};
+    return ledger_step::granted;
+}
+
+void budget_ledger::start_record(const budget_request& request, bool certain, timestamp now)
+{
+    const auto [it, added] = m_records.try_emplace(request.program);
+    if (!added) {
+        return;
+    }
+    program_record& record = it->second;
+    record.budget = request.budget;
+    record.last_use = now;
+    if (certain) {
+        record.unmarked = unmarked_limit(request.budget);
+    }
+    else {
+        record.used = unmarked_limit(request.budget);
+    }
+}
+
+void budget_ledger::adopt(std::string_view program, const program_record& other, timestamp now)
+{
+    const auto [it, added] = m_records.try_emplace(std::string(program), other);
+    program_record& record = it->second;
+    if (!added) {
+        if (other.used < record.used) {
+            return; // datagrams overtake each other
+        }
+        const std::uint64_t revision = record.mark_revision;
+        const std::uint64_t marked = std::max(record.marked, other.marked);
+        record = other;
+        record.marked = marked;
+        record.mark_revision = revision;
+    }
+    start_reservations(record, now);
+}
+
+void budget_ledger::merge(std::string_view program, const program_record& other, timestamp now)
+{
+    const auto [it, added] = m_records.try_emplace(std::string(program), other);
+    program_record& record = it->second;
+    if (!added) {
+        record.used = std::max(record.used, other.used);
+        record.marked = std::max(record.marked, other.marked);
+        record.unmarked = std::min(record.unmarked, other.unmarked);
+        for (const auto& [id, item] : other.reserved) {
+            record.reserved.try_emplace(id, item);
+        }
+        for (const auto& [session, target] : other.session_targets) {
+            record.session_targets[session] = target;
+        }
+    }
+    start_reservations(record, now);
+}
+
+void budget_ledger::require_marks(std::string_view program)
+{
+    const auto it = m_records.find(program);
+    if (it != m_records.end()) {
+        it->second.unmarked = 0;
+    }
+}
+
+mark_order budget_ledger::order_for(const budget_request& request) const
+{
+    const auto it = m_records.find(request.program);
+    ensure(it != m_records.end(), "a mark is ordered for a program without a record");
+    const program_record& record = it->second;
+    const std::uint64_t total = record.committed() + request.tokens;
+    const std::uint64_t coarse_end = part_of(record.budget, m_rules.coarse_part);
+    const std::uint64_t coarse = std::min(total + unmarked_limit(record.budget), coarse_end);
+    return {std::max(total, coarse), record.mark_revision};
+}
+
+void budget_ledger::set_mark(std::string_view program, std::uint64_t level, std::uint64_t revision, bool written_here)
+{
+    const auto it = m_records.find(program);
+    if (it == m_records.end()) {
+        return;
+    }
+    program_record& record = it->second;
+    // A mark that neither this process nor the sender of its copy has written may be used up by the one that wrote it.
+    if (level > record.marked && !written_here) {
+        const std::uint64_t reserved = record.committed() - record.used;
+        record.used = std::max(record.used, level > reserved ? level - reserved : 0);
+        record.unmarked = 0;
+    }
+    record.marked = std::max(record.marked, level);
+    record.mark_revision = revision;
+}
+
+bool budget_ledger::settle(const budget_settlement& message, timestamp now)
+{
+    const auto it = m_records.find(message.program);
+    if (it == m_records.end()) {
+        return false;
+    }
+    program_record& record = it->second;
+    record.last_use = now;
+    const auto turn = record.reserved.find(message.request);
+    if (turn != record.reserved.end()) {
+        record.used += std::min(message.tokens, turn->second.tokens);
+        record.reserved.erase(turn);
+    }
+    if (!message.session.empty() && !message.target.empty()) {
+        if (record.session_targets.size() >= most_sessions && !record.session_targets.contains(message.session)) {
+            record.session_targets.erase(record.session_targets.begin());
+        }
+        record.session_targets[message.session] = message.target;
+    }
+    return true;
+}
+
+const program_record* budget_ledger::find(std::string_view program) const
+{
+    const auto it = m_records.find(program);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+std::string budget_ledger::session_target(std::string_view program, std::string_view session) const
+{
+    const program_record* record = find(program);
+    if (record == nullptr) {
+        return {};
+    }
+    const auto it = record->session_targets.find(session);
+    if (it != record->session_targets.end()) {
+        return it->second;
+    }
+    // A new line of turns begins with the prompt of the line that started it.
+    return record->session_targets.empty() ? std::string{} : record->session_targets.begin()->second;
+}
+
+void budget_ledger::expire(timestamp now)
+{
+    for (program_record& record : m_records | std::views::values) {
+        std::erase_if(record.reserved, [&](const auto& pair) {
+            const bool old = now - pair.second.since > m_rules.reservation_life;
+            record.used += old ? pair.second.tokens : 0;
+            return old;
+        });
+    }
+    std::erase_if(m_records, [&](const auto& pair) {
+        return pair.second.reserved.empty() && now - pair.second.last_use > m_rules.record_life;
+    });
+}
+
+std::vector<std::string> budget_ledger::programs() const
+{
+    const auto ids = m_records | std::views::keys;
+    return {ids.begin(), ids.end()};
+}
+
+void budget_ledger::erase(std::string_view program)
+{
+    const auto it = m_records.find(program);
+    if (it != m_records.end()) {
+        m_records.erase(it);
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/ledger/budget_ledger.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "ledger/budget_messages.h"
+#include "ledger/program_record.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+struct budget_rules {
+    /// Part of a budget that may be spent without a mark in the store. 96 of 100 programs of the users' days stay
+    /// below it, so they need no call to the store.
+    double unmarked_part = 0.3;
+    /// Part up to which marks are written in steps of `unmarked_part`; beyond it for one turn at a time, so that a lost
+    /// record wastes no more than one turn near the end of the budget.
+    double coarse_part = 0.7;
+    /// A turn whose end was not told counts in full after this time. Longer than any turn lasts.
+    timestamp reservation_life = std::chrono::seconds(12);
+    /// How long a record is kept after the last turn.
+    timestamp record_life = std::chrono::seconds(75);
+};
+
+/// What the ledger needs before it can decide.
+enum class ledger_step {
+    granted,
+    spent,
+    needs_copy, ///< another gateway may know the program: ask it, then call `adopt` or `start_record`
+    needs_mark, ///< write the mark in the store, then call `set_mark` with what it holds
+};
+
+/// A conditional write that allows spending up to `level`.
+struct mark_order {
+    std::uint64_t level = 0;
+    std::uint64_t revision = 0; ///< of the present mark; 0: none, as far as this process knows
+};
+
+/// Counts the spending of programs, at their owner and as copies of other owners' records. Unwritten spending is
+/// bounded by `unmarked_part` for each loss of a record; everything beyond is written ahead of use. Decision code
+/// without I/O; one owner, not thread-safe.
+class budget_ledger {
+public:
+    explicit budget_ledger(budget_rules rules = {}) : m_rules(rules) {}
+
+    /// Decides on a turn. A repeated request gets the same answer. `granted` reserves the turn's tokens.
+    ledger_step reserve(const budget_request& request, timestamp now);
+
+    /// Starts a record for a program of which nothing is known. `certain`: nothing was spent before. Otherwise the
+    /// unmarked part counts as spent.
+    void start_record(const budget_request& request, bool certain, timestamp now);
+
+    /// Takes the record of another gateway in place of one's own copy. An older one is ignored.
+    void adopt(std::string_view program, const program_record& other, timestamp now);
+
+    /// Joins the record of another gateway that has decided on the same program with one's own.
+    void merge(std::string_view program, const program_record& other, timestamp now);
+
+    /// Takes back the permission to spend without a mark: another gateway may be spending on the same program.
+    void require_marks(std::string_view program);
+
+    /// Returns the write that is needed before the turn can be granted. Precondition: `reserve` returned needs_mark.
+    mark_order order_for(const budget_request& request) const;
+
+    /// Notes the mark in the store, written by this process (`level` as ordered) or found there.
+    void set_mark(std::string_view program, std::uint64_t level, std::uint64_t revision, bool written_here);
+
+    /// Ends a turn. Returns false if the program is not known.
+    bool settle(const budget_settlement& message, timestamp now);
+
+    const program_record* find(std::string_view program) const;
+    std::string session_target(std::string_view program, std::string_view session) const;
+
+    /// Counts reservations whose end was not told in full, and forgets old records.
+    void expire(timestamp now);
+
+    std::vector<std::string> programs() const;
+    void erase(std::string_view program);
+
+private:
+    std::uint64_t unmarked_limit(std::uint64_t budget) const;
+
+    budget_rules m_rules;
+    std::map<std::string, program_record, std::less<>> m_records;
+};
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/ledger/budget_messages.cpp
@@ -0,0 +1,136 @@
+#include "ledger/budget_messages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lagoonferry {
+
+namespace {
+
+using nlohmann::json;
+
+/// Calls `read`, and returns nothing when the message has not the expected form.
+template <class Read>
+auto read_or_nothing(Read read) -> std::optional<decltype(read())>
+{
+    try {
+        return read();
+    }
+    catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+json reservations_json(const program_record& record)
+{
+    json list = json::array();
+    for (const auto& [id, item] : record.reserved) {
+        list.push_back({id, item.tokens});
+    }
+    return list;
+}
+
+program_record record_from(const json& message)
+{
+    program_record record;
+    record.budget = message.at("b").get<std::uint64_t>();
+    record.used = message.at("u").get<std::uint64_t>();
+    record.marked = message.at("m").get<std::uint64_t>();
+    record.unmarked = message.at("f").get<std::uint64_t>();
+    for (const json& item : message.at("r")) {
+        record.reserved[item.at(0).get<std::string>()] = {item.at(1).get<std::uint64_t>(), timestamp{}};
+    }
+    record.session_targets = message.at("s").get<std::map<std::string, std::string, std::less<>>>();
+    return record;
+}
+
+} // namespace
+
+json to_json(const budget_request& message)
+{
+    return {{"q", message.request}, {"p", message.program}, {"s", message.session},
+            {"b", message.budget},  {"t", message.tokens},  {"o", message.owner_silent}};
+}
+
+json to_json(const budget_answer& message)
+{
+    return {{"q", message.request}, {"v", static_cast<int>(message.verdict)}, {"s", message.session_target}};
+}
+
+json to_json(const budget_settlement& message)
+{
+    return {{"q", message.request},
+            {"p", message.program},
+            {"s", message.session},
+            {"t", message.tokens},
+            {"a", message.target}};
+}
+
+json to_json(const copy_request& message)
+{
+    return {{"p", message.program}};
+}
+
+json to_json(const program_copy& message)
+{
+    json out{{"p", message.program}, {"c", message.sender_certain}, {"h", message.hands_over}};
+    if (message.record) {
+        out["b"] = message.record->budget;
+        out["u"] = message.record->used;
+        out["m"] = message.record->marked;
+        out["f"] = message.record->unmarked;
+        out["r"] = reservations_json(*message.record);
+        out["s"] = message.record->session_targets;
+    }
+    return out;
+}
+
+std::optional<budget_request> budget_request_from(const json& message)
+{
+    return read_or_nothing([&] {
+        return budget_request{message.at("q").get<std::string>(),   message.at("p").get<std::string>(),
+                              message.at("s").get<std::string>(),   message.at("b").get<std::uint64_t>(),
+                              message.at("t").get<std::uint64_t>(), message.at("o").get<bool>()};
+    });
+}
+
+std::optional<budget_answer> budget_answer_from(const json& message)
+{
+    return read_or_nothing([&] {
+        const int verdict = message.at("v").get<int>();
+        return budget_answer{message.at("q").get<std::string>(),
+                             verdict == static_cast<int>(budget_verdict::granted) ? budget_verdict::granted
+                             : verdict == static_cast<int>(budget_verdict::spent) ? budget_verdict::spent
+                                                                                  : budget_verdict::undecided,
+                             message.at("s").get<std::string>()};
+    });
+}
+
+std::optional<budget_settlement> budget_settlement_from(const json& message)
+{
+    return read_or_nothing([&] {
+        return budget_settlement{message.at("q").get<std::string>(), message.at("p").get<std::string>(),
+                                 message.at("s").get<std::string>(), message.at("t").get<std::uint64_t>(),
+                                 message.at("a").get<std::string>()};
+    });
+}
+
+std::optional<copy_request> copy_request_from(const json& message)
+{
+    return read_or_nothing([&] { return copy_request{message.at("p").get<std::string>()}; });
+}
+
+std::optional<program_copy> program_copy_from(const json& message)
+{
+    return read_or_nothing([&] {
+        program_copy copy;
+        copy.program = message.at("p").get<std::string>();
+        copy.sender_certain = message.at("c").get<bool>();
+        copy.hands_over = message.at("h").get<bool>();
+        if (message.contains("b")) {
+            copy.record = record_from(message);
+        }
+        return copy;
+    });
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/ledger/program_record.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "util/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lagoonferry {
+
+/// The spending of one program, in tokens.
+struct program_record {
+    struct reservation {
+        std::uint64_t tokens = 0; ///< the most that the turn generates
+        timestamp since{};
+    };
+
+    std::uint64_t budget = 0;
+    std::uint64_t used = 0;                                          ///< by turns that have ended
+    std::map<std::string, reservation, std::less<>> reserved;        ///< by request id
+    std::uint64_t marked = 0;                                        ///< total spending that the store's mark allows
+    std::uint64_t unmarked = 0;                                      ///< total spending that is allowed without a mark
+    std::uint64_t mark_revision = 0;                                 ///< of the mark, as last seen by this process
+    std::map<std::string, std::string, std::less<>> session_targets; ///< where each line of turns ran last
+    timestamp last_use{};
+
+    /// Returns the spending if all turns under way take the most that they may.
+    std::uint64_t committed() const
+    {
+        std::uint64_t sum = used;
+        for (const auto& [id, item] : reserved) {
+            sum += item.tokens;
+        }
+        return sum;
+    }
+};
+
+} // namespace lagoonferry
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,7 @@
 #include "client/commands.h"
+#include "gateway/gateway_role.h"
+#include "platform/dialect.h"
+#include "platform/settings_file.h"
 #include "roles/dispatch_role.h"
 #include "roles/entry_role.h"
 #include "settings/command_table.h"
@@ -6,11 +9,24 @@
 #include <iostream>
 #include <vector>
 
+namespace {
+
+int run_gateway(const std::vector<std::string>& args)
+{
+    using namespace lagoonferry;
+    static const platform::dialect speech;
+    return run_gateway_role({&speech, platform::settings_file_path, platform::read_settings}, args);
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     using namespace lagoonferry;
     std::vector<command> commands{
         {"entry", "serves callers and owns programs", run_entry_role},
+        {"gateway", "serves callers before a platform that routes by host and path", run_gateway},
+        {"standby", "does nothing until it is stopped", run_standby_role},
         {"dispatch", "grants capacity on targets", run_dispatch_role},
     };
     const auto client = client_commands();
--- /dev/null
+++ b/src/net/client_connection.cpp
@@ -0,0 +1,89 @@
+#include "net/client_connection.h"
+
+#include "net/socket_options.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <limits>
+
+namespace lagoonferry {
+
+client_connection::client_connection(asio::any_io_executor loop) : m_stream(std::move(loop)) {}
+
+asio::awaitable<error_code> client_connection::connect(const tcp::endpoint& to, deadline until)
+{
+    m_stream.expires_at(until);
+    const auto [ec] = co_await m_stream.async_connect(to, no_throw);
+    if (!ec) {
+        harden_socket(m_stream.socket());
+    }
+    co_return ec;
+}
+
+asio::awaitable<error_code> client_connection::send(const http_request& request, deadline until)
+{
+    m_stream.expires_at(until);
+    const auto [ec, n] = co_await http::async_write(m_stream, request, no_throw);
+    co_return ec;
+}
+
+void client_connection::close()
+{
+    error_code ec;
+    m_stream.socket().close(ec);
+}
+
+bool client_connection::is_clean()
+{
+    return is_open() && m_buffer.size() == 0 && !has_pending_input(m_stream.socket());
+}
+
+asio::awaitable<error_code> answer_reader::read_head(deadline until)
+{
+    constexpr unsigned first_final_status = 200;
+    do {
+        m_parser.emplace();
+        m_parser->header_limit(head_limit_bytes);
+        m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        m_connection.m_stream.expires_at(until);
+        const auto [ec, n] =
+            co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, *m_parser, no_throw);
+        m_got_bytes = m_got_bytes || n > 0 || m_connection.m_buffer.size() > 0;
+        if (ec) {
+            co_return ec;
+        }
+    } while (status() < first_final_status);
+    co_return error_code{};
+}
+
+asio::awaitable<error_code> answer_reader::read_piece(std::string& out, deadline until)
+{
+    auto& body = m_parser->get().body();
+    body.data = m_piece.data();
+    body.size = m_piece.size();
+    body.more = true;
+    m_connection.m_stream.expires_at(until);
+    auto [ec, n] = co_await http::async_read_some(m_connection.m_stream, m_connection.m_buffer, *m_parser, no_throw);
+    out.append(m_piece.data(), m_piece.size() - body.size);
+    if (ec == http::error::need_buffer) {
+        ec = {};
+    }
+    co_return ec;
+}
+
+asio::awaitable<error_code> answer_reader::read_rest(std::string& out, std::size_t limit, deadline until)
+{
+    while (!done()) {
+        const error_code ec = co_await read_piece(out, until);
+        if (ec) {
+            co_return ec;
+        }
+        if (out.size() > limit) {
+            co_return http::make_error_code(http::error::body_limit);
+        }
+    }
+    co_return error_code{};
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/net/socket_options.cpp
@@ -0,0 +1,54 @@
+#include "net/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace lagoonferry {
+
+namespace {
+
+/// A silent connection is noticed after 1 s of idleness and three probes.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 3;
+/// Bytes that are not acknowledged for this time end the connection, milliseconds.
+constexpr int unacknowledged_limit_ms = 4'000;
+
+template <int Level, int Name>
+void set_option(tcp::socket& socket, int value)
+{
+    error_code ec;
+    socket.set_option(asio::detail::socket_option::integer<Level, Name>(value), ec);
+}
+
+ssize_t peek(tcp::socket& socket)
+{
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+} // namespace
+
+void harden_socket(tcp::socket& socket)
+{
+    error_code ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    set_option<IPPROTO_TCP, TCP_KEEPIDLE>(socket, keep_alive_idle_s);
+    set_option<IPPROTO_TCP, TCP_KEEPINTVL>(socket, keep_alive_interval_s);
+    set_option<IPPROTO_TCP, TCP_KEEPCNT>(socket, keep_alive_probes);
+    set_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(socket, unacknowledged_limit_ms);
+}
+
+bool has_pending_input(tcp::socket& socket)
+{
+    return peek(socket) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+bool peer_closed(tcp::socket& socket)
+{
+    const ssize_t n = peek(socket);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+} // namespace lagoonferry
--- a/src/peer/datagram_codec.cpp
+++ b/src/peer/datagram_codec.cpp
@@ -17,10 +17,8 @@
 std::optional<datagram_kind> kind_of(std::byte code)
 {
     const auto kind = static_cast<datagram_kind>(code);
-    if (kind == datagram_kind::heartbeat || kind == datagram_kind::dispatch) {
-        return kind;
-    }
-    return std::nullopt;
+    const bool known = kind >= datagram_kind::heartbeat && kind <= datagram_kind::targets;
+    return known ? std::optional(kind) : std::nullopt;
 }
 
 void append(std::vector<std::byte>& out, std::string_view text)
--- a/src/peer/datagram_codec.h
+++ b/src/peer/datagram_codec.h
@@ -13,7 +13,16 @@
 class cluster_key;
 
 /// The kinds of datagrams between processes; the value is the code on the wire.
-enum class datagram_kind { heartbeat = 1, dispatch = 2 };
+enum class datagram_kind {
+    heartbeat = 1,
+    dispatch = 2,
+    budget_ask = 3,
+    budget_reply = 4,
+    budget_end = 5,
+    copy_ask = 6,
+    copy = 7,
+    targets = 8,
+};
 
 /// A datagram: its kind, the identifier of the sending process and a body of that kind.
 struct datagram {
--- /dev/null
+++ b/src/routing/target_loads.cpp
@@ -0,0 +1,256 @@
+#include "routing/target_loads.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Figures of the model engines on the users' sheets, used until a target's own pace is known.
+constexpr double usual_ms_per_token = 5.1;
+constexpr double prompt_ms_per_token = 1 / 29.4;
+constexpr double usual_service_ms = 40;
+
+/// Growth of a step with each other request in the batch: its tokens, and the share of steps that read its prompt.
+constexpr double batch_growth = 0.03;
+
+/// A waiting request delays ours by about a step of the batch and its prompt.
+constexpr double waiting_ms = 40;
+
+/// Estimates within this factor of the best count as equal, so that gateways that know the same spread their choice.
+constexpr double equal_factor = 1.08;
+
+/// Weight of a new observation of pace.
+constexpr double pace_weight = 0.3;
+
+/// A learned pace loses half of its difference from the others in this time, so that a target that was slow is tried.
+constexpr double pace_half_life_s = 8;
+
+/// Slow spells of a machine last about this long; a report of one loses its weight accordingly.
+constexpr double work_factor_memory_ms = 500;
+
+/// Time for which a reported load of other gateways counts in full; it halves with each further one.
+constexpr double report_memory_ms = 600;
+
+/// A failure counts as this much delay, doubled with each further one in a row, and halves in `failure_memory_ms`.
+constexpr double failure_ms = 120;
+constexpr double failure_memory_ms = 700;
+constexpr std::uint32_t most_failures_counted = 5;
+
+/// Pause after a refusal: about the time in which a full target ends a request.
+constexpr milliseconds refusal_pause{80};
+
+/// Two ways between failure domains.
+constexpr double other_domain_ms = 3;
+
+/// Prompt parts that are remembered for one target, and for how long.
+constexpr std::size_t most_parts = 512;
+constexpr timestamp part_memory = std::chrono::seconds(30);
+
+double ms_between(timestamp from, timestamp to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+double halved(double value, double elapsed, double half_life)
+{
+    return value * std::exp2(-std::max(0.0, elapsed) / half_life);
+}
+
+} // namespace
+
+target_loads::row& target_loads::row_of(const target_record& target)
+{
+    const auto it = m_rows.try_emplace(target.id).first;
+    row& item = it->second;
+    // A new start under the same id holds nothing of what the former one had read.
+    if (item.start != target.start) {
+        const std::uint32_t in_flight = item.in_flight;
+        item = {};
+        item.in_flight = in_flight;
+        item.start = target.start;
+    }
+    return item;
+}
+
+target_loads::row* target_loads::find(std::string_view id)
+{
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() ? nullptr : &it->second;
+}
+
+std::uint32_t target_loads::in_flight(std::string_view id) const
+{
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() ? 0 : it->second.in_flight;
+}
+
+double target_loads::usual_pace(std::span<const target_record* const> candidates, double fallback) const
+{
+    double sum = 0;
+    int known = 0;
+    for (const target_record* item : candidates) {
+        const auto it = m_rows.find(item->id);
+        if (it != m_rows.end() && it->second.pace > 0) {
+            sum += it->second.pace;
+            ++known;
+        }
+    }
+    return known == 0 ? fallback : sum / known;
+}
+
+double target_loads::expected_work_factor(const row& item, timestamp now)
+{
+    return 1 + halved(item.work_factor - 1, ms_between(item.reported, now), work_factor_memory_ms);
+}
+
+std::uint32_t target_loads::unread_tokens(const target_record& target, const row& item,
+                                          const placement_request& request, timestamp now)
+{
+    std::uint32_t unread = 0;
+    bool whole = true;
+    const bool holds_session = target.id == request.session_target;
+    for (std::size_t n = 0; n < request.prompt.size(); ++n) {
+        const prompt_part& part = request.prompt[n];
+        const auto it = item.parts.find(part.id);
+        const bool kept = it != item.parts.end() && now - it->second < part_memory;
+        // The target of the former turn holds all but what came after it, which is about the last part.
+        const bool of_session = holds_session && n + 1 < request.prompt.size();
+        whole = whole && (kept || of_session);
+        unread += whole ? 0 : part.tokens;
+    }
+    return unread;
+}
+
+double target_loads::estimate_ms(const target_record& target, const row& item, const placement_request& request,
+                                 double common_pace, timestamp now) const
+{
+    const double pace = item.pace <= 0 ? common_pace
+                                       : common_pace + halved(item.pace - common_pace, ms_between(item.paced, now),
+                                                              pace_half_life_s * 1'000);
+    const double slowness = expected_work_factor(item, now);
+    const double others = halved(item.others, ms_between(item.reported, now) - report_memory_ms, report_memory_ms);
+    const double load = others + item.in_flight;
+    const double waiting = std::max(0.0, load + 1 - target.slots);
+    double ms = 0;
+    if (!request.prompt.empty()) {
+        const double prompt =
+            unread_tokens(target, item, request, now) * prompt_ms_per_token * pace / usual_ms_per_token;
+        ms = (prompt + request.output_tokens * pace) * slowness * (1 + batch_growth * load) + waiting * waiting_ms;
+    }
+    else {
+        ms = pace * slowness * (1 + waiting / target.slots + 0.1 * load / target.slots);
+    }
+    if (target.failure_domain != request.own_domain) {
+        ms += other_domain_ms;
+    }
+    if (item.failures > 0) {
+        const auto doublings = static_cast<double>(std::min(item.failures, most_failures_counted) - 1);
+        ms += halved(failure_ms * std::exp2(doublings), ms_between(item.failed_at, now), failure_memory_ms);
+    }
+    return ms;
+}
+
+const target_record* target_loads::choose(std::span<const target_record* const> candidates,
+                                          const placement_request& request, timestamp now)
+{
+    const double common_pace = usual_pace(candidates, request.prompt.empty() ? usual_service_ms : usual_ms_per_token);
+    std::vector<estimate> estimates;
+    for (const target_record* item : candidates) {
+        const row& known = row_of(*item);
+        if (known.refused_until <= now && std::ranges::find(request.avoided, item->id) == request.avoided.end()) {
+            estimates.push_back({item, estimate_ms(*item, known, request, common_pace, now)});
+        }
+    }
+    if (estimates.empty()) {
+        return nullptr;
+    }
+    const double best = std::ranges::min(estimates, {}, &estimate::ms).ms;
+    std::erase_if(estimates, [best](const estimate& item) { return item.ms > best * equal_factor; });
+    std::uniform_int_distribution<std::size_t> pick(0, estimates.size() - 1);
+    return estimates[pick(m_random)].target;
+}
+
+void target_loads::on_sent(const target_record& target, timestamp /*now*/)
+{
+    ++row_of(target).in_flight;
+}
+
+void target_loads::on_end(std::string_view id, timestamp /*now*/)
+{
+    if (row* item = find(id); item != nullptr && item->in_flight > 0) {
+        --item->in_flight;
+    }
+}
+
+void target_loads::on_report(std::string_view id, const load_report& report, timestamp now)
+{
+    if (row* item = find(id)) {
+        const double all = report.running + report.waiting;
+        item->others = std::max(0.0, all - item->in_flight);
+        item->work_factor = report.work_factor;
+        item->reported = now;
+    }
+}
+
+void target_loads::learn_pace(std::string_view id, double ms, timestamp now)
+{
+    row* item = find(id);
+    if (item == nullptr || ms <= 0) {
+        return;
+    }
+    const double base = ms / std::max(1.0, expected_work_factor(*item, now));
+    item->pace = item->pace <= 0 ? base : item->pace + pace_weight * (base - item->pace);
+    item->paced = now;
+}
+
+void target_loads::on_token_time(std::string_view id, double ms_per_token, timestamp now)
+{
+    learn_pace(id, ms_per_token, now);
+}
+
+void target_loads::on_service_time(std::string_view id, double ms, timestamp now)
+{
+    learn_pace(id, ms, now);
+}
+
+void target_loads::on_prompt(std::string_view id, std::span<const prompt_part> prompt, timestamp now)
+{
+    row* item = find(id);
+    if (item == nullptr) {
+        return;
+    }
+    for (const prompt_part& part : prompt) {
+        item->parts[part.id] = now;
+    }
+    if (item->parts.size() > most_parts) {
+        std::erase_if(item->parts, [now](const auto& pair) { return now - pair.second > part_memory / 2; });
+    }
+}
+
+void target_loads::on_failure(std::string_view id, timestamp now)
+{
+    if (row* item = find(id)) {
+        ++item->failures;
+        item->failed_at = now;
+    }
+}
+
+void target_loads::on_refusal(std::string_view id, timestamp now)
+{
+    if (row* item = find(id)) {
+        item->refused_until = now + refusal_pause;
+    }
+}
+
+void target_loads::on_success(std::string_view id)
+{
+    if (row* item = find(id)) {
+        item->failures = 0;
+    }
+}
+
+} // namespace lagoonferry
--- /dev/null
+++ b/src/routing/target_loads.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "gateway/answer_facts.h"
+#include "gateway/call_facts.h"
+#include "routing/target_record.h"
+#include "util/time.h"
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonferry {
+
+/// What is placed: a turn of a program on a model engine, or a call of a plain service (no tokens).
+struct placement_request {
+    std::span<const prompt_part> prompt;
+    std::uint32_t output_tokens = 0;      ///< expected
+    std::string_view session_target;      ///< holds the prompt so far; empty: not known
+    std::string_view own_domain;          ///< failure domain of this gateway
+    std::span<const std::string> avoided; ///< targets at which this request has failed
+};
+
+/// What this gateway has seen of the targets, and the choice among them. It answers uneven speeds, slow spells of
+/// single machines and prompts that are kept at one target, by an estimate of the time that the request would take on
+/// each. Decision code without I/O; one owner, not thread-safe.
+class target_loads {
+public:
+    explicit target_loads(std::uint64_t seed) : m_random(static_cast<std::minstd_rand::result_type>(seed | 1U)) {}
+
+    /// Returns the best of `candidates`, or nullptr if all of them are avoided or have refused lately. Precondition:
+    /// all are of one service.
+    const target_record* choose(std::span<const target_record* const> candidates, const placement_request& request,
+                                timestamp now);
+
+    /// Notes that a request was sent to a target. Each call is followed by one of `on_end`.
+    void on_sent(const target_record& target, timestamp now);
+    void on_end(std::string_view id, timestamp now);
+
+    /// Notes the load that a target told.
+    void on_report(std::string_view id, const load_report& report, timestamp now);
+
+    /// Notes the time between the tokens of a stream.
+    void on_token_time(std::string_view id, double ms_per_token, timestamp now);
+
+    /// Notes the time of a whole answer of a plain service.
+    void on_service_time(std::string_view id, double ms, timestamp now);
+
+    /// Notes which prompt a target has read.
+    void on_prompt(std::string_view id, std::span<const prompt_part> prompt, timestamp now);
+
+    /// Notes a broken connection, a wrong answer or a time-out.
+    void on_failure(std::string_view id, timestamp now);
+
+    /// Notes that a target refused a request that it did not run.
+    void on_refusal(std::string_view id, timestamp now);
+
+    /// Notes a whole answer.
+    void on_success(std::string_view id);
+
+    std::uint32_t in_flight(std::string_view id) const;
+
+private:
+    struct row {
+        std::uint64_t start = 0;
+        std::uint32_t in_flight = 0;
+        double others = 0; ///< requests of other gateways, as last told
+        timestamp reported{-1};
+        double work_factor = 1;
+        double pace = 0; ///< ms for a token or a whole answer, without the work factor; 0: not known
+        timestamp paced{};
+        std::uint32_t failures = 0; ///< in a row
+        timestamp failed_at{};
+        timestamp refused_until{};
+        std::map<std::uint64_t, timestamp> parts; ///< prompt parts, with their last use
+    };
+
+    struct estimate {
+        const target_record* target = nullptr;
+        double ms = 0;
+    };
+
+    row& row_of(const target_record& target);
+    row* find(std::string_view id);
+    double usual_pace(std::span<const target_record* const> candidates, double fallback) const;
+    double estimate_ms(const target_record& target, const row& item, const placement_request& request,
+                       double common_pace, timestamp now) const;
+    static double expected_work_factor(const row& item, timestamp now);
+    static std::uint32_t unread_tokens(const target_record& target, const row& item, const placement_request& request,
+                                       timestamp now);
+    void learn_pace(std::string_view id, double ms, timestamp now);
+
+    std::map<std::string, row, std::less<>> m_rows;
+    std::minstd_rand m_random;
+};
+
+} // namespace lagoonferry
