Tell loads between gateways and place by the backlog of prompts

Two processes ended with a double free: a temporary in a conditional expression of a co_await is destroyed twice by g++ 12. The standby process ended at SIGHUP. Ruled out: missing capacity; a third of the engines was idle meanwhile. Change: gateways tell their requests per target every 60 ms, the estimate counts unread prompt tokens ahead of ours, shared prompt parts count as probably read; first-event limit from 1.4 s to 2.6 s, because early repetitions added load; no temporaries in those expressions; standby ignores SIGHUP.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -101,7 +101,12 @@
         m_chunked = request.version() >= 11;
         m_head_request = request.method() == http::verb::head;
         const request_count counted(m_board);
-        m_kind == listener_kind::callers ? co_await serve_caller(request) : co_await serve_local(request);
+        if (m_kind == listener_kind::callers) {
+            co_await serve_caller(request);
+        }
+        else {
+            co_await serve_local(request);
+        }
     }
     error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
@@ -164,7 +169,9 @@
     }
     log(log_part::entry, log_level::warning, "A request cannot be read.", field("status", status),
         field("reason", reason.message()));
-    co_await send_whole(status, {}, reason.message());
+    const std::string text = reason.message();
+    http_fields none;
+    co_await send_whole(status, std::move(none), text);
 }
 
 asio::awaitable<void> client_session::serve_caller(const http_request& request)
@@ -209,14 +216,13 @@
         }
         else {
             fields.set(http::field::content_type, "application/json");
-            co_await send_whole(200, fields, lookup_answer(request));
+            const std::string body = lookup_answer(request);
+            co_await send_whole(200, fields, body);
         }
         break;
     case local_call::metrics:
         fields.set(http::field::content_type, "text/plain; version=0.0.4");
-        m_board.metrics.set_targets(m_board.targets.size());
-        m_board.metrics.set_connections(m_board.caller_connections, m_board.pool.size());
-        co_await send_whole(200, fields, m_board.metrics.text());
+        co_await send_metrics(fields);
         break;
     case local_call::none:
         co_await send_whole(404, fields, "no such call");
@@ -224,6 +230,14 @@
     }
 }
 
+asio::awaitable<void> client_session::send_metrics(http_fields fields)
+{
+    m_board.metrics.set_targets(m_board.targets.size());
+    m_board.metrics.set_connections(m_board.caller_connections, m_board.pool.size());
+    const std::string body = m_board.metrics.text();
+    co_await send_whole(200, std::move(fields), body);
+}
+
 std::string client_session::lookup_answer(const http_request& /*request*/) const
 {
     std::vector<std::string> addresses;
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -33,6 +33,7 @@
     asio::awaitable<bool> read_request(http_request& out);
     asio::awaitable<void> serve_caller(const http_request& request);
     asio::awaitable<void> serve_local(const http_request& request);
+    asio::awaitable<void> send_metrics(http_fields fields);
     static asio::awaitable<void> watch_for_close(std::shared_ptr<client_session> self, std::weak_ptr<exchange> running);
     asio::awaitable<void> answer_bad_request(error_code reason);
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -28,8 +28,8 @@
 constexpr milliseconds idempotent_answer_limit{450};
 
 /// A stream without a first event, or with a pause, is continued on a new connection after these times.
-constexpr milliseconds first_event_limit{1'400};
-constexpr milliseconds event_gap_limit{900};
+constexpr milliseconds first_event_limit{2'600};
+constexpr milliseconds event_gap_limit{1'500};
 
 /// Answers of plain services are read whole before they are passed on, so that a broken one can be replaced.
 constexpr std::size_t whole_answer_limit = 4'194'304;
@@ -111,13 +111,15 @@
 asio::awaitable<void> exchange::run()
 {
     if (!m_routes) {
-        co_return co_await refuse(503, "no routing document is known");
+        co_await refuse(503, "no routing document is known");
+        co_return;
     }
     m_route = m_routes->match(host(), to_std(m_request.target()));
     if (m_route == nullptr) {
         // Without the store's word there may be a newer document that has the route.
         const unsigned status = m_board.routes_confirmed ? 404 : 503;
-        co_return co_await refuse(status, "no route matches");
+        co_await refuse(status, "no route matches");
+        co_return;
     }
     m_until = m_arrived + std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
     const std::string& key = m_call.program.empty() ? m_call.request_id : m_call.program;
@@ -129,7 +131,12 @@
         }
     }
     if (!m_aborted) {
-        stream ? co_await run_stream() : co_await run_whole();
+        if (stream) {
+            co_await run_stream();
+        }
+        else {
+            co_await run_whole();
+        }
     }
     if (m_aborted) {
         note_result("aborted", "the caller has closed the connection");
@@ -187,6 +194,30 @@
     return ran;
 }
 
+placement_request exchange::placement() const
+{
+    placement_request request;
+    request.prompt = m_call.prompt;
+    request.output_tokens = static_cast<std::uint32_t>(m_call.max_output_tokens * usual_output_part);
+    request.session_target = m_session_target;
+    request.own_domain = m_board.settings.failure_domain;
+    request.avoided = m_avoided;
+    return request;
+}
+
+void exchange::start_attempt(attempt& current)
+{
+    const timestamp now = steady_now();
+    current.unread_tokens = m_board.loads.unread_tokens(current.target, placement(), now);
+    m_board.loads.on_sent(current.target, current.unread_tokens);
+}
+
+void exchange::note_started(attempt& current)
+{
+    m_board.loads.on_started(current.target.id, current.unread_tokens);
+    current.unread_tokens = 0;
+}
+
 const target_record* exchange::choose_target()
 {
     const timestamp now = steady_now();
@@ -196,12 +227,7 @@
         std::erase_if(candidates,
                       [&ran](const target_record* item) { return std::ranges::find(ran, item->id) == ran.end(); });
     }
-    placement_request request;
-    request.prompt = m_call.prompt;
-    request.output_tokens = static_cast<std::uint32_t>(m_call.max_output_tokens * usual_output_part);
-    request.session_target = m_session_target;
-    request.own_domain = m_board.settings.failure_domain;
-    request.avoided = m_avoided;
+    placement_request request = placement();
     const target_record* best = m_board.loads.choose(candidates, request, now);
     if (best == nullptr && !m_avoided.empty()) {
         // All others have failed as well: the one that failed first may do better now.
@@ -243,11 +269,12 @@
         ++m_attempts;
         attempt current;
         current.target = *target;
-        m_board.loads.on_sent(current.target, steady_now());
+        start_attempt(current);
         if (co_await connect(current)) {
             co_return current;
         }
-        m_board.loads.on_end(current.target.id, steady_now());
+        note_started(current);
+        m_board.loads.on_end(current.target.id);
         m_board.loads.on_failure(current.target.id, steady_now());
         m_board.metrics.on_attempt("unreachable");
         m_avoided.push_back(current.target.id);
@@ -336,7 +363,8 @@
 
 void exchange::end_attempt(attempt& current, bool reusable)
 {
-    m_board.loads.on_end(current.target.id, steady_now());
+    note_started(current);
+    m_board.loads.on_end(current.target.id);
     if (reusable && current.reader && current.reader->keeps_connection()) {
         m_board.pool.put(connection_key(current.target), std::move(current.connection), current.facts.keep_alive);
     }
@@ -470,6 +498,7 @@
         }
         if (m_events > events_before && first == timestamp{}) {
             first = steady_now();
+            note_started(current);
             m_board.loads.on_prompt(current.target.id, m_call.prompt, first);
         }
         if (ec) {
@@ -555,7 +584,9 @@
         co_return;
     }
     if (m_failures == 0) {
-        co_return co_await refuse(503, m_last_problem.empty() ? "the time is up" : m_last_problem);
+        const std::string reason = m_last_problem.empty() ? "the time is up" : m_last_problem;
+        co_await refuse(503, reason);
+        co_return;
     }
     co_await answer_own(time_is_up() ? 504 : 502, m_last_problem, false);
     note_result(time_is_up() ? "timed_out" : "failed", m_last_problem);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -43,7 +43,9 @@
         std::unique_ptr<answer_reader> reader;
         answer_facts facts;
         timestamp sent{};
-        std::string problem; ///< why it failed, for the log
+        std::uint32_t unread_tokens = 0; ///< of the prompt at this target, until the first event
+        milliseconds first_limit{0};     ///< time to the first event after which the attempt counts as lost
+        std::string problem;             ///< why it failed, for the log
     };
 
     asio::awaitable<bool> reserve_tokens();
@@ -60,6 +62,9 @@
     asio::awaitable<void> answer_own(unsigned status, std::string_view reason, bool retry);
 
     const target_record* choose_target();
+    placement_request placement() const;
+    void start_attempt(attempt& current);
+    void note_started(attempt& current);
     std::vector<std::string> targets_that_ran() const;
     http_request forwarded(const attempt& current) const;
     void end_attempt(attempt& current, bool reusable);
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -4,6 +4,7 @@
 #include "gateway/document_feed.h"
 #include "gateway/gateway_board.h"
 #include "gateway/gateway_registry.h"
+#include "gateway/load_exchange.h"
 #include "gateway/target_feed.h"
 #include "net/pause.h"
 #include "net/spawn.h"
@@ -99,7 +100,7 @@
     gateway_process(const gateway_platform& platform, std::string settings_path, gateway_settings settings)
         : m_platform(platform), m_settings_path(std::move(settings_path)),
           m_board(m_loop.get_executor(), std::move(settings), *platform.speech), m_targets(m_board),
-          m_documents(m_board)
+          m_documents(m_board), m_loads(m_board)
     {
     }
 
@@ -113,6 +114,7 @@
         m_board.budgets.start();
         m_documents.start();
         m_targets.start();
+        m_loads.start();
         spawn(m_board.loop, register_gateway(m_board), "registration");
         spawn(m_board.loop, sweep(), "connection sweep");
         spawn(m_board.loop, wait_for_stop(), "stop signal");
@@ -192,6 +194,7 @@
     gateway_board m_board;
     target_feed m_targets;
     document_feed m_documents;
+    load_exchange m_loads;
 };
 
 } // namespace
@@ -235,6 +238,7 @@
         return options.status;
     }
     asio::io_context loop{1};
+    ::signal(SIGHUP, SIG_IGN); // changed settings do not concern this process
     asio::signal_set signals(loop, SIGTERM, SIGINT);
     signals.async_wait([&loop](const error_code& /*ec*/, int /*number*/) { loop.stop(); });
     loop.run();
--- /dev/null
+++ b/src/gateway/load_exchange.cpp
@@ -0,0 +1,75 @@
+#include "gateway/load_exchange.h"
+
+#include "net/pause.h"
+#include "net/spawn.h"
+#include "util/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace lagoonferry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval for a fleet of up to `usual_fleet` gateways. It grows with the fleet, so that a gateway hears about the
+/// same number of datagrams at any size.
+constexpr milliseconds base_interval{60};
+constexpr std::size_t usual_fleet = 8;
+
+/// Unchanged shares are told again after this time, before the others forget them.
+constexpr milliseconds repeat_interval{700};
+
+/// Targets in one datagram.
+constexpr std::size_t most_shares = 60;
+
+} // namespace
+
+void load_exchange::start()
+{
+    m_board.fleet.on(datagram_kind::loads, [this](const auto& sender, const auto& body) { on_told(sender, body); });
+    spawn(m_board.loop, run(), "loads");
+}
+
+asio::awaitable<void> load_exchange::run()
+{
+    while (true) {
+        const std::size_t fleet = std::max(usual_fleet, m_board.fleet.usable().size());
+        co_await pause(m_board.loop, base_interval * fleet / usual_fleet);
+        std::vector<target_share> shares = m_board.loads.own_shares();
+        const bool repeat = !shares.empty() && steady_now() - m_told_at > repeat_interval;
+        if (shares == m_told && !repeat) {
+            continue;
+        }
+        if (shares.size() > most_shares) {
+            shares.resize(most_shares);
+        }
+        nlohmann::json body = nlohmann::json::array();
+        for (const target_share& item : shares) {
+            body.push_back({item.id, item.in_flight, item.unread_tokens});
+        }
+        m_board.fleet.broadcast(datagram_kind::loads, body);
+        m_told = std::move(shares);
+        m_told_at = steady_now();
+    }
+}
+
+void load_exchange::on_told(const std::string& sender, const nlohmann::json& body)
+{
+    try {
+        std::vector<target_share> shares;
+        for (const nlohmann::json& item : body) {
+            shares.push_back(
+                {item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>(), item.at(2).get<std::uint32_t>()});
+        }
+        m_board.loads.on_peer_shares(sender, std::move(shares), steady_now());
+    }
+    catch (const nlohmann::json::exception& error) {
+        log(log_part::membership, log_level::warning, "A datagram on loads cannot be read.", field("sender", sender),
+            field("reason", std::string_view(error.what())));
+    }
+}
+
+} // namespace lagoonferry
--- a/src/peer/datagram_codec.h
+++ b/src/peer/datagram_codec.h
@@ -22,6 +22,7 @@
     copy_ask = 6,
     copy = 7,
     targets = 8,
+    loads = 9,
 };
 
 /// A datagram: its kind, the identifier of the sending process and a body of that kind.
--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_loads.cpp
@@ -20,6 +20,9 @@
 /// A waiting request delays ours by about a step of the batch and its prompt.
 constexpr double waiting_ms = 40;
 
+/// Growth of a plain service's answer time from idle to all slots in use.
+constexpr double service_growth = 0.1;
+
 /// Estimates within this factor of the best count as equal, so that gateways that know the same spread their choice.
 constexpr double equal_factor = 1.08;
 
@@ -32,8 +35,11 @@
 /// Slow spells of a machine last about this long; a report of one loses its weight accordingly.
 constexpr double work_factor_memory_ms = 500;
 
-/// Time for which a reported load of other gateways counts in full; it halves with each further one.
-constexpr double report_memory_ms = 600;
+/// What another gateway told counts for this time; it tells its requests several times a second.
+constexpr milliseconds peer_memory{1'500};
+
+/// Chance that a target has not read a part that many programs share, when nothing is known of it.
+constexpr double shared_part_unread = 0.3;
 
 /// A failure counts as this much delay, doubled with each further one in a row, and halves in `failure_memory_ms`.
 constexpr double failure_ms = 120;
@@ -69,8 +75,10 @@
     // A new start under the same id holds nothing of what the former one had read.
     if (item.start != target.start) {
         const std::uint32_t in_flight = item.in_flight;
+        const std::uint32_t unread = item.unread_tokens;
         item = {};
         item.in_flight = in_flight;
+        item.unread_tokens = unread;
         item.start = target.start;
     }
     return item;
@@ -107,10 +115,10 @@
     return 1 + halved(item.work_factor - 1, ms_between(item.reported, now), work_factor_memory_ms);
 }
 
-std::uint32_t target_loads::unread_tokens(const target_record& target, const row& item,
-                                          const placement_request& request, timestamp now)
+double target_loads::unread_tokens(const target_record& target, const row& item, const placement_request& request,
+                                   timestamp now)
 {
-    std::uint32_t unread = 0;
+    double unread = 0;
     bool whole = true;
     const bool holds_session = target.id == request.session_target;
     for (std::size_t n = 0; n < request.prompt.size(); ++n) {
@@ -119,12 +127,36 @@
         const bool kept = it != item.parts.end() && now - it->second < part_memory;
         // The target of the former turn holds all but what came after it, which is about the last part.
         const bool of_session = holds_session && n + 1 < request.prompt.size();
-        whole = whole && (kept || of_session);
-        unread += whole ? 0 : part.tokens;
+        const bool shared = n == 0 && request.prompt.size() > 1;
+        if (!kept && !of_session) {
+            unread += shared ? part.tokens * shared_part_unread : part.tokens;
+            whole = whole && shared;
+        }
+        else if (!whole) {
+            unread += part.tokens;
+        }
     }
     return unread;
 }
 
+std::uint32_t target_loads::unread_tokens(const target_record& target, const placement_request& request, timestamp now)
+{
+    return static_cast<std::uint32_t>(unread_tokens(target, row_of(target), request, now));
+}
+
+target_share target_loads::all_shares(const target_record& target, const row& item, timestamp now) const
+{
+    target_share sum{target.id, item.in_flight, item.unread_tokens};
+    for (const auto& [gateway, told] : m_peers) {
+        const auto it = std::ranges::find(told.shares, target.id, &target_share::id);
+        if (it != told.shares.end() && now - told.told < peer_memory) {
+            sum.in_flight += it->in_flight;
+            sum.unread_tokens += it->unread_tokens;
+        }
+    }
+    return sum;
+}
+
 double target_loads::estimate_ms(const target_record& target, const row& item, const placement_request& request,
                                  double common_pace, timestamp now) const
 {
@@ -132,17 +164,17 @@
                                        : common_pace + halved(item.pace - common_pace, ms_between(item.paced, now),
                                                               pace_half_life_s * 1'000);
     const double slowness = expected_work_factor(item, now);
-    const double others = halved(item.others, ms_between(item.reported, now) - report_memory_ms, report_memory_ms);
-    const double load = others + item.in_flight;
-    const double waiting = std::max(0.0, load + 1 - target.slots);
+    const target_share present = all_shares(target, item, now);
+    const double waiting = std::max(0.0, present.in_flight + 1.0 - target.slots);
     double ms = 0;
     if (!request.prompt.empty()) {
-        const double prompt =
-            unread_tokens(target, item, request, now) * prompt_ms_per_token * pace / usual_ms_per_token;
-        ms = (prompt + request.output_tokens * pace) * slowness * (1 + batch_growth * load) + waiting * waiting_ms;
+        const double tokens = unread_tokens(target, item, request, now) + present.unread_tokens;
+        const double reading = tokens * prompt_ms_per_token * pace / usual_ms_per_token;
+        ms = (reading + request.output_tokens * pace) * slowness * (1 + batch_growth * present.in_flight) +
+             waiting * waiting_ms;
     }
     else {
-        ms = pace * slowness * (1 + waiting / target.slots + 0.1 * load / target.slots);
+        ms = pace * slowness * (1 + waiting / target.slots + service_growth * present.in_flight / target.slots);
     }
     if (target.failure_domain != request.own_domain) {
         ms += other_domain_ms;
@@ -174,23 +206,46 @@
     return estimates[pick(m_random)].target;
 }
 
-void target_loads::on_sent(const target_record& target, timestamp /*now*/)
+void target_loads::on_sent(const target_record& target, std::uint32_t unread)
 {
-    ++row_of(target).in_flight;
+    row& item = row_of(target);
+    ++item.in_flight;
+    item.unread_tokens += unread;
 }
 
-void target_loads::on_end(std::string_view id, timestamp /*now*/)
+void target_loads::on_started(std::string_view id, std::uint32_t unread)
+{
+    if (row* item = find(id)) {
+        item->unread_tokens -= std::min(item->unread_tokens, unread);
+    }
+}
+
+void target_loads::on_end(std::string_view id)
 {
     if (row* item = find(id); item != nullptr && item->in_flight > 0) {
         --item->in_flight;
     }
 }
 
+std::vector<target_share> target_loads::own_shares() const
+{
+    std::vector<target_share> shares;
+    for (const auto& [id, item] : m_rows) {
+        if (item.in_flight > 0) {
+            shares.push_back({id, item.in_flight, item.unread_tokens});
+        }
+    }
+    return shares;
+}
+
+void target_loads::on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now)
+{
+    m_peers[std::string(gateway)] = {std::move(shares), now};
+}
+
 void target_loads::on_report(std::string_view id, const load_report& report, timestamp now)
 {
     if (row* item = find(id)) {
-        const double all = report.running + report.waiting;
-        item->others = std::max(0.0, all - item->in_flight);
         item->work_factor = report.work_factor;
         item->reported = now;
     }
--- a/src/routing/target_loads.h
+++ b/src/routing/target_loads.h
@@ -24,6 +24,15 @@
     std::span<const std::string> avoided; ///< targets at which this request has failed
 };
 
+/// The requests of one gateway at one target.
+struct target_share {
+    std::string id;
+    std::uint32_t in_flight = 0;
+    std::uint32_t unread_tokens = 0; ///< of prompts whose first event has not come
+
+    bool operator==(const target_share&) const = default;
+};
+
 /// What this gateway has seen of the targets, and the choice among them. It answers uneven speeds, slow spells of
 /// single machines and prompts that are kept at one target, by an estimate of the time that the request would take on
 /// each. Decision code without I/O; one owner, not thread-safe.
@@ -36,9 +45,20 @@
     const target_record* choose(std::span<const target_record* const> candidates, const placement_request& request,
                                 timestamp now);
 
-    /// Notes that a request was sent to a target. Each call is followed by one of `on_end`.
-    void on_sent(const target_record& target, timestamp now);
-    void on_end(std::string_view id, timestamp now);
+    /// Notes that a request is sent to a target, which has to read `unread` tokens for it. Each call is followed by one
+    /// of `on_end`, and before that by one of `on_started` when the first event of its answer comes.
+    void on_sent(const target_record& target, std::uint32_t unread);
+    void on_started(std::string_view id, std::uint32_t unread);
+    void on_end(std::string_view id);
+
+    /// Returns the tokens of a prompt that a target is not known to keep.
+    std::uint32_t unread_tokens(const target_record& target, const placement_request& request, timestamp now);
+
+    /// Returns the requests of this gateway, for the others.
+    std::vector<target_share> own_shares() const;
+
+    /// Notes the requests of another gateway, which replace the ones that it told before.
+    void on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now);
 
     /// Notes the load that a target told.
     void on_report(std::string_view id, const load_report& report, timestamp now);
@@ -67,7 +87,7 @@
     struct row {
         std::uint64_t start = 0;
         std::uint32_t in_flight = 0;
-        double others = 0; ///< requests of other gateways, as last told
+        std::uint32_t unread_tokens = 0; ///< of requests in flight without a first event
         timestamp reported{-1};
         double work_factor = 1;
         double pace = 0; ///< ms for a token or a whole answer, without the work factor; 0: not known
@@ -78,6 +98,11 @@
         std::map<std::uint64_t, timestamp> parts; ///< prompt parts, with their last use
     };
 
+    struct peer {
+        std::vector<target_share> shares;
+        timestamp told{};
+    };
+
     struct estimate {
         const target_record* target = nullptr;
         double ms = 0;
@@ -89,11 +114,13 @@
     double estimate_ms(const target_record& target, const row& item, const placement_request& request,
                        double common_pace, timestamp now) const;
     static double expected_work_factor(const row& item, timestamp now);
-    static std::uint32_t unread_tokens(const target_record& target, const row& item, const placement_request& request,
-                                       timestamp now);
+    static double unread_tokens(const target_record& target, const row& item, const placement_request& request,
+                                timestamp now);
+    target_share all_shares(const target_record& target, const row& item, timestamp now) const;
     void learn_pace(std::string_view id, double ms, timestamp now);
 
     std::map<std::string, row, std::less<>> m_rows;
+    std::map<std::string, peer, std::less<>> m_peers;
     std::minstd_rand m_random;
 };
 
