Let stand-ins for a silent budget owner spend without marks

Also found by reading: when both holders of a record die, the next owner took the program for new and could have granted its budget again. Change: a stand-in continues from its copy and its spending is added at the handover; a gateway takes a program for new only if it is among the first two of the live and lately lost gateways; a store that did not answer twice is not waited for.

--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds heard_lately{1'200};
 constexpr std::size_t pauses_for_quiet_owner = 2;
 
+/// Gateways that hold a program's record: its owner and one copy.
+constexpr std::size_t record_holders = 2;
+
 /// Time for which an owner that did not answer is passed over.
 constexpr milliseconds silence_memory{2'000};
 
@@ -91,11 +94,19 @@
     spawn(m_loop, keep_up(), "budget upkeep");
 }
 
-bool budget_keeper::certain() const
+// A process that was not restarted or paused while programs were under way.
+bool budget_keeper::remembers_all() const
 {
     return m_fleet.well_connected() && (m_certain_from_start || steady_now() - m_started > knows_all_after);
 }
 
+// The first two gateways for a program hold its record. Those that were lost since count with them: when both of the
+// first two are gone, nobody knows what they had granted.
+bool budget_keeper::would_know(std::string_view program) const
+{
+    return remembers_all() && m_fleet.rank_with_lost(program) < record_holders;
+}
+
 bool budget_keeper::silent(const std::string& id) const
 {
     const auto it = m_silent_until.find(id);
@@ -106,7 +117,7 @@
 {
     // The first two by rendezvous hashing hold the record and its copy.
     std::vector<std::string> owners = m_fleet.ranked(request.program);
-    owners.resize(std::min<std::size_t>(owners.size(), 2));
+    owners.resize(std::min(owners.size(), record_holders));
     for (const std::string& owner : owners) {
         if (owner == m_fleet.own_id()) {
             co_return co_await decide(request);
@@ -167,7 +178,7 @@
     budget_answer answer;
     answer.request = request.request;
     if (request.owner_silent) {
-        m_ledger.require_marks(request.program);
+        m_ledger.stand_in(request.program);
     }
     for (int tries = 0; tries < most_mark_tries; ++tries) {
         switch (m_ledger.reserve(request, steady_now())) {
@@ -195,7 +206,7 @@
 
 asio::awaitable<void> budget_keeper::find_record(const budget_request& request)
 {
-    if (certain() && !request.owner_silent) {
+    if (would_know(request.program)) {
         m_ledger.start_record(request, true, steady_now());
         co_return;
     }
@@ -233,8 +244,11 @@
     const std::string text = mark_text(order.level, writer);
     const std::array conditions{store_condition{key, order.revision}};
     const std::array items{store_item{key, text, 0, false}};
+    if (m_store.out_of_reach()) {
+        co_return false;
+    }
     store_reply reply = co_await m_store.write(conditions, items);
-    if (reply.status == store_status::unknown) {
+    if (reply.status == store_status::unknown && !m_store.out_of_reach()) {
         reply = co_await m_store.write(conditions, items);
     }
     if (reply.status == store_status::ok) {
@@ -321,7 +335,7 @@
     const auto other = std::ranges::find_if(order, [&](const std::string& id) { return id != m_fleet.own_id(); });
     const program_record* record = m_ledger.find(program);
     if (other != order.end() && record != nullptr) {
-        m_fleet.send(*other, datagram_kind::copy, to_json(program_copy{program, *record, certain(), false}));
+        m_fleet.send(*other, datagram_kind::copy, to_json(program_copy{program, *record, would_know(program), false}));
     }
 }
 
@@ -332,7 +346,7 @@
         return;
     }
     const program_record* record = m_ledger.find(request->program);
-    program_copy copy{request->program, std::nullopt, certain(), true};
+    program_copy copy{request->program, std::nullopt, would_know(request->program), true};
     if (record != nullptr) {
         copy.record = *record;
     }
@@ -376,7 +390,7 @@
             return false;
         }
         if (const program_record* record = m_ledger.find(program)) {
-            m_fleet.send(order.front(), datagram_kind::copy, to_json(program_copy{program, *record, certain(), true}));
+            m_fleet.send(order.front(), datagram_kind::copy, to_json(program_copy{program, *record, would_know(program), true}));
         }
         return true;
     });
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -62,7 +62,8 @@
     void apply_settlement(const budget_settlement& message);
     void send_copy(const std::string& program);
     void hand_over_to_owners();
-    bool certain() const;
+    bool would_know(std::string_view program) const;
+    bool remembers_all() const;
     bool silent(const std::string& id) const;
 
     asio::any_io_executor m_loop;
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -236,7 +236,39 @@
 
 void fleet_link::refresh(timestamp now)
 {
+    std::vector<member> before = std::move(m_usable);
     m_usable = m_table->usable(member_role::entry, now);
+    note_losses(before, now);
+}
+
+// A gateway that stops in order hands its records over. One that is silent, or is back with a new start, has lost them.
+void fleet_link::note_losses(const std::vector<member>& before, timestamp now)
+{
+    for (const member& item : before) {
+        const auto present = m_table->find(item.id);
+        const bool restarted = present && process_start(present->incarnation) != process_start(item.incarnation) &&
+                               item.incarnation != 0;
+        const bool silent = present && present->state == member_state::alive &&
+                            std::ranges::find(m_usable, item.id, &member::id) == m_usable.end();
+        if (!present || restarted || silent || present->state == member_state::gone) {
+            m_lost_until[item.id] = now + m_timing.loss_memory;
+        }
+    }
+    std::erase_if(m_lost_until, [now](const auto& pair) { return pair.second < now; });
+}
+
+std::size_t fleet_link::rank_with_lost(std::string_view key) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    const std::uint64_t own = rendezvous_weight(hash, m_settings.id);
+    std::set<std::string_view> others;
+    std::ranges::transform(m_usable, std::inserter(others, others.end()), &member::id);
+    std::ranges::transform(m_lost_until, std::inserter(others, others.end()), [](const auto& pair) {
+        return std::string_view(pair.first);
+    });
+    others.erase(m_settings.id);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        others, [&](std::string_view id) { return rendezvous_weight(hash, id) > own; }));
 }
 
 std::vector<member> fleet_link::usable() const
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -26,6 +26,8 @@
     timestamp contact_round = std::chrono::milliseconds(1'000);
     timestamp suspicion = std::chrono::milliseconds(1'400);
     timestamp presumed_down = std::chrono::milliseconds(2'200);
+    /// How long a lost gateway counts as a holder of records: as long as records live.
+    timestamp loss_memory = std::chrono::seconds(75);
     /// A pause of this process that others may have taken for its end.
     timestamp long_pause = std::chrono::milliseconds(1'500);
 };
@@ -66,6 +68,10 @@
     /// Returns the position of this gateway among the live ones for a key; 0 is first.
     std::size_t own_rank(std::string_view key) const;
 
+    /// Returns the position of this gateway for a key among the live ones and those that were lost lately: it held what
+    /// the first two of them kept, unless it was lost itself.
+    std::size_t rank_with_lost(std::string_view key) const;
+
     /// Returns whether this gateway hears at least half of the others it knows, and was not paused lately. Others may
     /// act for it otherwise.
     bool well_connected() const;
@@ -92,6 +98,7 @@
     member own_member(std::uint64_t incarnation) const;
     std::vector<document_version> documents() const;
     void refresh(timestamp now);
+    void note_losses(const std::vector<member>& before, timestamp now);
 
     static constexpr std::size_t receive_bytes = 2'048;
 
@@ -109,6 +116,7 @@
     std::map<std::string, timestamp, std::less<>> m_last_heard;
     timestamp m_last_beat{};
     timestamp m_paused_until{};
+    std::map<std::string, timestamp, std::less<>> m_lost_until; ///< gateways that went without a handover
     std::vector<member> m_usable; ///< as of the last heartbeat or change
     std::array<std::byte, receive_bytes> m_buffer{};
 };
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -81,6 +81,7 @@
         if (other.used < record.used) {
             return; // datagrams overtake each other
         }
+        m_standing_in.erase(it->first);
         const std::uint64_t revision = record.mark_revision;
         const std::uint64_t marked = std::max(record.marked, other.marked);
         record = other;
@@ -95,7 +96,7 @@
     const auto [it, added] = m_records.try_emplace(std::string(program), other);
     program_record& record = it->second;
     if (!added) {
-        record.used = std::max(record.used, other.used);
+        record.used += other.stood_in;
         record.marked = std::max(record.marked, other.marked);
         record.unmarked = std::min(record.unmarked, other.unmarked);
         for (const auto& [id, item] : other.reserved) {
@@ -108,12 +109,9 @@
     start_reservations(record, now);
 }
 
-void budget_ledger::require_marks(std::string_view program)
+void budget_ledger::stand_in(std::string_view program)
 {
-    const auto it = m_records.find(program);
-    if (it != m_records.end()) {
-        it->second.unmarked = 0;
-    }
+    m_standing_in.emplace(program);
 }
 
 mark_order budget_ledger::order_for(const budget_request& request) const
@@ -154,7 +152,9 @@
     record.last_use = now;
     const auto turn = record.reserved.find(message.request);
     if (turn != record.reserved.end()) {
-        record.used += std::min(message.tokens, turn->second.tokens);
+        const std::uint64_t tokens = std::min(message.tokens, turn->second.tokens);
+        record.used += tokens;
+        record.stood_in += m_standing_in.contains(it->first) ? tokens : 0;
         record.reserved.erase(turn);
     }
     if (!message.session.empty() && !message.target.empty()) {
@@ -195,6 +195,7 @@
             return old;
         });
     }
+    std::erase_if(m_standing_in, [this](const std::string& id) { return !m_records.contains(id); });
     std::erase_if(m_records, [&](const auto& pair) {
         return pair.second.reserved.empty() && now - pair.second.last_use > m_rules.record_life;
     });
@@ -210,6 +211,7 @@
 {
     const auto it = m_records.find(program);
     if (it != m_records.end()) {
+        m_standing_in.erase(it->first);
         m_records.erase(it);
     }
 }
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,11 +58,11 @@
     /// Takes the record of another gateway in place of one's own copy. An older one is ignored.
     void adopt(std::string_view program, const program_record& other, timestamp now);
 
-    /// Joins the record of another gateway that has decided on the same program with one's own.
+    /// Joins the record of a gateway that stood in for this one with one's own: what it granted is added.
     void merge(std::string_view program, const program_record& other, timestamp now);
 
-    /// Takes back the permission to spend without a mark: another gateway may be spending on the same program.
-    void require_marks(std::string_view program);
+    /// Notes that turns granted from now on are decided in place of a silent owner, until the record is adopted again.
+    void stand_in(std::string_view program);
 
     /// Returns the write that is needed before the turn can be granted. Precondition: `reserve` returned needs_mark.
     mark_order order_for(const budget_request& request) const;
@@ -86,6 +87,7 @@
 
     budget_rules m_rules;
     std::map<std::string, program_record, std::less<>> m_records;
+    std::set<std::string, std::less<>> m_standing_in;
 };
 
 } // namespace lagoonferry
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -50,7 +50,7 @@
 struct program_copy {
     std::string program;
     std::optional<program_record> record;
-    bool sender_certain = false; ///< the sender would know if the program had spent anything
+    bool sender_certain = false; ///< the sender would have a record if the program had spent anything
     bool hands_over = false;     ///< the receiver owns the record from now on
 };
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -11,6 +11,11 @@
 /// Time for one call, besides the time that a watch may wait. The store answers in 4 ms, and in 240 ms when it is slow.
 constexpr milliseconds call_limit{1'000};
 
+/// Failed calls in a row after which the store counts as out of reach, and for how long after the last of them. The list
+/// of targets is read at least each 1.3 s, so the store's return is noticed.
+constexpr int failures_out_of_reach = 2;
+constexpr milliseconds out_of_reach_memory{2'500};
+
 /// Idle connections that are kept; a watch and two calls are under way at most times.
 constexpr std::size_t most_idle = 3;
 
@@ -76,10 +81,18 @@
             }
         }
     }
+    const bool failed = reply.status == store_status::unavailable || reply.status == store_status::unknown;
+    m_failures = failed ? m_failures + 1 : 0;
+    m_failed_at = failed ? loop_clock::now() : m_failed_at;
     m_observer(name, reply.status);
     co_return reply;
 }
 
+bool store_client::out_of_reach() const
+{
+    return m_failures >= failures_out_of_reach && loop_clock::now() - m_failed_at < out_of_reach_memory;
+}
+
 asio::awaitable<store_reply> store_client::read_all(std::string_view prefix)
 {
     store_reply all = co_await call("range", m_speech.read_range(prefix, {}, false), call_limit);
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -40,6 +40,10 @@
     /// Writes all items if all conditions hold.
     asio::awaitable<store_reply> write(std::span<const store_condition> conditions, std::span<const store_item> items);
 
+    /// Returns whether several calls in a row had no answer and the last one is recent. A caller that cannot wait does
+    /// without the store then.
+    bool out_of_reach() const;
+
 private:
     asio::awaitable<store_reply> call(std::string_view name, http_request request, std::chrono::milliseconds limit);
     std::unique_ptr<client_connection> take_idle();
@@ -50,6 +54,8 @@
     tcp::endpoint m_address;
     std::string m_host;
     std::vector<std::unique_ptr<client_connection>> m_idle;
+    int m_failures = 0; ///< calls in a row that were refused or had no answer
+    deadline m_failed_at{};
 };
 
 } // namespace lagoonferry
