Tell restarted gateways which others were lost

Change: lost gateways (silent, or back without a handover) are remembered for 75 s and told to restarted ones; a record counts as lost only if all its keepers are.

--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -41,10 +41,6 @@
 /// Tries to write a mark when other writers come between.
 constexpr int most_mark_tries = 4;
 
-/// A process that has run for this long would know of any program that is still under way: programs that stop may come
-/// back within a minute.
-constexpr timestamp knows_all_after = std::chrono::seconds(75);
-
 constexpr milliseconds upkeep_interval{500};
 
 /// Reservations outlast a settlement that got lost, so a settlement is sent twice.
@@ -77,10 +73,8 @@
 
 } // namespace
 
-budget_keeper::budget_keeper(asio::any_io_executor loop, fleet_link& fleet, store_client& store,
-                             bool certain_from_start)
-    : m_loop(std::move(loop)), m_fleet(fleet), m_store(store), m_certain_from_start(certain_from_start),
-      m_started(steady_now())
+budget_keeper::budget_keeper(asio::any_io_executor loop, fleet_link& fleet, store_client& store)
+    : m_loop(std::move(loop)), m_fleet(fleet), m_store(store)
 {
 }
 
@@ -94,17 +88,10 @@
     spawn(m_loop, keep_up(), "budget upkeep");
 }
 
-// A process that was not restarted or paused while programs were under way.
-bool budget_keeper::remembers_all() const
-{
-    return m_fleet.well_connected() && (m_certain_from_start || steady_now() - m_started > knows_all_after);
-}
-
-// The first two gateways for a program hold its record. Those that were lost since count with them: when both of the
-// first two are gone, nobody knows what they had granted.
+// A gateway that was cut off from most others may not have heard what they granted.
 bool budget_keeper::would_know(std::string_view program) const
 {
-    return remembers_all() && m_fleet.rank_with_lost(program) < record_holders;
+    return m_fleet.well_connected() && m_fleet.keeps_records_of(program, record_holders);
 }
 
 bool budget_keeper::silent(const std::string& id) const
@@ -210,14 +197,13 @@
         m_ledger.start_record(request, true, steady_now());
         co_return;
     }
-    const auto order = m_fleet.ranked(request.program);
-    const auto other = std::ranges::find_if(order, [&](const std::string& id) { return id != m_fleet.own_id(); });
+    const std::string other = m_fleet.other_keeper_of(request.program, record_holders);
     bool other_certain = false;
-    if (other != order.end() && !silent(*other)) {
+    if (!other.empty() && !silent(other)) {
         const auto waiting = std::make_shared<waiting_copy>(m_loop);
         m_copies[request.program] = waiting;
         for (const milliseconds span : copy_pauses) {
-            m_fleet.send(*other, datagram_kind::copy_ask, to_json(copy_request{request.program}));
+            m_fleet.send(other, datagram_kind::copy_ask, to_json(copy_request{request.program}));
             waiting->wake.expires_after(span);
             co_await waiting->wake.async_wait(no_throw);
             if (waiting->answer) {
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -17,8 +17,8 @@
 /// the next by rendezvous hashing keeps a copy. Runs on one event loop; not thread-safe.
 class budget_keeper {
 public:
-    /// `certain_from_start`: no program was under way when this process started. All references must outlive it.
-    budget_keeper(asio::any_io_executor loop, fleet_link& fleet, store_client& store, bool certain_from_start);
+    /// The references must outlive it.
+    budget_keeper(asio::any_io_executor loop, fleet_link& fleet, store_client& store);
 
     /// Registers with the fleet and starts the upkeep of records.
     void start();
@@ -63,14 +63,11 @@
     void send_copy(const std::string& program);
     void hand_over_to_owners();
     bool would_know(std::string_view program) const;
-    bool remembers_all() const;
     bool silent(const std::string& id) const;
 
     asio::any_io_executor m_loop;
     fleet_link& m_fleet;
     store_client& m_store;
-    bool m_certain_from_start;
-    timestamp m_started;
     budget_ledger m_ledger;
     std::map<std::string, std::shared_ptr<waiting_ask>, std::less<>> m_asks;    ///< by request id
     std::map<std::string, std::shared_ptr<waiting_copy>, std::less<>> m_copies; ///< by program
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -56,15 +56,18 @@
     : m_loop(loop), m_settings(settings), m_timing(timing),
       // The platform hands out no secret. The store's address keeps apart the gateways of different systems.
       m_key(settings.store.ip + ":" + std::to_string(settings.store.port)), m_socket(loop),
-      m_seed_ips(settings.seed_ips)
+      m_seed_ips(settings.seed_ips), m_started(steady_now())
 {
-    const timestamp now = steady_now();
+    const timestamp now = m_started;
     member_timing judging;
     judging.suspicion = timing.suspicion;
     judging.presumed_down = timing.presumed_down;
     m_table = std::make_unique<member_table>(own_member(first_incarnation(wall_ms())), judging, settings.datagram_port,
                                              stable_hash(settings.id), now);
     m_last_beat = boot_clock();
+    if (settings.first_start) {
+        m_losses_known_at = now;
+    }
     refresh(now);
 }
 
@@ -95,6 +98,8 @@
             field("port", m_settings.datagram_port), field("reason", ec.message()));
         return false;
     }
+    on(datagram_kind::losses_ask, [this](const auto& sender, const auto& /*body*/) { on_losses_ask(sender); });
+    on(datagram_kind::losses, [this](const auto& /*sender*/, const auto& body) { on_losses(body); });
     spawn(m_loop, receive(), "datagrams");
     spawn(m_loop, beat(), "heartbeats");
     return true;
@@ -108,6 +113,9 @@
         renew_if_superseded(now);
         send_heartbeats(now);
         refresh(now);
+        if (!m_losses_known_at) {
+            ask_for_losses();
+        }
         co_await pause(m_loop, std::chrono::duration_cast<milliseconds>(m_timing.heartbeat));
     }
 }
@@ -255,20 +263,85 @@
         }
     }
     std::erase_if(m_lost_until, [now](const auto& pair) { return pair.second < now; });
+    // Losses before the start of this process are forgotten by now.
+    if (!m_losses_known_at && now - m_started > m_timing.loss_memory) {
+        m_losses_known_at = now;
+    }
 }
 
-std::size_t fleet_link::rank_with_lost(std::string_view key) const
+bool fleet_link::knows_losses(timestamp now) const
+{
+    return m_losses_known_at && now >= *m_losses_known_at && boot_clock() >= m_paused_until;
+}
+
+// The first gateways for a key, also counting the lost ones. A record survives as long as one of them was not lost.
+std::vector<std::string> fleet_link::keepers(std::string_view key, std::size_t holders) const
 {
     const std::uint64_t hash = stable_hash(key);
-    const std::uint64_t own = rendezvous_weight(hash, m_settings.id);
-    std::set<std::string_view> others;
-    std::ranges::transform(m_usable, std::inserter(others, others.end()), &member::id);
-    std::ranges::transform(m_lost_until, std::inserter(others, others.end()), [](const auto& pair) {
-        return std::string_view(pair.first);
-    });
-    others.erase(m_settings.id);
-    return static_cast<std::size_t>(std::ranges::count_if(
-        others, [&](std::string_view id) { return rendezvous_weight(hash, id) > own; }));
+    std::set<std::string> ids;
+    std::ranges::transform(m_usable, std::inserter(ids, ids.end()), &member::id);
+    std::ranges::transform(m_lost_until, std::inserter(ids, ids.end()), [](const auto& pair) { return pair.first; });
+    std::vector<std::string> order(ids.begin(), ids.end());
+    std::ranges::sort(order, std::greater{},
+                      [hash](const std::string& id) { return rendezvous_weight(hash, id); });
+    order.resize(std::min(order.size(), holders));
+    std::erase_if(order, [this](const std::string& id) { return m_lost_until.contains(id); });
+    return order;
+}
+
+bool fleet_link::keeps_records_of(std::string_view key, std::size_t holders) const
+{
+    const auto list = keepers(key, holders);
+    return knows_losses(steady_now()) && std::ranges::find(list, m_settings.id) != list.end();
+}
+
+std::string fleet_link::other_keeper_of(std::string_view key, std::size_t holders) const
+{
+    const auto list = knows_losses(steady_now()) ? keepers(key, holders) : ranked(key);
+    const auto it = std::ranges::find_if(list, [this](const std::string& id) { return id != m_settings.id; });
+    return it == list.end() ? std::string{} : *it;
+}
+
+// A gateway that was restarted does not know which others went before its start, and whether it was itself missed.
+void fleet_link::ask_for_losses()
+{
+    constexpr std::size_t most_asked = 3;
+    std::size_t asked = 0;
+    for (const member& item : m_usable) {
+        if (item.id != m_settings.id && asked < most_asked) {
+            send(item.id, datagram_kind::losses_ask, nlohmann::json::object());
+            ++asked;
+        }
+    }
+}
+
+void fleet_link::on_losses_ask(const std::string& sender)
+{
+    const timestamp now = steady_now();
+    if (!knows_losses(now)) {
+        return;
+    }
+    nlohmann::json lost = nlohmann::json::object();
+    for (const auto& [id, until] : m_lost_until) {
+        lost[id] = (until - now).count() / 1'000;
+    }
+    send(sender, datagram_kind::losses, lost);
+}
+
+void fleet_link::on_losses(const nlohmann::json& body)
+{
+    const timestamp now = steady_now();
+    if (m_losses_known_at || !body.is_object()) {
+        return;
+    }
+    for (const auto& [id, left_ms] : body.items()) {
+        if (left_ms.is_number_integer()) {
+            m_lost_until[id] = std::max(m_lost_until[id], now + milliseconds(left_ms.get<std::int64_t>()));
+        }
+    }
+    m_losses_known_at = now + m_timing.handover;
+    log(log_part::membership, log_level::info, "Lost gateways are known.", field("count", m_lost_until.size()),
+        field("self_lost", m_lost_until.contains(m_settings.id)));
 }
 
 std::vector<member> fleet_link::usable() const
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -28,6 +28,8 @@
     timestamp presumed_down = std::chrono::milliseconds(2'200);
     /// How long a lost gateway counts as a holder of records: as long as records live.
     timestamp loss_memory = std::chrono::seconds(75);
+    /// Time in which records are handed to a gateway that has just started.
+    timestamp handover = std::chrono::milliseconds(1'500);
     /// A pause of this process that others may have taken for its end.
     timestamp long_pause = std::chrono::milliseconds(1'500);
 };
@@ -68,9 +70,12 @@
     /// Returns the position of this gateway among the live ones for a key; 0 is first.
     std::size_t own_rank(std::string_view key) const;
 
-    /// Returns the position of this gateway for a key among the live ones and those that were lost lately: it held what
-    /// the first two of them kept, unless it was lost itself.
-    std::size_t rank_with_lost(std::string_view key) const;
+    /// Returns whether this gateway would have a record that the first `holders` gateways for a key keep: it is one of
+    /// them, also counting gateways that were lost lately, and was not lost itself.
+    bool keeps_records_of(std::string_view key, std::size_t holders) const;
+
+    /// Returns another live gateway that would have such a record, or an empty text.
+    std::string other_keeper_of(std::string_view key, std::size_t holders) const;
 
     /// Returns whether this gateway hears at least half of the others it knows, and was not paused lately. Others may
     /// act for it otherwise.
@@ -99,6 +104,11 @@
     std::vector<document_version> documents() const;
     void refresh(timestamp now);
     void note_losses(const std::vector<member>& before, timestamp now);
+    void ask_for_losses();
+    void on_losses_ask(const std::string& sender);
+    void on_losses(const nlohmann::json& body);
+    std::vector<std::string> keepers(std::string_view key, std::size_t holders) const;
+    bool knows_losses(timestamp now) const;
 
     static constexpr std::size_t receive_bytes = 2'048;
 
@@ -109,6 +119,7 @@
     udp::socket m_socket;
     std::unique_ptr<member_table> m_table;
     std::vector<std::string> m_seed_ips;
+    timestamp m_started;
     std::map<datagram_kind, handler> m_handlers;
     std::function<void(std::uint64_t)> m_on_newer_document;
     std::uint64_t m_document_version = 0;
@@ -117,6 +128,7 @@
     timestamp m_last_beat{};
     timestamp m_paused_until{};
     std::map<std::string, timestamp, std::less<>> m_lost_until; ///< gateways that went without a handover
+    std::optional<timestamp> m_losses_known_at; ///< since when `m_lost_until` holds all losses
     std::vector<member> m_usable; ///< as of the last heartbeat or change
     std::array<std::byte, receive_bytes> m_buffer{};
 };
--- a/src/gateway/gateway_board.cpp
+++ b/src/gateway/gateway_board.cpp
@@ -15,7 +15,7 @@
                     targets.note_store_trouble(steady_now());
                 }
             }),
-      budgets(executor, fleet, store, settings.first_start)
+      budgets(executor, fleet, store)
 {
 }
 
--- a/src/peer/datagram_codec.h
+++ b/src/peer/datagram_codec.h
@@ -23,6 +23,8 @@
     copy = 7,
     targets = 8,
     loads = 9,
+    losses_ask = 10,
+    losses = 11,
 };
 
 /// A datagram: its kind, the identifier of the sending process and a body of that kind.
