--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -100,28 +100,33 @@
     return it != m_silent_until.end() && steady_now() < it->second;
 }
 
+// The first two by rendezvous hashing hold the record and its copy. The second stands in for an owner that is silent, or
+// that cannot reach the store while the second may.
 asio::awaitable<budget_answer> budget_keeper::reserve(budget_request request)
 {
-    // The first two by rendezvous hashing hold the record and its copy.
     std::vector<std::string> owners = m_fleet.ranked(request.program);
     owners.resize(std::min(owners.size(), record_holders));
+    budget_answer answer;
+    answer.request = request.request;
     for (const std::string& owner : owners) {
         if (owner == m_fleet.own_id()) {
-            co_return co_await decide(request);
+            answer = co_await decide(request);
         }
-        if (!silent(owner)) {
-            if (auto answer = co_await ask(owner, request)) {
-                co_return *answer;
+        else if (!silent(owner)) {
+            const auto told = co_await ask(owner, request);
+            if (!told) {
+                m_silent_until[owner] = steady_now() + silence_memory;
+                log(log_part::program, log_level::warning, "The owner of a budget does not answer.",
+                    field("owner", owner), field("program", request.program), field("request", request.request));
             }
-            m_silent_until[owner] = steady_now() + silence_memory;
-            log(log_part::program, log_level::warning, "The owner of a budget does not answer.", field("owner", owner),
-                field("program", request.program), field("request", request.request));
+            answer = told.value_or(answer);
+        }
+        if (answer.verdict != budget_verdict::undecided) {
+            break;
         }
         request.owner_silent = true;
     }
-    budget_answer none;
-    none.request = request.request;
-    co_return none;
+    co_return answer;
 }
 
 asio::awaitable<std::optional<budget_answer>> budget_keeper::ask(const std::string& owner,
