Place turns by the tokens that the session's target keeps

Cause: the last part of a prompt is the session's and grows with each turn, but placement took it as unread at the session's target, so many turns moved and read 2,000 to 4,000 tokens again. Ruled out: memory of the engines (no preemption), few slots (48, at most 20 in use). Change: the program's record keeps the target and the kept tokens of each line of turns.

--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -100,8 +100,8 @@
     return it != m_silent_until.end() && steady_now() < it->second;
 }
 
-// The first two by rendezvous hashing hold the record and its copy. The second stands in for an owner that is silent, or
-// that cannot reach the store while the second may.
+// The first two by rendezvous hashing hold the record and its copy. The second stands in for an owner that is silent,
+// or that cannot reach the store while the second may.
 asio::awaitable<budget_answer> budget_keeper::reserve(budget_request request)
 {
     std::vector<std::string> owners = m_fleet.ranked(request.program);
@@ -176,7 +176,7 @@
         switch (m_ledger.reserve(request, steady_now())) {
         case ledger_step::granted:
             answer.verdict = budget_verdict::granted;
-            answer.session_target = m_ledger.session_target(request.program, request.session);
+            answer.place = m_ledger.place_of(request.program, request.session);
             m_owned.insert(request.program);
             send_copy(request.program);
             co_return answer;
@@ -244,6 +244,9 @@
     }
     if (reply.status == store_status::ok) {
         m_ledger.set_mark(request.program, order.level, reply.revision, true);
+        log(log_part::program, log_level::info, "A budget mark is written.", field("program", request.program),
+            field("request", request.request), field("level", order.level), field("budget", request.budget),
+            field("revision", reply.revision));
         co_return true;
     }
     if (reply.status != store_status::conflict) {
@@ -259,6 +262,9 @@
         co_return true;
     }
     m_ledger.set_mark(request.program, present->level, it->revision, present->writer == writer);
+    log(log_part::program, log_level::info, "A budget mark was found.", field("program", request.program),
+        field("request", request.request), field("level", present->level), field("budget", request.budget),
+        field("writer", present->writer), field("revision", it->revision));
     co_return true;
 }
 
@@ -381,7 +387,8 @@
             return false;
         }
         if (const program_record* record = m_ledger.find(program)) {
-            m_fleet.send(order.front(), datagram_kind::copy, to_json(program_copy{program, *record, would_know(program), true}));
+            m_fleet.send(order.front(), datagram_kind::copy,
+                         to_json(program_copy{program, *record, would_know(program), true}));
         }
         return true;
     });
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <random>
 
 namespace lagoonferry {
@@ -153,7 +154,7 @@
     ask.budget = *m_call.token_budget;
     ask.tokens = m_call.max_output_tokens;
     const budget_answer answer = co_await m_board.budgets.reserve(std::move(ask));
-    m_session_target = answer.session_target;
+    m_session = answer.place;
     switch (answer.verdict) {
     case budget_verdict::granted:
         m_board.metrics.on_budget("granted");
@@ -181,7 +182,7 @@
     message.program = m_call.program;
     message.session = m_call.session;
     message.tokens = m_events * tokens_per_event();
-    message.target = m_last_target;
+    message.place = {m_last_target, prompt_tokens() + static_cast<std::uint32_t>(message.tokens)};
     m_board.budgets.settle(message);
 }
 
@@ -199,7 +200,7 @@
     placement_request request;
     request.prompt = m_call.prompt;
     request.output_tokens = static_cast<std::uint32_t>(m_call.max_output_tokens * usual_output_part);
-    request.session_target = m_session_target;
+    request.session = m_session;
     request.own_domain = m_board.settings.failure_domain;
     request.avoided = m_avoided;
     return request;
@@ -285,6 +286,12 @@
     co_return std::nullopt;
 }
 
+std::uint32_t exchange::prompt_tokens() const
+{
+    return std::accumulate(m_call.prompt.begin(), m_call.prompt.end(), std::uint32_t{0},
+                           [](std::uint32_t sum, const prompt_part& item) { return sum + item.tokens; });
+}
+
 unsigned exchange::priority() const
 {
     constexpr unsigned most = 9;
@@ -293,6 +300,18 @@
 
 http_request exchange::forwarded(const attempt& current) const
 {
+    if (log_enabled(log_part::dispatch, log_level::debug)) {
+        std::string parts;
+        for (const prompt_part& item : m_call.prompt) {
+            parts += std::to_string(item.id % 100000) + ":" + std::to_string(item.tokens) + ",";
+        }
+        log(log_part::dispatch, log_level::debug, "A request is sent.", field("request", m_call.request_id),
+            field("program", m_call.program), field("session", m_call.session), field("prompt", parts),
+            field("output", m_call.max_output_tokens), field("budget", m_call.token_budget.value_or(0)),
+            field("left_ms", m_call.program_time_left ? m_call.program_time_left->count() : -1),
+            field("target", current.target.id), field("session_target", m_session.target),
+            field("kept", m_session.kept_tokens), field("unread", current.unread_tokens));
+    }
     http_request out{m_request.method(), m_request.target(), 11};
     forward_facts facts;
     facts.time_left = time_left(m_until);
@@ -499,13 +518,14 @@
         if (m_events > events_before && first == timestamp{}) {
             first = steady_now();
             note_started(current);
-            m_board.loads.on_prompt(current.target.id, m_call.prompt, first);
         }
         if (ec) {
             current.problem = "stream: " + ec.message();
             co_return false;
         }
     }
+    const auto output = static_cast<std::uint32_t>(m_events * tokens_per_event());
+    m_board.loads.on_prompt(current.target.id, m_call.prompt, output, steady_now());
     const auto later_events = static_cast<double>(m_events - events_before) - 1;
     if (later_events >= 2) {
         const double ms = static_cast<double>((steady_now() - first).count()) / 1'000;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -74,6 +74,7 @@
     bool time_is_up() const;
     std::string_view host() const;
     std::uint32_t tokens_per_event() const;
+    std::uint32_t prompt_tokens() const;
     unsigned priority() const;
 
     gateway_board& m_board;
@@ -88,7 +89,7 @@
     client_connection* m_active = nullptr; ///< in use by the present attempt
     bool m_aborted = false;
     bool m_granted = false;             ///< tokens are reserved
-    std::string m_session_target;       ///< holds the session's prompt
+    session_place m_session;            ///< keeps the session's prompt
     std::string m_last_target;          ///< that ran the request last
     std::vector<std::string> m_ran_at;  ///< targets at which the request may have run
     std::vector<std::string> m_avoided; ///< targets that failed or refused
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -254,8 +254,8 @@
 {
     for (const member& item : before) {
         const auto present = m_table->find(item.id);
-        const bool restarted = present && process_start(present->incarnation) != process_start(item.incarnation) &&
-                               item.incarnation != 0;
+        const bool restarted =
+            present && process_start(present->incarnation) != process_start(item.incarnation) && item.incarnation != 0;
         const bool silent = present && present->state == member_state::alive &&
                             std::ranges::find(m_usable, item.id, &member::id) == m_usable.end();
         if (!present || restarted || silent || present->state == member_state::gone) {
@@ -282,8 +282,7 @@
     std::ranges::transform(m_usable, std::inserter(ids, ids.end()), &member::id);
     std::ranges::transform(m_lost_until, std::inserter(ids, ids.end()), [](const auto& pair) { return pair.first; });
     std::vector<std::string> order(ids.begin(), ids.end());
-    std::ranges::sort(order, std::greater{},
-                      [hash](const std::string& id) { return rendezvous_weight(hash, id); });
+    std::ranges::sort(order, std::greater{}, [hash](const std::string& id) { return rendezvous_weight(hash, id); });
     order.resize(std::min(order.size(), holders));
     std::erase_if(order, [this](const std::string& id) { return m_lost_until.contains(id); });
     return order;
@@ -395,7 +394,11 @@
 
 void fleet_link::broadcast(datagram_kind kind, const nlohmann::json& body)
 {
-    for (const member& to : m_usable) {
+    const timestamp now = steady_now();
+    for (const member& to : m_table->members(member_role::entry)) {
+        if (m_table->judge(to.id, now) == member_judgement::presumed_down) {
+            continue;
+        }
         const auto address = endpoint_of(to.address.ip, to.address.datagram_port);
         if (address && to.id != m_settings.id) {
             send_to(*address, kind, body);
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -87,7 +87,7 @@
     /// Sends to one gateway. Datagrams may be lost; an unknown receiver is ignored.
     void send(std::string_view id, datagram_kind kind, const nlohmann::json& body);
 
-    /// Sends to all live gateways.
+    /// Sends to all live gateways, also to those that are stopping.
     void broadcast(datagram_kind kind, const nlohmann::json& body);
 
     const std::string& own_id() const { return m_settings.id; }
@@ -128,8 +128,8 @@
     timestamp m_last_beat{};
     timestamp m_paused_until{};
     std::map<std::string, timestamp, std::less<>> m_lost_until; ///< gateways that went without a handover
-    std::optional<timestamp> m_losses_known_at; ///< since when `m_lost_until` holds all losses
-    std::vector<member> m_usable; ///< as of the last heartbeat or change
+    std::optional<timestamp> m_losses_known_at;                 ///< since when `m_lost_until` holds all losses
+    std::vector<member> m_usable;                               ///< as of the last heartbeat or change
     std::array<std::byte, receive_bytes> m_buffer{};
 };
 
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -102,8 +102,8 @@
         for (const auto& [id, item] : other.reserved) {
             record.reserved.try_emplace(id, item);
         }
-        for (const auto& [session, target] : other.session_targets) {
-            record.session_targets[session] = target;
+        for (const auto& [session, place] : other.sessions) {
+            record.sessions[session] = place;
         }
     }
     start_reservations(record, now);
@@ -157,11 +157,13 @@
         record.stood_in += m_standing_in.contains(it->first) ? tokens : 0;
         record.reserved.erase(turn);
     }
-    if (!message.session.empty() && !message.target.empty()) {
-        if (record.session_targets.size() >= most_sessions && !record.session_targets.contains(message.session)) {
-            record.session_targets.erase(record.session_targets.begin());
+    if (!message.session.empty() && !message.place.target.empty()) {
+        if (record.sessions.size() >= most_sessions && !record.sessions.contains(message.session)) {
+            const auto other =
+                std::ranges::find_if(record.sessions, [&](const auto& pair) { return pair.first != message.program; });
+            record.sessions.erase(other);
         }
-        record.session_targets[message.session] = message.target;
+        record.sessions[message.session] = message.place;
     }
     return true;
 }
@@ -172,18 +174,17 @@
     return it == m_records.end() ? nullptr : &it->second;
 }
 
-std::string budget_ledger::session_target(std::string_view program, std::string_view session) const
+session_place budget_ledger::place_of(std::string_view program, std::string_view session) const
 {
     const program_record* record = find(program);
     if (record == nullptr) {
         return {};
     }
-    const auto it = record->session_targets.find(session);
-    if (it != record->session_targets.end()) {
-        return it->second;
+    auto it = record->sessions.find(session);
+    if (it == record->sessions.end()) {
+        it = record->sessions.find(program);
     }
-    // A new line of turns begins with the prompt of the line that started it.
-    return record->session_targets.empty() ? std::string{} : record->session_targets.begin()->second;
+    return it == record->sessions.end() ? session_place{} : it->second;
 }
 
 void budget_ledger::expire(timestamp now)
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -74,7 +74,8 @@
     bool settle(const budget_settlement& message, timestamp now);
 
     const program_record* find(std::string_view program) const;
-    std::string session_target(std::string_view program, std::string_view session) const;
+    /// Returns where a line of turns ran last, or the line that started it. The first line has the program's name.
+    session_place place_of(std::string_view program, std::string_view session) const;
 
     /// Counts reservations whose end was not told in full, and forgets old records.
     void expire(timestamp now);
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -20,6 +20,16 @@
     }
 }
 
+json to_json(const session_place& place)
+{
+    return {place.target, place.kept_tokens};
+}
+
+session_place place_from(const json& message)
+{
+    return {message.at(0).get<std::string>(), message.at(1).get<std::uint32_t>()};
+}
+
 json reservations_json(const program_record& record)
 {
     json list = json::array();
@@ -40,7 +50,9 @@
     for (const json& item : message.at("r")) {
         record.reserved[item.at(0).get<std::string>()] = {item.at(1).get<std::uint64_t>(), timestamp{}};
     }
-    record.session_targets = message.at("s").get<std::map<std::string, std::string, std::less<>>>();
+    for (const auto& [session, place] : message.at("s").items()) {
+        record.sessions[session] = place_from(place);
+    }
     return record;
 }
 
@@ -54,7 +66,7 @@
 
 json to_json(const budget_answer& message)
 {
-    return {{"q", message.request}, {"v", static_cast<int>(message.verdict)}, {"s", message.session_target}};
+    return {{"q", message.request}, {"v", static_cast<int>(message.verdict)}, {"s", to_json(message.place)}};
 }
 
 json to_json(const budget_settlement& message)
@@ -63,7 +75,7 @@
             {"p", message.program},
             {"s", message.session},
             {"t", message.tokens},
-            {"a", message.target}};
+            {"a", to_json(message.place)}};
 }
 
 json to_json(const copy_request& message)
@@ -81,7 +93,10 @@
         out["m"] = message.record->marked;
         out["f"] = message.record->unmarked;
         out["r"] = reservations_json(*message.record);
-        out["s"] = message.record->session_targets;
+        out["s"] = json::object();
+        for (const auto& [session, place] : message.record->sessions) {
+            out["s"][session] = to_json(place);
+        }
     }
     return out;
 }
@@ -103,7 +118,7 @@
                              verdict == static_cast<int>(budget_verdict::granted) ? budget_verdict::granted
                              : verdict == static_cast<int>(budget_verdict::spent) ? budget_verdict::spent
                                                                                   : budget_verdict::undecided,
-                             message.at("s").get<std::string>()};
+                             place_from(message.at("s"))};
     });
 }
 
@@ -112,7 +127,7 @@
     return read_or_nothing([&] {
         return budget_settlement{message.at("q").get<std::string>(), message.at("p").get<std::string>(),
                                  message.at("s").get<std::string>(), message.at("t").get<std::uint64_t>(),
-                                 message.at("a").get<std::string>()};
+                                 place_from(message.at("a"))};
     });
 }
 
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -29,7 +29,7 @@
 struct budget_answer {
     std::string request;
     budget_verdict verdict = budget_verdict::undecided;
-    std::string session_target; ///< where the session's last turn ran
+    session_place place; ///< of the session, or of the line that started it
 };
 
 /// Tells the owner the end of a turn.
@@ -38,7 +38,7 @@
     std::string program;
     std::string session;
     std::uint64_t tokens = 0; ///< that the caller got
-    std::string target;       ///< where it ran; empty: nowhere
+    session_place place;      ///< where it ran
 };
 
 /// Asks the holder of the copy whether it knows a program.
--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_loads.cpp
@@ -119,22 +119,29 @@
                                    timestamp now)
 {
     double unread = 0;
-    bool whole = true;
-    const bool holds_session = target.id == request.session_target;
+    double all = 0;
+    bool whole = true; // all parts so far are kept; what follows a missing token is read again
     for (std::size_t n = 0; n < request.prompt.size(); ++n) {
         const prompt_part& part = request.prompt[n];
         const auto it = item.parts.find(part.id);
-        const bool kept = it != item.parts.end() && now - it->second < part_memory;
-        // The target of the former turn holds all but what came after it, which is about the last part.
-        const bool of_session = holds_session && n + 1 < request.prompt.size();
+        const bool known = it != item.parts.end() && now - it->second.used < part_memory;
         const bool shared = n == 0 && request.prompt.size() > 1;
-        if (!kept && !of_session) {
-            unread += shared ? part.tokens * shared_part_unread : part.tokens;
-            whole = whole && shared;
+        double missing = part.tokens;
+        if (known && whole) {
+            missing -= std::min(part.tokens, it->second.tokens);
+            whole = missing <= 0;
         }
-        else if (!whole) {
-            unread += part.tokens;
+        else if (shared) {
+            missing *= shared_part_unread;
         }
+        else {
+            whole = false;
+        }
+        unread += missing;
+        all += part.tokens;
+    }
+    if (target.id == request.session.target) {
+        unread = std::min(unread, std::max(0.0, all - request.session.kept_tokens));
     }
     return unread;
 }
@@ -272,17 +279,19 @@
     learn_pace(id, ms, now);
 }
 
-void target_loads::on_prompt(std::string_view id, std::span<const prompt_part> prompt, timestamp now)
+void target_loads::on_prompt(std::string_view id, std::span<const prompt_part> prompt, std::uint32_t output,
+                             timestamp now)
 {
     row* item = find(id);
-    if (item == nullptr) {
+    if (item == nullptr || prompt.empty()) {
         return;
     }
     for (const prompt_part& part : prompt) {
-        item->parts[part.id] = now;
+        item->parts[part.id] = {part.tokens, now};
     }
+    item->parts[prompt.back().id].tokens += output;
     if (item->parts.size() > most_parts) {
-        std::erase_if(item->parts, [now](const auto& pair) { return now - pair.second > part_memory / 2; });
+        std::erase_if(item->parts, [now](const auto& pair) { return now - pair.second.used > part_memory / 2; });
     }
 }
 
--- a/src/routing/target_loads.h
+++ b/src/routing/target_loads.h
@@ -2,6 +2,7 @@
 
 #include "gateway/answer_facts.h"
 #include "gateway/call_facts.h"
+#include "ledger/session_place.h"
 #include "routing/target_record.h"
 #include "util/time.h"
 
@@ -19,7 +20,7 @@
 struct placement_request {
     std::span<const prompt_part> prompt;
     std::uint32_t output_tokens = 0;      ///< expected
-    std::string_view session_target;      ///< holds the prompt so far; empty: not known
+    session_place session;                ///< keeps the prompt so far
     std::string_view own_domain;          ///< failure domain of this gateway
     std::span<const std::string> avoided; ///< targets at which this request has failed
 };
@@ -69,8 +70,8 @@
     /// Notes the time of a whole answer of a plain service.
     void on_service_time(std::string_view id, double ms, timestamp now);
 
-    /// Notes which prompt a target has read.
-    void on_prompt(std::string_view id, std::span<const prompt_part> prompt, timestamp now);
+    /// Notes that a target has read a prompt and made `output` tokens behind its last part.
+    void on_prompt(std::string_view id, std::span<const prompt_part> prompt, std::uint32_t output, timestamp now);
 
     /// Notes a broken connection, a wrong answer or a time-out.
     void on_failure(std::string_view id, timestamp now);
@@ -84,6 +85,12 @@
     std::uint32_t in_flight(std::string_view id) const;
 
 private:
+    /// A part of a prompt that a target keeps. The part of a session grows with each turn.
+    struct kept_part {
+        std::uint32_t tokens = 0;
+        timestamp used{};
+    };
+
     struct row {
         std::uint64_t start = 0;
         std::uint32_t in_flight = 0;
@@ -95,7 +102,7 @@
         std::uint32_t failures = 0; ///< in a row
         timestamp failed_at{};
         timestamp refused_until{};
-        std::map<std::uint64_t, timestamp> parts; ///< prompt parts, with their last use
+        std::map<std::uint64_t, kept_part> parts;
     };
 
     struct peer {
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -1,5 +1,7 @@
 #include "store/store_client.h"
 
+#include "util/log.h"
+
 #include <string>
 
 namespace lagoonferry {
@@ -11,8 +13,8 @@
 /// Time for one call, besides the time that a watch may wait. The store answers in 4 ms, and in 240 ms when it is slow.
 constexpr milliseconds call_limit{1'000};
 
-/// Failed calls in a row after which the store counts as out of reach, and for how long after the last of them. The list
-/// of targets is read at least each 1.3 s, so the store's return is noticed.
+/// Failed calls in a row after which the store counts as out of reach, and for how long after the last of them. The
+/// list of targets is read at least each 1.3 s, so the store's return is noticed.
 constexpr int failures_out_of_reach = 2;
 constexpr milliseconds out_of_reach_memory{2'500};
 
@@ -84,6 +86,8 @@
     const bool failed = reply.status == store_status::unavailable || reply.status == store_status::unknown;
     m_failures = failed ? m_failures + 1 : 0;
     m_failed_at = failed ? loop_clock::now() : m_failed_at;
+    log(log_part::platform, log_level::debug, "The store was called.", field("call", name),
+        field("target", to_std(request.target())), field("status", static_cast<int>(reply.status)));
     m_observer(name, reply.status);
     co_return reply;
 }
