--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_loads.cpp
@@ -17,6 +17,10 @@
 /// Growth of a step with each other request in the batch: its tokens, and the share of steps that read its prompt.
 constexpr double batch_growth = 0.03;
 
+/// Part of the time to read a prompt that each other request at the target waits for it. Without it turns leave a busy
+/// target for one that has to read their whole prompt, and make that one busy.
+constexpr double delay_of_others = 0.8;
+
 /// A waiting request delays ours by about a step of the batch and its prompt.
 constexpr double waiting_ms = 40;
 
@@ -175,10 +179,11 @@
     const double waiting = std::max(0.0, present.in_flight + 1.0 - target.slots);
     double ms = 0;
     if (!request.prompt.empty()) {
-        const double tokens = unread_tokens(target, item, request, now) + present.unread_tokens;
-        const double reading = tokens * prompt_ms_per_token * pace / usual_ms_per_token;
-        ms = (reading + request.output_tokens * pace) * slowness * (1 + batch_growth * present.in_flight) +
-             waiting * waiting_ms;
+        const double ms_per_unread = prompt_ms_per_token * pace / usual_ms_per_token * slowness;
+        const double own = unread_tokens(target, item, request, now) * ms_per_unread;
+        const double ahead = present.unread_tokens * ms_per_unread;
+        ms = ahead + own * (1 + delay_of_others * present.in_flight) +
+             request.output_tokens * pace * slowness * (1 + batch_growth * present.in_flight) + waiting * waiting_ms;
     }
     else {
         ms = pace * slowness * (1 + waiting / target.slots + service_growth * present.in_flight / target.slots);
