End a storm of calls in large fleets and avoid targets that fail fast

Five engines that answered 500 at once drew 3,973 turns, because an error counted as success and each gateway saw few of them. Change: a gateway that catches up waits 400 ms and tells nobody; errors of a target count as failures and are told to the others with the loads; the routing document comes from another gateway if there is one; failed reads of it back off; watches last 25 s.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -104,6 +104,9 @@
         if (m_kind == listener_kind::callers) {
             co_await serve_caller(request);
         }
+        else if (m_kind == listener_kind::peers) {
+            co_await serve_peer(request);
+        }
         else {
             co_await serve_local(request);
         }
@@ -200,6 +203,14 @@
     }
 }
 
+asio::awaitable<void> client_session::serve_peer(const http_request& request)
+{
+    http_fields fields;
+    const bool known = m_board.routes != nullptr && to_std(request.target()) == document_path;
+    const std::string body = known ? m_board.document_text : std::string{};
+    co_await send_whole(known ? 200 : 404, fields, body);
+}
+
 asio::awaitable<void> client_session::serve_local(const http_request& request)
 {
     const std::string_view target = to_std(request.target());
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -16,6 +16,7 @@
 enum class listener_kind {
     callers, ///< requests by the routing document
     local,   ///< readiness, addresses and metrics
+    peers,   ///< the routing document, for other gateways
 };
 
 /// One connection of a caller. Requests follow one another; the end of the connection cancels the work on the present
@@ -32,6 +33,7 @@
     asio::awaitable<void> run();
     asio::awaitable<bool> read_request(http_request& out);
     asio::awaitable<void> serve_caller(const http_request& request);
+    asio::awaitable<void> serve_peer(const http_request& request);
     asio::awaitable<void> serve_local(const http_request& request);
     asio::awaitable<void> send_metrics(http_fields fields);
     static asio::awaitable<void> watch_for_close(std::shared_ptr<client_session> self, std::weak_ptr<exchange> running);
--- a/src/gateway/document_feed.cpp
+++ b/src/gateway/document_feed.cpp
@@ -1,5 +1,6 @@
 #include "gateway/document_feed.h"
 
+#include "net/client_connection.h"
 #include "net/pause.h"
 #include "net/spawn.h"
 
@@ -13,10 +14,20 @@
 using std::chrono::milliseconds;
 
 /// How long one watch waits. A shorter wait costs calls; a silent connection is noticed by its keep-alive probes.
-constexpr milliseconds watch_wait{12'000};
+constexpr milliseconds watch_wait{25'000};
 
-/// Pause after a failed call to the store.
+/// Pause after a failed call to the store; it doubles with each further one.
 constexpr milliseconds failure_pause{250};
+constexpr milliseconds longest_failure_pause{1'000};
+
+/// Time for the answer of another gateway.
+constexpr milliseconds peer_limit{500};
+
+/// Other gateways that are asked for the document in one round.
+constexpr std::size_t peers_asked = 2;
+
+/// A document that is passed on between gateways, bytes at most.
+constexpr std::size_t document_limit = 1'048'576;
 
 /// Gateways that try to acknowledge an order, each after the one before it had this time.
 constexpr std::size_t acknowledging_gateways = 3;
@@ -40,6 +51,7 @@
 
 asio::awaitable<void> document_feed::run()
 {
+    milliseconds next_pause = failure_pause;
     while (true) {
         const bool done = m_loaded ? co_await wait_for_changes() : co_await read_all();
         if (done != m_board.routes_confirmed) {
@@ -49,10 +61,16 @@
                 field("revision", m_revision));
         }
         m_board.routes_confirmed = done;
-        if (!done) {
-            m_loaded = false;
-            co_await pause(m_board.loop, failure_pause);
+        if (done) {
+            next_pause = failure_pause;
+            continue;
+        }
+        m_loaded = false;
+        if (!m_board.routes) {
+            co_await read_from_peers();
         }
+        co_await pause(m_board.loop, next_pause);
+        next_pause = std::min(next_pause * 2, longest_failure_pause);
     }
 }
 
@@ -92,22 +110,66 @@
 {
     log(log_part::document, log_level::info, "Another gateway knows a newer routing document.",
         field("version", version));
-    const store_reply reply = co_await m_board.store.read(m_board.speech.layout().routing_document);
-    if (reply.status == store_status::ok) {
-        take(reply.found.items, "heartbeat");
-    }
-    else {
-        co_await pause(m_board.loop, failure_pause);
+    // The store may turn this machine away, or be slow; the gateway that told has the document.
+    if (!co_await read_from_peers()) {
+        const store_reply reply = co_await m_board.store.read(m_board.speech.layout().routing_document);
+        if (reply.status == store_status::ok) {
+            take(reply.found.items, "heartbeat");
+        }
+        else {
+            co_await pause(m_board.loop, longest_failure_pause);
+        }
     }
     m_reading_newer = false;
 }
 
+// Asks a few others in turn. Returns whether one of them had a newer document.
+asio::awaitable<bool> document_feed::read_from_peers()
+{
+    const std::vector<member> peers = m_board.fleet.usable();
+    const std::uint64_t before = m_board.routes ? m_board.routes->document().version : 0;
+    std::size_t asked = 0;
+    for (std::size_t n = 0; n < peers.size() && asked < peers_asked; ++n) {
+        const member& peer = peers[m_next_peer++ % peers.size()];
+        error_code ec;
+        const auto ip = asio::ip::make_address(peer.address.ip, ec);
+        if (ec || peer.id == m_board.settings.id) {
+            continue;
+        }
+        ++asked;
+        const deadline until = deadline_after(peer_limit);
+        client_connection connection(m_board.loop);
+        ec = co_await connection.connect({ip, m_board.settings.peers.port}, until);
+        http_request ask{http::verb::get, std::string(document_path), 11};
+        ask.set(http::field::host, peer.address.ip);
+        if (!ec) {
+            ec = co_await connection.send(ask, until);
+        }
+        std::string text;
+        answer_reader answer(connection);
+        if (!ec) {
+            ec = co_await answer.read_head(until);
+        }
+        if (!ec) {
+            ec = co_await answer.read_rest(text, document_limit, until);
+        }
+        if (ec || answer.status() != 200) {
+            continue;
+        }
+        take_text(text, 0, peer.id);
+        if (m_board.routes && m_board.routes->document().version > before) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
 void document_feed::take(std::span<const store_item> items, std::string_view source)
 {
     const store_layout& layout = m_board.speech.layout();
     for (const store_item& item : items) {
         if (item.key == layout.routing_document && !item.removed) {
-            take_document(item, source);
+            take_text(item.value, item.revision, source);
         }
         else if (item.key.starts_with(layout.empty_orders) && !item.removed) {
             const std::string machine = item.key.substr(layout.empty_orders.size());
@@ -120,13 +182,13 @@
     }
 }
 
-void document_feed::take_document(const store_item& item, std::string_view source)
+void document_feed::take_text(const std::string& text, std::uint64_t revision, std::string_view source)
 {
     failure reason;
-    auto document = m_board.speech.read_routing(item.value, reason);
+    auto document = m_board.speech.read_routing(text, reason);
     if (!document) {
-        log(log_part::document, log_level::error, "The routing document cannot be read.",
-            field("revision", item.revision), field("reason", reason.text));
+        log(log_part::document, log_level::error, "The routing document cannot be read.", field("revision", revision),
+            field("reason", reason.text));
         return;
     }
     const std::uint64_t present = m_board.routes ? m_board.routes->document().version : 0;
@@ -134,10 +196,11 @@
         return;
     }
     log(log_part::document, log_level::info, "A routing document is in force.", field("version", document->version),
-        field("former", present), field("revision", item.revision), field("routes", document->routes.size()),
+        field("former", present), field("revision", revision), field("routes", document->routes.size()),
         field("source", source));
     m_board.fleet.set_document_version(document->version);
     m_board.routes = std::make_shared<const route_table>(std::move(*document));
+    m_board.document_text = text;
 }
 
 // No gateway keeps anything on disks, so a machine is empty at once. The order's place among the gateways is by the
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -392,6 +392,22 @@
     }
 }
 
+// An error that the target itself answers counts as a failure of the target, but is passed on.
+void exchange::note_status(const attempt& current)
+{
+    constexpr unsigned first_error = 500;
+    const timestamp now = steady_now();
+    if (current.reader->status() >= first_error) {
+        m_board.loads.on_failure(current.target.id, now);
+        return;
+    }
+    m_board.loads.on_success(current.target.id);
+    if (m_route->rule != repeat_rule::event_stream) {
+        m_board.loads.on_service_time(current.target.id, static_cast<double>((now - current.sent).count()) / 1'000,
+                                      now);
+    }
+}
+
 void exchange::fail_attempt(attempt& current)
 {
     const bool stream = m_route->rule == repeat_rule::event_stream;
@@ -445,9 +461,7 @@
             current->problem = ec ? "body: " + ec.message() : genuine ? "" : "the answer is not signed by the target";
         }
         if (whole) {
-            m_board.loads.on_success(current->target.id);
-            m_board.loads.on_service_time(
-                current->target.id, static_cast<double>((steady_now() - current->sent).count()) / 1'000, steady_now());
+            note_status(*current);
             m_board.metrics.on_attempt("answered");
             m_last_target = current->target.id;
             const unsigned status = current->reader->status();
@@ -557,6 +571,7 @@
                 const unsigned status = current->reader->status();
                 http_fields fields;
                 m_board.speech.write_answer_fields(fields, current->reader->fields());
+                note_status(*current);
                 end_attempt(*current, true);
                 co_await m_sink.send_whole(status, std::move(fields), body);
                 note_result("target_error", std::to_string(status));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -69,6 +69,7 @@
     http_request forwarded(const attempt& current) const;
     void end_attempt(attempt& current, bool reusable);
     void fail_attempt(attempt& current);
+    void note_status(const attempt& current);
     void note_result(std::string_view outcome, std::string_view reason);
     void settle();
     bool time_is_up() const;
--- a/src/gateway/gateway_board.h
+++ b/src/gateway/gateway_board.h
@@ -12,9 +12,14 @@
 #include "store/store_client.h"
 
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace lagoonferry {
 
+/// Path at which gateways give each other the routing document.
+inline constexpr std::string_view document_path = "/document";
+
 /// What the parts of a gateway process share. Each member has one writer, named beside it. Runs on one event loop; not
 /// thread-safe.
 struct gateway_board {
@@ -31,6 +36,7 @@
     store_client store;
     budget_keeper budgets;
     std::shared_ptr<const route_table> routes; ///< in force; written by document_feed; nullptr until one is known
+    std::string document_text;                 ///< of `routes`, for other gateways; written by document_feed
     bool routes_confirmed = false;             ///< the store would tell a newer document; written by document_feed
     bool stopping = false;                     ///< written by the role
     std::size_t caller_connections = 0;        ///< written by sessions
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -122,6 +122,7 @@
         const gateway_settings& settings = m_board.settings;
         return listen_for_sessions(m_board, settings.callers, listener_kind::callers) &&
                listen_for_sessions(m_board, settings.readiness, listener_kind::local) &&
+               (settings.peers.port == 0 || listen_for_sessions(m_board, settings.peers, listener_kind::peers)) &&
                (settings.lookup.port == 0 || listen_for_sessions(m_board, settings.lookup, listener_kind::local));
     }
 
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -38,7 +38,7 @@
     while (true) {
         const std::size_t fleet = std::max(usual_fleet, m_board.fleet.usable().size());
         co_await pause(m_board.loop, base_interval * fleet / usual_fleet);
-        std::vector<target_share> shares = m_board.loads.own_shares();
+        std::vector<target_share> shares = m_board.loads.own_shares(steady_now());
         const bool repeat = !shares.empty() && steady_now() - m_told_at > repeat_interval;
         if (shares == m_told && !repeat) {
             continue;
@@ -48,7 +48,7 @@
         }
         nlohmann::json body = nlohmann::json::array();
         for (const target_share& item : shares) {
-            body.push_back({item.id, item.in_flight, item.unread_tokens});
+            body.push_back({item.id, item.in_flight, item.unread_tokens, item.failures});
         }
         m_board.fleet.broadcast(datagram_kind::loads, body);
         m_told = std::move(shares);
@@ -61,8 +61,8 @@
     try {
         std::vector<target_share> shares;
         for (const nlohmann::json& item : body) {
-            shares.push_back(
-                {item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>(), item.at(2).get<std::uint32_t>()});
+            shares.push_back({item.at(0).get<std::string>(), item.at(1).get<std::uint32_t>(),
+                              item.at(2).get<std::uint32_t>(), item.at(3).get<std::uint32_t>()});
         }
         m_board.loads.on_peer_shares(sender, std::move(shares), steady_now());
     }
--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -20,6 +20,10 @@
 /// Pause after a failed call to the store.
 constexpr milliseconds failure_pause{400};
 
+/// Least time between two calls of a gateway that has missed a datagram. In a large fleet datagrams are lost together,
+/// and all would call the store at once and again.
+constexpr milliseconds catch_up_interval{400};
+
 /// Changes in one datagram. A target's facts are about 150 bytes.
 constexpr std::size_t most_changes = 6;
 
@@ -69,10 +73,11 @@
 
 timestamp target_feed::due() const
 {
-    if (!m_loaded || m_behind) {
+    if (!m_loaded) {
         return steady_now();
     }
-    return m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key));
+    const timestamp by_age = m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key));
+    return m_behind ? std::min(by_age, m_called_at + catch_up_interval) : by_age;
 }
 
 asio::awaitable<void> target_feed::run()
@@ -84,7 +89,10 @@
             co_await m_wake.async_wait(no_throw);
             continue;
         }
-        const bool done = m_loaded ? co_await read_changes() : co_await read_all();
+        // A gateway that only catches up tells nobody: the others would have to catch up with it in turn.
+        const bool by_age = m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key)) <= steady_now();
+        m_called_at = steady_now();
+        const bool done = m_loaded ? co_await read_changes(by_age) : co_await read_all();
         if (!done) {
             co_await pause(m_board.loop, failure_pause);
         }
@@ -106,7 +114,7 @@
     co_return true;
 }
 
-asio::awaitable<bool> target_feed::read_changes()
+asio::awaitable<bool> target_feed::read_changes(bool tell_others)
 {
     const std::uint64_t from = m_board.targets.revision();
     const store_reply reply = co_await m_board.store.watch(m_board.speech.layout().targets, from, milliseconds(0));
@@ -124,7 +132,9 @@
     note_news(news, "changes");
     m_fresh_at = steady_now();
     m_behind = false;
-    tell(from, news);
+    if (tell_others) {
+        tell(from, news);
+    }
     co_return true;
 }
 
@@ -186,8 +196,10 @@
             return;
         }
         if (from > m_board.targets.revision()) {
-            m_behind = true;
-            m_wake.cancel();
+            if (!m_behind) {
+                m_behind = true;
+                m_wake.cancel();
+            }
             return;
         }
         std::vector<target_change> changes;
--- a/src/gateway/target_feed.h
+++ b/src/gateway/target_feed.h
@@ -25,7 +25,7 @@
 private:
     asio::awaitable<void> run();
     asio::awaitable<bool> read_all();
-    asio::awaitable<bool> read_changes();
+    asio::awaitable<bool> read_changes(bool tell_others);
     std::vector<target_change> decode(std::span<const store_item> items);
     void tell(std::uint64_t from, std::span<const target_change> news);
     void on_told(const nlohmann::json& body);
@@ -34,8 +34,8 @@
 
     gateway_board& m_board;
     asio::steady_timer m_wake;
-    timestamp m_fresh_at{};    ///< the list was known to be current
-    timestamp m_failed_at{-1}; ///< the last call failed
+    timestamp m_fresh_at{}; ///< the list was known to be current
+    timestamp m_called_at{-1};
     bool m_loaded = false;
     bool m_behind = false;                           ///< news was told that starts behind what is known
     std::set<std::string, std::less<>> m_unreadable; ///< entries whose fault is logged
--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_loads.cpp
@@ -48,7 +48,13 @@
 /// A failure counts as this much delay, doubled with each further one in a row, and halves in `failure_memory_ms`.
 constexpr double failure_ms = 120;
 constexpr double failure_memory_ms = 700;
-constexpr std::uint32_t most_failures_counted = 5;
+constexpr std::uint32_t most_failures_counted = 6;
+
+/// Failures in a row at another gateway that count here too. A single one may be of the way between the two.
+constexpr std::uint32_t failures_believed = 2;
+
+/// Failures are told to others for this time.
+constexpr milliseconds failures_told{3'000};
 
 /// Pause after a refusal: about the time in which a full target ends a request.
 constexpr milliseconds refusal_pause{80};
@@ -157,7 +163,7 @@
 
 target_share target_loads::all_shares(const target_record& target, const row& item, timestamp now) const
 {
-    target_share sum{target.id, item.in_flight, item.unread_tokens};
+    target_share sum{target.id, item.in_flight, item.unread_tokens, 0};
     for (const auto& [gateway, told] : m_peers) {
         const auto it = std::ranges::find(told.shares, target.id, &target_share::id);
         if (it != told.shares.end() && now - told.told < peer_memory) {
@@ -191,11 +197,24 @@
     if (target.failure_domain != request.own_domain) {
         ms += other_domain_ms;
     }
-    if (item.failures > 0) {
-        const auto doublings = static_cast<double>(std::min(item.failures, most_failures_counted) - 1);
-        ms += halved(failure_ms * std::exp2(doublings), ms_between(item.failed_at, now), failure_memory_ms);
+    return ms + failure_penalty_ms(target, item, now);
+}
+
+// A target that fails fast looks free. What other gateways have seen counts as well, since each sends it little.
+double target_loads::failure_penalty_ms(const target_record& target, const row& item, timestamp now) const
+{
+    const auto penalty = [](std::uint32_t failures, double age_ms) {
+        const auto counted = static_cast<double>(std::min(failures, most_failures_counted));
+        return failures == 0 ? 0.0 : halved(failure_ms * std::exp2(counted - 1), age_ms, failure_memory_ms * counted);
+    };
+    double worst = penalty(item.failures, ms_between(item.failed_at, now));
+    for (const auto& [gateway, told] : m_peers) {
+        const auto it = std::ranges::find(told.shares, target.id, &target_share::id);
+        if (it != told.shares.end() && it->failures >= failures_believed) {
+            worst = std::max(worst, penalty(it->failures, ms_between(told.told, now)));
+        }
     }
-    return ms;
+    return worst;
 }
 
 const target_record* target_loads::choose(std::span<const target_record* const> candidates,
@@ -239,12 +258,13 @@
     }
 }
 
-std::vector<target_share> target_loads::own_shares() const
+std::vector<target_share> target_loads::own_shares(timestamp now) const
 {
     std::vector<target_share> shares;
     for (const auto& [id, item] : m_rows) {
-        if (item.in_flight > 0) {
-            shares.push_back({id, item.in_flight, item.unread_tokens});
+        const bool failing = item.failures > 0 && now - item.failed_at < failures_told;
+        if (item.in_flight > 0 || failing) {
+            shares.push_back({id, item.in_flight, item.unread_tokens, failing ? item.failures : 0});
         }
     }
     return shares;
--- a/src/routing/target_loads.h
+++ b/src/routing/target_loads.h
@@ -30,6 +30,7 @@
     std::string id;
     std::uint32_t in_flight = 0;
     std::uint32_t unread_tokens = 0; ///< of prompts whose first event has not come
+    std::uint32_t failures = 0;      ///< in a row, if the last one is recent
 
     bool operator==(const target_share&) const = default;
 };
@@ -56,7 +57,7 @@
     std::uint32_t unread_tokens(const target_record& target, const placement_request& request, timestamp now);
 
     /// Returns the requests of this gateway, for the others.
-    std::vector<target_share> own_shares() const;
+    std::vector<target_share> own_shares(timestamp now) const;
 
     /// Notes the requests of another gateway, which replace the ones that it told before.
     void on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now);
@@ -73,7 +74,7 @@
     /// Notes that a target has read a prompt and made `output` tokens behind its last part.
     void on_prompt(std::string_view id, std::span<const prompt_part> prompt, std::uint32_t output, timestamp now);
 
-    /// Notes a broken connection, a wrong answer or a time-out.
+    /// Notes a broken connection, a wrong answer, a time-out or an error of the target itself.
     void on_failure(std::string_view id, timestamp now);
 
     /// Notes that a target refused a request that it did not run.
@@ -118,6 +119,7 @@
     row& row_of(const target_record& target);
     row* find(std::string_view id);
     double usual_pace(std::span<const target_record* const> candidates, double fallback) const;
+    double failure_penalty_ms(const target_record& target, const row& item, timestamp now) const;
     double estimate_ms(const target_record& target, const row& item, const placement_request& request,
                        double common_pace, timestamp now) const;
     static double expected_work_factor(const row& item, timestamp now);
