--- /dev/null
+++ b/tests/budget_ledger_test.cpp
@@ -0,0 +1,264 @@
+#include "ledger/budget_ledger.h"
+#include "ledger/budget_messages.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+using namespace lagoonferry;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t budget = 1'000;
+constexpr std::uint64_t turn = 100;
+
+budget_request ask(std::string id, std::uint64_t tokens = turn, std::string session = "p")
+{
+    return {std::move(id), "p", std::move(session), budget, tokens, false};
+}
+
+budget_settlement settled(std::string id, std::uint64_t tokens, std::string target = "t", std::string session = "p")
+{
+    return {std::move(id), "p", std::move(session), tokens, {std::move(target), 500}};
+}
+
+/// The mark of one program in the store.
+struct mark_store {
+    std::uint64_t level = 0;
+    std::uint64_t revision = 0;
+    std::uint64_t calls = 0;
+};
+
+/// Decides on a turn with the store at hand, as the keeper does. Returns whether it was granted.
+bool decide(budget_ledger& ledger, const budget_request& request, mark_store& store, bool certain, timestamp now)
+{
+    for (int n = 0; n < 6; ++n) {
+        switch (ledger.reserve(request, now)) {
+        case ledger_step::granted:
+            return true;
+        case ledger_step::spent:
+            return false;
+        case ledger_step::needs_copy:
+            ledger.start_record(request, certain, now);
+            break;
+        case ledger_step::needs_mark: {
+            const mark_order order = ledger.order_for(request);
+            ++store.calls;
+            if (order.revision == store.revision) {
+                store.level = order.level;
+                ++store.revision;
+                ledger.set_mark("p", store.level, store.revision, true);
+            }
+            else {
+                ledger.set_mark("p", store.level, store.revision, false);
+            }
+            break;
+        }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("an ordinary program needs no call to the store")
+{
+    budget_ledger ledger;
+    mark_store store;
+    CHECK(decide(ledger, ask("1"), store, true, seconds(1)));
+    ledger.settle(settled("1", 60), seconds(2));
+    CHECK(decide(ledger, ask("2"), store, true, seconds(3)));
+    ledger.settle(settled("2", 60), seconds(4));
+    CHECK(store.calls == 0);
+    CHECK(ledger.find("p")->used == 120);
+}
+
+TEST_CASE("a single owner grants the whole budget and not one token more")
+{
+    budget_ledger ledger;
+    mark_store store;
+    std::uint64_t handed_out = 0;
+    int granted = 0;
+    for (int n = 0; n < 30; ++n) {
+        if (decide(ledger, ask(std::to_string(n)), store, true, seconds(n))) {
+            ledger.settle(settled(std::to_string(n), turn), seconds(n));
+            handed_out += turn;
+            ++granted;
+        }
+    }
+    CHECK(handed_out == budget);
+    CHECK(granted == 10);
+    CHECK(store.calls < 8);
+}
+
+TEST_CASE("parallel turns count at their most until they end")
+{
+    budget_ledger ledger;
+    mark_store store;
+    for (int n = 0; n < 10; ++n) {
+        CHECK(decide(ledger, ask(std::to_string(n)), store, true, seconds(1)));
+    }
+    CHECK_FALSE(decide(ledger, ask("10"), store, true, seconds(1)));
+    ledger.settle(settled("3", 0, ""), seconds(2));
+    CHECK(decide(ledger, ask("10"), store, true, seconds(2)));
+}
+
+TEST_CASE("a repeated question is answered alike and reserves nothing more")
+{
+    budget_ledger ledger;
+    mark_store store;
+    CHECK(decide(ledger, ask("1"), store, true, seconds(1)));
+    CHECK(decide(ledger, ask("1"), store, true, seconds(1)));
+    CHECK(ledger.find("p")->committed() == turn);
+}
+
+TEST_CASE("an owner that lost a record starts behind what may have been spent, and reads the mark")
+{
+    mark_store store;
+    budget_ledger first;
+    for (int n = 0; n < 5; ++n) {
+        CHECK(decide(first, ask(std::to_string(n)), store, true, seconds(n)));
+        first.settle(settled(std::to_string(n), turn), seconds(n));
+    }
+    REQUIRE(store.level >= 500);
+    budget_ledger second;
+    std::uint64_t handed_out = 500;
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "b" + std::to_string(n);
+        if (decide(second, ask(id), store, false, seconds(10 + n))) {
+            second.settle(settled(id, turn), seconds(10 + n));
+            handed_out += turn;
+        }
+    }
+    CHECK(handed_out <= budget);
+    CHECK(handed_out > 500);
+}
+
+TEST_CASE("the holder of a copy goes on where the owner was, and counts turns under way at their most")
+{
+    mark_store store;
+    budget_ledger owner;
+    budget_ledger other;
+    CHECK(decide(owner, ask("1"), store, true, seconds(1)));
+    owner.settle(settled("1", 80), seconds(2));
+    CHECK(decide(owner, ask("2"), store, true, seconds(2)));
+    other.adopt("p", *owner.find("p"), seconds(2));
+    CHECK(other.find("p")->committed() == 180);
+    other.settle(settled("2", 30), seconds(3));
+    CHECK(other.find("p")->committed() == 110);
+    CHECK(decide(other, ask("3"), store, false, seconds(3)));
+    CHECK(store.calls == 0);
+}
+
+TEST_CASE("an older copy that arrives late is ignored")
+{
+    mark_store store;
+    budget_ledger owner;
+    budget_ledger other;
+    CHECK(decide(owner, ask("1"), store, true, seconds(1)));
+    const program_record early = *owner.find("p");
+    owner.settle(settled("1", 80), seconds(2));
+    other.adopt("p", *owner.find("p"), seconds(2));
+    other.adopt("p", early, seconds(2));
+    CHECK(other.find("p")->committed() == 80);
+}
+
+TEST_CASE("what a stand-in granted is added to the owner's record when it hands over")
+{
+    mark_store store;
+    budget_ledger owner;
+    budget_ledger stand_in;
+    CHECK(decide(owner, ask("1"), store, true, seconds(1)));
+    owner.settle(settled("1", 80), seconds(1));
+    stand_in.adopt("p", *owner.find("p"), seconds(1));
+    stand_in.stand_in("p");
+    CHECK(decide(stand_in, ask("2"), store, true, seconds(2)));
+    stand_in.settle(settled("2", 70), seconds(2));
+    CHECK(decide(owner, ask("3"), store, true, seconds(2)));
+    owner.settle(settled("3", 50), seconds(2));
+    owner.merge("p", *stand_in.find("p"), seconds(3));
+    CHECK(owner.find("p")->used == 80 + 70 + 50);
+}
+
+TEST_CASE("a turn whose end is never told counts in full")
+{
+    budget_ledger ledger;
+    mark_store store;
+    CHECK(decide(ledger, ask("1"), store, true, seconds(1)));
+    ledger.expire(seconds(10));
+    CHECK(ledger.find("p")->used == 0);
+    ledger.expire(seconds(14));
+    CHECK(ledger.find("p")->used == turn);
+    ledger.expire(seconds(100));
+    CHECK(ledger.find("p") == nullptr);
+}
+
+TEST_CASE("a new line of turns begins at the target of the line that started it")
+{
+    budget_ledger ledger;
+    mark_store store;
+    CHECK(decide(ledger, ask("1"), store, true, seconds(1)));
+    ledger.settle(settled("1", 10, "main-target"), seconds(1));
+    for (int n = 0; n < 20; ++n) {
+        const std::string id = "s" + std::to_string(n);
+        CHECK(decide(ledger, ask(id, 10, id), store, true, seconds(2)));
+        ledger.settle(settled(id, 1, "other", id), seconds(2));
+    }
+    CHECK(ledger.place_of("p", "new").target == "main-target");
+    CHECK(ledger.place_of("p", "s19").target == "other");
+    CHECK(ledger.place_of("q", "q").target.empty());
+}
+
+// Replays owners that die or go silent at random while a program loops, with the copy lost at times.
+TEST_CASE("no budget is exceeded by more than one turn when a record is lost once and the store keeps its marks")
+{
+    for (unsigned seed = 1; seed <= 400; ++seed) {
+        std::minstd_rand random(seed);
+        mark_store store;
+        auto owner = std::make_unique<budget_ledger>();
+        bool lost = false;
+        std::uint64_t handed_out = 0;
+        for (int n = 0; n < 60; ++n) {
+            const std::string id = std::to_string(n);
+            if (decide(*owner, ask(id), store, !lost, seconds(n))) {
+                const auto tokens = std::uniform_int_distribution<std::uint64_t>(0, turn)(random);
+                handed_out += tokens;
+                owner->settle(settled(id, tokens), seconds(n));
+            }
+            const auto event = std::uniform_int_distribution<int>(0, 19)(random);
+            if (event == 0 && !lost) {
+                owner = std::make_unique<budget_ledger>();
+                lost = true;
+            }
+            else if (event == 1) {
+                auto next = std::make_unique<budget_ledger>();
+                next->adopt("p", *owner->find("p"), seconds(n));
+                owner = std::move(next);
+            }
+        }
+        CAPTURE(seed);
+        CHECK(handed_out <= budget + turn);
+    }
+}
+
+TEST_CASE("messages survive their encoding, and malformed ones are refused")
+{
+    program_record record;
+    record.budget = 900;
+    record.used = 7;
+    record.reserved["r"] = {30, seconds(4)};
+    record.sessions["s"] = {"t", 12};
+    const auto copy = program_copy_from(to_json(program_copy{"p", record, true, false}));
+    REQUIRE(copy);
+    REQUIRE(copy->record);
+    CHECK(copy->record->committed() == 37);
+    CHECK(copy->record->sessions.at("s") == session_place{"t", 12});
+    CHECK(copy->sender_certain);
+    const auto answer = budget_answer_from(to_json(budget_answer{"r", budget_verdict::spent, {"t", 3}}));
+    REQUIRE(answer);
+    CHECK(answer->verdict == budget_verdict::spent);
+    CHECK_FALSE(budget_request_from(nlohmann::json{{"q", 1}}));
+    CHECK_FALSE(program_copy_from(nlohmann::json::array()));
+}
--- /dev/null
+++ b/tests/target_directory_test.cpp
@@ -0,0 +1,148 @@
+#include "routing/target_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+target_change entry(std::string id, std::uint64_t revision, std::uint64_t sequence, bool draining = false,
+                    std::uint64_t start = 100)
+{
+    target_record record;
+    record.id = id;
+    record.service = "model";
+    record.address = "10.0.0.1:80";
+    record.start = start;
+    record.sequence = sequence;
+    record.draining = draining;
+    return {id, revision, record};
+}
+
+target_change removal(std::string id, std::uint64_t revision)
+{
+    return {id, revision, std::nullopt, true};
+}
+
+bool usable(const target_directory& directory, std::string_view id, timestamp now)
+{
+    return directory.find_usable(id, now) != nullptr;
+}
+
+void apply(target_directory& directory, target_change change, timestamp now)
+{
+    directory.apply(std::span(&change, 1), now);
+}
+
+} // namespace
+
+TEST_CASE("a draining target gets no new work, also when an older report of it is written late")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 5), seconds(1));
+    CHECK(usable(directory, "a", seconds(1)));
+    apply(directory, entry("a", 2, 6, true), seconds(2));
+    CHECK_FALSE(usable(directory, "a", seconds(2)));
+    apply(directory, entry("a", 3, 4), seconds(3));
+    CHECK_FALSE(usable(directory, "a", seconds(3)));
+    apply(directory, entry("a", 4, 7), seconds(4));
+    CHECK_FALSE(usable(directory, "a", seconds(4)));
+}
+
+TEST_CASE("a target that starts again under its id is used, and a report of its former start is not believed")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 50, true, 100), seconds(1));
+    apply(directory, entry("a", 2, 1, false, 200), seconds(2));
+    CHECK(usable(directory, "a", seconds(2)));
+    apply(directory, entry("a", 3, 51, true, 100), seconds(3));
+    CHECK(usable(directory, "a", seconds(3)));
+}
+
+TEST_CASE("a removed target is left at once while the store answers")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    apply(directory, removal("a", 2), seconds(2));
+    CHECK_FALSE(usable(directory, "a", seconds(2)));
+    CHECK_FALSE(directory.listed("a"));
+}
+
+TEST_CASE(
+    "a target whose entry lapsed in an outage of the store is kept for the time in which it would be written again")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    apply(directory, entry("b", 2, 1), seconds(1));
+    directory.note_store_trouble(seconds(10));
+    apply(directory, removal("a", 3), seconds(11));
+    apply(directory, removal("b", 4), seconds(11));
+    CHECK(usable(directory, "a", seconds(11)));
+    apply(directory, entry("a", 5, 2), seconds(12));
+    CHECK(usable(directory, "a", seconds(20)));
+    CHECK(usable(directory, "b", seconds(13)));
+    CHECK_FALSE(usable(directory, "b", milliseconds(13'400)));
+}
+
+TEST_CASE("a removal long after an outage is no lapse")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    directory.note_store_trouble(seconds(10));
+    apply(directory, removal("a", 3), seconds(14));
+    CHECK_FALSE(usable(directory, "a", seconds(14)));
+}
+
+TEST_CASE("a gateway that is told of a lapse by another keeps the target as well")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    target_change lapsed = removal("a", 2);
+    lapsed.maybe_lapsed = true;
+    apply(directory, lapsed, seconds(5));
+    CHECK(usable(directory, "a", seconds(6)));
+}
+
+TEST_CASE("a draining target whose entry lapses does not come back into use")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1, true), seconds(1));
+    directory.note_store_trouble(seconds(2));
+    apply(directory, removal("a", 2), seconds(3));
+    CHECK_FALSE(usable(directory, "a", seconds(3)));
+}
+
+TEST_CASE("an entry that becomes unreadable names no target any more, and the others hold")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    apply(directory, entry("b", 2, 1), seconds(1));
+    apply(directory, removal("a", 3), seconds(2));
+    CHECK_FALSE(usable(directory, "a", seconds(2)));
+    CHECK(usable(directory, "b", seconds(2)));
+}
+
+TEST_CASE("a full list removes what it lacks, but not what was added behind its revision")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    apply(directory, entry("c", 9, 1), seconds(1));
+    const std::vector<target_change> list{entry("b", 3, 1)};
+    const auto news = directory.replace(list, 5, seconds(2));
+    CHECK_FALSE(usable(directory, "a", seconds(2)));
+    CHECK(usable(directory, "b", seconds(2)));
+    CHECK(usable(directory, "c", seconds(2)));
+    CHECK(news.size() == 2);
+    CHECK(directory.revision() == 9);
+}
+
+TEST_CASE("reports of life are no news for other gateways")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    const std::vector<target_change> again{entry("a", 2, 2)};
+    CHECK(directory.apply(again, seconds(2)).empty());
+    CHECK(directory.revision() == 2);
+}
--- a/tests/turn_runner_test.cpp
+++ b/tests/turn_runner_test.cpp
@@ -2,10 +2,10 @@
 
 #include "engine_server.h"
 
+#include "backends/http_engine_client.h"
 #include "blackboard/board.h"
 #include "entry/slot_ticket.h"
 #include "entry/turn_runner.h"
-#include "backends/http_engine_client.h"
 #include "roles/messages.h"
 
 #include <caf/actor_system.hpp>
