--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -286,8 +286,10 @@
 void budget_keeper::on_reply(const nlohmann::json& body)
 {
     const auto answer = budget_answer_from(body);
-    const auto it = answer ? m_asks.find(answer->request) : m_asks.end();
-    if (it != m_asks.end()) {
+    if (!answer) {
+        return;
+    }
+    if (const auto it = m_asks.find(answer->request); it != m_asks.end()) {
         it->second->answer = *answer;
         it->second->wake.cancel();
     }
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -37,12 +37,12 @@
 
 private:
     struct waiting_ask {
-        explicit waiting_ask(asio::any_io_executor loop) : wake(std::move(loop)) {}
+        explicit waiting_ask(const asio::any_io_executor& loop) : wake(loop) {}
         asio::steady_timer wake;
         std::optional<budget_answer> answer;
     };
     struct waiting_copy {
-        explicit waiting_copy(asio::any_io_executor loop) : wake(std::move(loop)) {}
+        explicit waiting_copy(const asio::any_io_executor& loop) : wake(loop) {}
         asio::steady_timer wake;
         std::optional<program_copy> answer;
     };
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -24,6 +24,8 @@
 class client_session final : public std::enable_shared_from_this<client_session>, public answer_sink {
 public:
     client_session(gateway_board& board, tcp::socket socket, listener_kind kind);
+    client_session(const client_session&) = delete;
+    client_session& operator=(const client_session&) = delete;
     ~client_session() override;
 
     /// Serves until the connection ends.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -151,7 +151,7 @@
     ask.request = m_call.request_id;
     ask.program = m_call.program;
     ask.session = m_call.session;
-    ask.budget = *m_call.token_budget;
+    ask.budget = m_call.token_budget.value_or(0);
     ask.tokens = m_call.max_output_tokens;
     const budget_answer answer = co_await m_board.budgets.reserve(std::move(ask));
     m_session = answer.place;
@@ -259,31 +259,31 @@
     co_return !ec;
 }
 
-asio::awaitable<std::optional<exchange::attempt>> exchange::open_attempt()
+asio::awaitable<std::unique_ptr<exchange::attempt>> exchange::open_attempt()
 {
     while (!m_aborted && !time_is_up() && m_attempts < most_attempts) {
         const target_record* target = choose_target();
         if (target == nullptr) {
             m_last_problem = "no target is usable";
-            co_return std::nullopt;
+            co_return nullptr;
         }
         ++m_attempts;
-        attempt current;
-        current.target = *target;
-        start_attempt(current);
-        if (co_await connect(current)) {
+        auto current = std::make_unique<attempt>();
+        current->target = *target;
+        start_attempt(*current);
+        if (co_await connect(*current)) {
             co_return current;
         }
-        note_started(current);
-        m_board.loads.on_end(current.target.id);
-        m_board.loads.on_failure(current.target.id, steady_now());
+        note_started(*current);
+        m_board.loads.on_end(current->target.id);
+        m_board.loads.on_failure(current->target.id, steady_now());
         m_board.metrics.on_attempt("unreachable");
-        m_avoided.push_back(current.target.id);
-        m_last_problem = current.problem;
+        m_avoided.push_back(current->target.id);
+        m_last_problem = current->problem;
         log(log_part::dispatch, log_level::warning, "A target cannot be reached.", field("request", m_call.request_id),
-            field("target", current.target.id), field("reason", current.problem));
+            field("target", current->target.id), field("reason", current->problem));
     }
-    co_return std::nullopt;
+    co_return nullptr;
 }
 
 std::uint32_t exchange::prompt_tokens() const
@@ -431,6 +431,18 @@
         field("after_ms", (steady_now() - current.sent).count() / 1'000));
 }
 
+asio::awaitable<void> exchange::note_refusal(attempt& current)
+{
+    ++m_refusals;
+    m_board.metrics.on_attempt("refused");
+    m_board.loads.on_refusal(current.target.id, steady_now());
+    m_avoided.push_back(current.target.id);
+    m_last_problem = current.problem;
+    std::string rest;
+    const error_code ec = co_await current.reader->read_rest(rest, whole_answer_limit, deadline_after(connect_limit));
+    end_attempt(current, !ec);
+}
+
 asio::awaitable<void> exchange::run_whole()
 {
     const bool repeatable = m_route->repeatable();
@@ -438,15 +450,7 @@
         const milliseconds limit = repeatable ? idempotent_answer_limit : m_route->timeout;
         const send_result result = co_await send(*current, limit);
         if (result == send_result::not_executed) {
-            ++m_refusals;
-            m_board.metrics.on_attempt("refused");
-            m_board.loads.on_refusal(current->target.id, steady_now());
-            m_avoided.push_back(current->target.id);
-            m_last_problem = current->problem;
-            std::string rest;
-            const error_code ec =
-                co_await current->reader->read_rest(rest, whole_answer_limit, deadline_after(connect_limit));
-            end_attempt(*current, !ec);
+            co_await note_refusal(*current);
             continue;
         }
         std::string body;
@@ -553,15 +557,7 @@
     while (auto current = co_await open_attempt()) {
         const send_result result = co_await send(*current, first_event_limit);
         if (result == send_result::not_executed) {
-            ++m_refusals;
-            m_board.metrics.on_attempt("refused");
-            m_board.loads.on_refusal(current->target.id, steady_now());
-            m_avoided.push_back(current->target.id);
-            m_last_problem = current->problem;
-            std::string rest;
-            const error_code ec =
-                co_await current->reader->read_rest(rest, whole_answer_limit, deadline_after(connect_limit));
-            end_attempt(*current, !ec);
+            co_await note_refusal(*current);
             continue;
         }
         if (result == send_result::answered && current->reader->status() >= 300) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -53,7 +53,8 @@
     asio::awaitable<void> run_stream();
     asio::awaitable<bool> relay_events(attempt& current);
     asio::awaitable<bool> pass_events(attempt& current, std::string_view bytes);
-    asio::awaitable<std::optional<attempt>> open_attempt();
+    asio::awaitable<std::unique_ptr<attempt>> open_attempt();
+    asio::awaitable<void> note_refusal(attempt& current);
     asio::awaitable<bool> connect(attempt& current);
     asio::awaitable<send_result> send(attempt& current, milliseconds first_byte_limit);
     asio::awaitable<bool> read_own_head(attempt& current, milliseconds limit);
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -52,7 +52,7 @@
 
 } // namespace
 
-fleet_link::fleet_link(asio::any_io_executor loop, const gateway_settings& settings, fleet_timing timing)
+fleet_link::fleet_link(const asio::any_io_executor& loop, const gateway_settings& settings, fleet_timing timing)
     : m_loop(loop), m_settings(settings), m_timing(timing),
       // The platform hands out no secret. The store's address keeps apart the gateways of different systems.
       m_key(settings.store.ip + ":" + std::to_string(settings.store.port)), m_socket(loop),
@@ -190,23 +190,29 @@
             }
             continue; // an ICMP error of an earlier send
         }
-        const auto message = decode_datagram(std::span(m_buffer).first(n), m_key);
-        const auto body = message ? from_cbor_text(message->body) : std::nullopt;
-        if (!body || message->sender == m_settings.id) {
-            continue;
-        }
-        const timestamp now = steady_now();
-        m_table->heard_from(message->sender, now);
-        m_last_heard[message->sender] = now;
-        if (message->kind == datagram_kind::heartbeat) {
-            if (const auto parsed = heartbeat_from_json(*body)) {
-                on_heartbeat(*parsed, from);
-            }
+        if (const auto message = decode_datagram(std::span(m_buffer).first(n), m_key)) {
+            on_datagram(*message, from);
         }
-        else if (const auto it = m_handlers.find(message->kind); it != m_handlers.end()) {
-            it->second(message->sender, *body);
+    }
+}
+
+void fleet_link::on_datagram(const datagram& message, const udp::endpoint& from)
+{
+    const auto body = from_cbor_text(message.body);
+    if (!body || message.sender == m_settings.id) {
+        return;
+    }
+    const timestamp now = steady_now();
+    m_table->heard_from(message.sender, now);
+    m_last_heard[message.sender] = now;
+    if (message.kind == datagram_kind::heartbeat) {
+        if (const auto parsed = heartbeat_from_json(*body)) {
+            on_heartbeat(*parsed, from);
         }
     }
+    else if (const auto it = m_handlers.find(message.kind); it != m_handlers.end()) {
+        it->second(message.sender, *body);
+    }
 }
 
 void fleet_link::on_heartbeat(const heartbeat& message, const udp::endpoint& from)
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -39,7 +39,7 @@
 public:
     using handler = std::function<void(const std::string& sender, const nlohmann::json& body)>;
 
-    fleet_link(asio::any_io_executor loop, const gateway_settings& settings, fleet_timing timing = {});
+    fleet_link(const asio::any_io_executor& loop, const gateway_settings& settings, fleet_timing timing = {});
 
     /// Opens the socket and starts heartbeats. Returns false, with a log line, if the port cannot be opened.
     bool start();
@@ -98,6 +98,7 @@
     void send_heartbeats(timestamp now);
     void note_pause(timestamp now);
     void renew_if_superseded(timestamp now);
+    void on_datagram(const datagram& message, const udp::endpoint& from);
     void on_heartbeat(const heartbeat& message, const udp::endpoint& from);
     void send_to(const udp::endpoint& to, datagram_kind kind, const nlohmann::json& body);
     member own_member(std::uint64_t incarnation) const;
--- a/src/gateway/gateway_board.cpp
+++ b/src/gateway/gateway_board.cpp
@@ -4,7 +4,7 @@
 
 namespace lagoonferry {
 
-gateway_board::gateway_board(asio::any_io_executor executor, gateway_settings values,
+gateway_board::gateway_board(const asio::any_io_executor& executor, gateway_settings values,
                              const platform_dialect& speech_of_platform)
     : loop(executor), settings(std::move(values)), speech(speech_of_platform), loads(stable_hash(settings.id)),
       pool(executor), fleet(executor, settings),
--- a/src/gateway/gateway_board.h
+++ b/src/gateway/gateway_board.h
@@ -23,7 +23,8 @@
 /// What the parts of a gateway process share. Each member has one writer, named beside it. Runs on one event loop; not
 /// thread-safe.
 struct gateway_board {
-    gateway_board(asio::any_io_executor executor, gateway_settings values, const platform_dialect& speech_of_platform);
+    gateway_board(const asio::any_io_executor& executor, gateway_settings values,
+                  const platform_dialect& speech_of_platform);
 
     asio::any_io_executor loop;
     gateway_settings settings;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -155,12 +155,13 @@
     {
         failure reason;
         const auto settings = load_settings(m_platform, m_settings_path, reason);
-        const auto store = settings ? store_endpoint(*settings) : std::nullopt;
-        if (!store) {
+        if (!settings) {
             log(log_part::main, log_level::error, "The new settings are not used.", field("reason", reason.text));
             return;
         }
-        m_board.store.set_address(*store);
+        if (const auto store = store_endpoint(*settings)) {
+            m_board.store.set_address(*store);
+        }
         m_board.fleet.set_seeds(settings->seed_ips);
         log(log_part::main, log_level::info, "Settings are read again.", field("store", settings->store.ip));
     }
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -43,7 +43,7 @@
 {
     constexpr unsigned first_final_status = 200;
     do {
-        m_parser.emplace();
+        m_parser = std::make_unique<http::response_parser<http::buffer_body>>();
         m_parser->header_limit(head_limit_bytes);
         m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_connection.m_stream.expires_at(until);
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -8,7 +8,6 @@
 
 #include <array>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace lagoonferry {
@@ -71,7 +70,7 @@
     static constexpr std::uint32_t head_limit_bytes = 32'768;
 
     client_connection& m_connection;
-    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    std::unique_ptr<http::response_parser<http::buffer_body>> m_parser;
     std::array<char, piece_bytes> m_piece{};
     bool m_got_bytes = false;
 };
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
