--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -43,7 +43,7 @@
 constexpr int retry_after_max_ms = 450;
 
 /// Output tokens of a turn, as a part of the most that it may have; turns are placed by it.
-constexpr double usual_output_part = 0.5;
+constexpr double usual_output_part = 0.25;
 
 std::minstd_rand& random_source()
 {
--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_loads.cpp
@@ -18,7 +18,8 @@
 constexpr double batch_growth = 0.03;
 
 /// Part of the time to read a prompt that each other request at the target waits for it. Without it turns leave a busy
-/// target for one that has to read their whole prompt, and make that one busy.
+/// target for one that has to read their whole prompt, and make that one busy. A target that is idle at the moment is
+/// charged like the mean, because it will not stay idle.
 constexpr double delay_of_others = 0.8;
 
 /// A waiting request delays ours by about a step of the batch and its prompt.
@@ -106,18 +107,25 @@
     return it == m_rows.end() ? 0 : it->second.in_flight;
 }
 
-double target_loads::usual_pace(std::span<const target_record* const> candidates, double fallback) const
+target_loads::common_state target_loads::common_of(std::span<const target_record* const> candidates, double usual_pace,
+                                                   timestamp now) const
 {
-    double sum = 0;
+    common_state common;
     int known = 0;
-    for (const target_record* item : candidates) {
-        const auto it = m_rows.find(item->id);
-        if (it != m_rows.end() && it->second.pace > 0) {
-            sum += it->second.pace;
+    for (const target_record* target : candidates) {
+        const auto it = m_rows.find(target->id);
+        if (it == m_rows.end()) {
+            continue;
+        }
+        common.in_flight += all_shares(*target, it->second, now).in_flight;
+        if (it->second.pace > 0) {
+            common.pace += it->second.pace;
             ++known;
         }
     }
-    return known == 0 ? fallback : sum / known;
+    common.in_flight /= static_cast<double>(std::max<std::size_t>(candidates.size(), 1));
+    common.pace = known == 0 ? usual_pace : common.pace / known;
+    return common;
 }
 
 double target_loads::expected_work_factor(const row& item, timestamp now)
@@ -175,10 +183,10 @@
 }
 
 double target_loads::estimate_ms(const target_record& target, const row& item, const placement_request& request,
-                                 double common_pace, timestamp now) const
+                                 const common_state& common, timestamp now) const
 {
-    const double pace = item.pace <= 0 ? common_pace
-                                       : common_pace + halved(item.pace - common_pace, ms_between(item.paced, now),
+    const double pace = item.pace <= 0 ? common.pace
+                                       : common.pace + halved(item.pace - common.pace, ms_between(item.paced, now),
                                                               pace_half_life_s * 1'000);
     const double slowness = expected_work_factor(item, now);
     const target_share present = all_shares(target, item, now);
@@ -188,7 +196,8 @@
         const double ms_per_unread = prompt_ms_per_token * pace / usual_ms_per_token * slowness;
         const double own = unread_tokens(target, item, request, now) * ms_per_unread;
         const double ahead = present.unread_tokens * ms_per_unread;
-        ms = ahead + own * (1 + delay_of_others * present.in_flight) +
+        const double delayed = std::max<double>(present.in_flight, common.in_flight);
+        ms = ahead + own * (1 + delay_of_others * delayed) +
              request.output_tokens * pace * slowness * (1 + batch_growth * present.in_flight) + waiting * waiting_ms;
     }
     else {
@@ -220,12 +229,13 @@
 const target_record* target_loads::choose(std::span<const target_record* const> candidates,
                                           const placement_request& request, timestamp now)
 {
-    const double common_pace = usual_pace(candidates, request.prompt.empty() ? usual_service_ms : usual_ms_per_token);
+    const double usual_pace = request.prompt.empty() ? usual_service_ms : usual_ms_per_token;
+    const common_state common = common_of(candidates, usual_pace, now);
     std::vector<estimate> estimates;
     for (const target_record* item : candidates) {
         const row& known = row_of(*item);
         if (known.refused_until <= now && std::ranges::find(request.avoided, item->id) == request.avoided.end()) {
-            estimates.push_back({item, estimate_ms(*item, known, request, common_pace, now)});
+            estimates.push_back({item, estimate_ms(*item, known, request, common, now)});
         }
     }
     if (estimates.empty()) {
--- a/src/routing/target_loads.h
+++ b/src/routing/target_loads.h
@@ -106,6 +106,12 @@
         std::map<std::uint64_t, kept_part> parts;
     };
 
+    /// What holds for all targets of a service.
+    struct common_state {
+        double pace = 0;      ///< mean of the known ones
+        double in_flight = 0; ///< mean of all
+    };
+
     struct peer {
         std::vector<target_share> shares;
         timestamp told{};
@@ -118,10 +124,10 @@
 
     row& row_of(const target_record& target);
     row* find(std::string_view id);
-    double usual_pace(std::span<const target_record* const> candidates, double fallback) const;
+    common_state common_of(std::span<const target_record* const> candidates, double usual_pace, timestamp now) const;
     double failure_penalty_ms(const target_record& target, const row& item, timestamp now) const;
     double estimate_ms(const target_record& target, const row& item, const placement_request& request,
-                       double common_pace, timestamp now) const;
+                       const common_state& common, timestamp now) const;
     static double expected_work_factor(const row& item, timestamp now);
     static double unread_tokens(const target_record& target, const row& item, const placement_request& request,
                                 timestamp now);
