--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -40,7 +40,8 @@
 {
     while (true) {
         const std::size_t fleet = std::max(usual_fleet, m_board.fleet.usable().size());
-        co_await pause(m_board.loop, std::min(base_interval * fleet / usual_fleet, longest_interval));
+        const milliseconds interval = base_interval * static_cast<int>(fleet) / static_cast<int>(usual_fleet);
+        co_await pause(m_board.loop, std::min(interval, longest_interval));
         std::vector<target_share> shares = m_board.loads.own_shares(steady_now());
         const bool repeat = !shares.empty() && steady_now() - m_told_at > repeat_interval;
         if (shares == m_told && !repeat) {
