--- a/src/client/command_runs.h
+++ b/src/client/command_runs.h
@@ -15,5 +15,6 @@
 int run_instances(client_call& call);
 int run_drain(client_call& call);
 int run_burn(client_call& call);
+int run_explain(client_call& call);
 
 } // namespace lagoonferry
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -129,6 +129,16 @@
   --html=FILE  write the report with plots to this file
 )",
                true, run_burn},
+    client_row{"explain", "explains from logs what became of a request", R"(Usage:
+  lagoonferry explain [options] <request> <files>
+
+Prints the lines of logs that tell what became of a request at gateways, in order of time.
+<files> are paths separated by commas, one for each process. If a line has a name of its
+process before its time, that is used as well, so one file may hold several processes.
+
+Options:
+)",
+               false, run_explain},
 };
 
 std::string usage_of(const client_row& row)
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -223,7 +223,7 @@
         std::cout << "settings of " << settings->id << " are valid\n";
         return exit_done;
     }
-    configure_log(*level);
+    configure_bounded_log(*level);
     gateway_process process(platform, path, std::move(*settings));
     if (!process.start()) {
         return exit_refused;
--- /dev/null
+++ b/src/util/line_budget.cpp
@@ -0,0 +1,26 @@
+#include "util/line_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lagoonferry {
+
+bool line_budget::take(timestamp now)
+{
+    const double seconds = std::chrono::duration<double>(now - m_last).count();
+    m_lines = std::min(m_burst, m_lines + std::max(0.0, seconds) * m_rate);
+    m_last = now;
+    if (m_lines < 1) {
+        ++m_refused;
+        return false;
+    }
+    m_lines -= 1;
+    return true;
+}
+
+std::size_t line_budget::take_refused()
+{
+    return std::exchange(m_refused, 0);
+}
+
+} // namespace lagoonferry
--- a/src/util/log.cpp
+++ b/src/util/log.cpp
@@ -1,5 +1,7 @@
 #include "util/log.h"
 
+#include "util/bounded_appender.h"
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -68,6 +70,17 @@
     root->setLevel(level_of(level));
 }
 
+void configure_bounded_log(log_level level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %-5p [%c] %m%n"));
+    const auto appender = std::make_shared<bounded_appender>();
+    appender->setLayout(layout);
+    const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(level_of(level));
+}
+
 bool configure_log_part(std::string_view part, log_level level)
 {
     const auto* it = std::ranges::find(part_rows, part, &part_row::name);
--- /dev/null
+++ b/tests/log_explanation_test.cpp
@@ -0,0 +1,54 @@
+#include "client/log_explanation.h"
+
+#include <doctest/doctest.h>
+
+using namespace lagoonferry;
+
+namespace {
+
+// Recorded on a day with an outage of the store.
+constexpr std::string_view owner_log =
+    R"(  1.5411 gw-a 2026-01-13 06:13:42,541 INFO  [entry] Request ended. request=60136dc7 program=9f7ee0 route=r outcome=answered reason= target=t1 events=26
+  2.9000 gw-a 2026-01-13 06:13:43,900 WARN  [platform] The store does not answer on the routing document. revision=32
+  3.2664 gw-a 2026-01-13 06:13:44,266 WARN  [program] The store did not take a budget mark. program=9f7ee0 request=ab012bdf level=618
+  3.2700 gw-a 2026-01-13 06:13:44,270 INFO  [entry] Request ended. request=77777777 program=other route=r outcome=answered reason= target=t2 events=3
+no line of ours
+)";
+constexpr std::string_view entry_log =
+    R"(  3.2000 gw-b 2026-01-13 06:13:44,200 INFO  [dispatch] A target has changed. target=t9 state=draining revision=40
+  3.2793 gw-b 2026-01-13 06:13:44,279 INFO  [entry] Request ended. request=ab012bdf program=9f7ee0 route=r outcome=refused_503 reason=the budget cannot be checked without the store target= events=0
+  3.5000 gw-b 2026-01-13 06:13:44,500 INFO  [main] Stopping. requests=0
+)";
+
+std::vector<log_entry> all_lines()
+{
+    auto lines = read_log_entries("b.log", entry_log);
+    for (auto& line : read_log_entries("a.log", owner_log)) {
+        lines.push_back(std::move(line));
+    }
+    return lines;
+}
+
+} // namespace
+
+TEST_CASE("a refused request is explained by the lines of all gateways that decided on it, in order of time")
+{
+    const auto found = explain_request(all_lines(), "ab012bdf");
+    REQUIRE(found.size() == 4);
+    CHECK(found[0].text.find("request=60136dc7") != std::string::npos);
+    CHECK(found[1].text.find("The store does not answer") != std::string::npos);
+    CHECK(found[2].text.find("did not take a budget mark") != std::string::npos);
+    CHECK(found[2].source == "a.log:gw-a");
+    CHECK(found[3].text.find("outcome=refused_503") != std::string::npos);
+    CHECK(found[3].source == "b.log:gw-b");
+}
+
+TEST_CASE("lines of other programs and targets, and later ones, explain nothing")
+{
+    for (const log_entry& line : explain_request(all_lines(), "ab012bdf")) {
+        CHECK(line.text.find("program=other") == std::string::npos);
+        CHECK(line.text.find("target=t9") == std::string::npos);
+        CHECK(line.text.find("Stopping") == std::string::npos);
+    }
+    CHECK(explain_request(all_lines(), "unknown").empty());
+}
