Let one gateway wait at the store for changes of targets

Ruled out: lost datagrams; the calls went on at a steady rate on all gateways. Change: a successful call covers what was told before it; the first gateway waits at the store in place of asking twice a second, so changes arrive at once for the same number of calls.

--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -24,6 +24,9 @@
 /// and all would call the store at once and again.
 constexpr milliseconds catch_up_interval{400};
 
+/// Least time between two calls of the first gateway, for times in which targets change quickly.
+constexpr milliseconds least_call_spacing{150};
+
 /// Changes in one datagram. A target's facts are about 150 bytes.
 constexpr std::size_t most_changes = 6;
 
@@ -71,11 +74,19 @@
     spawn(m_board.loop, run(), "target list");
 }
 
+bool target_feed::leads() const
+{
+    return m_board.fleet.own_rank(rank_key) == 0;
+}
+
 timestamp target_feed::due() const
 {
     if (!m_loaded) {
         return steady_now();
     }
+    if (leads()) {
+        return m_called_at + least_call_spacing;
+    }
     const timestamp by_age = m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key));
     return m_behind ? std::min(by_age, m_called_at + catch_up_interval) : by_age;
 }
@@ -90,9 +101,14 @@
             continue;
         }
         // A gateway that only catches up tells nobody: the others would have to catch up with it in turn.
-        const bool by_age = m_fresh_at + poll_age(m_board.fleet.own_rank(rank_key)) <= steady_now();
+        const timestamp age = steady_now() - m_fresh_at;
+        const bool lead = leads();
+        const bool by_age = lead || age >= poll_age(m_board.fleet.own_rank(rank_key));
+        // The first gateway waits at the store and hears changes at once; any other asks because it is late already.
+        const bool waits = lead && age < poll_age(0);
+        const auto hold = waits ? std::chrono::duration_cast<milliseconds>(poll_age(0)) : milliseconds(0);
         m_called_at = steady_now();
-        const bool done = m_loaded ? co_await read_changes(by_age) : co_await read_all();
+        const bool done = m_loaded ? co_await read_changes(by_age, hold) : co_await read_all();
         if (!done) {
             co_await pause(m_board.loop, failure_pause);
         }
@@ -114,10 +130,11 @@
     co_return true;
 }
 
-asio::awaitable<bool> target_feed::read_changes(bool tell_others)
+asio::awaitable<bool> target_feed::read_changes(bool tell_others, milliseconds wait)
 {
     const std::uint64_t from = m_board.targets.revision();
-    const store_reply reply = co_await m_board.store.watch(m_board.speech.layout().targets, from, milliseconds(0));
+    const std::uint64_t told_from = m_behind ? m_told_from : 0; // told before this call, so the answer covers it
+    const store_reply reply = co_await m_board.store.watch(m_board.speech.layout().targets, from, wait);
     if (reply.status == store_status::compacted) {
         log(log_part::platform, log_level::info, "The store has dropped the history of targets; reading the list.",
             field("revision", from));
@@ -127,11 +144,12 @@
     if (reply.status != store_status::ok) {
         co_return false;
     }
+    m_covered = std::max(m_covered, told_from);
     const auto changes = decode(reply.found.items);
     const auto news = m_board.targets.apply(changes, steady_now());
     note_news(news, "changes");
     m_fresh_at = steady_now();
-    m_behind = false;
+    m_behind = m_told_from > std::max(m_board.targets.revision(), m_covered);
     if (tell_others) {
         tell(from, news);
     }
@@ -195,7 +213,8 @@
         if (!m_loaded) {
             return;
         }
-        if (from > m_board.targets.revision()) {
+        if (from > std::max(m_board.targets.revision(), m_covered)) {
+            m_told_from = std::max(m_told_from, from);
             if (!m_behind) {
                 m_behind = true;
                 m_wake.cancel();
--- a/src/gateway/target_feed.h
+++ b/src/gateway/target_feed.h
@@ -25,7 +25,8 @@
 private:
     asio::awaitable<void> run();
     asio::awaitable<bool> read_all();
-    asio::awaitable<bool> read_changes(bool tell_others);
+    asio::awaitable<bool> read_changes(bool tell_others, std::chrono::milliseconds wait);
+    bool leads() const;
     std::vector<target_change> decode(std::span<const store_item> items);
     void tell(std::uint64_t from, std::span<const target_change> news);
     void on_told(const nlohmann::json& body);
@@ -37,7 +38,9 @@
     timestamp m_fresh_at{}; ///< the list was known to be current
     timestamp m_called_at{-1};
     bool m_loaded = false;
-    bool m_behind = false;                           ///< news was told that starts behind what is known
+    bool m_behind = false;         ///< news was told that starts behind what is known
+    std::uint64_t m_covered = 0;   ///< revision up to which nothing is missing, besides that of the list
+    std::uint64_t m_told_from = 0; ///< start of the news that was told while behind
     std::set<std::string, std::less<>> m_unreadable; ///< entries whose fault is logged
 };
 
