--- a/src/dispatch/cache_follower.h
+++ b/src/dispatch/cache_follower.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dispatch/target_info.h"
 #include "backends/engine_report.h"
+#include "dispatch/target_info.h"
 
 #include <cstdint>
 #include <map>
--- a/src/document/document_put.h
+++ b/src/document/document_put.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "document/document_record.h"
 #include "backends/kv_store.h"
+#include "document/document_record.h"
 #include "util/result_code.h"
 #include "util/time.h"
 
--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -1,12 +1,12 @@
 #include "entry/control_api.h"
 
+#include "backends/http_kv_store.h"
 #include "blackboard/board.h"
 #include "document/document_put.h"
 #include "document/document_schema.h"
 #include "entry/call_session.h"
 #include "entry/partition_router.h"
 #include "entry/refusal_json.h"
-#include "backends/http_kv_store.h"
 #include "roles/ask.h"
 #include "roles/messages.h"
 #include "util/digest.h"
--- a/src/entry/tool_runner.cpp
+++ b/src/entry/tool_runner.cpp
@@ -1,7 +1,7 @@
 #include "entry/tool_runner.h"
 
-#include "blackboard/board.h"
 #include "backends/tool_client.h"
+#include "blackboard/board.h"
 #include "util/log.h"
 
 #include <nlohmann/json.hpp>
--- a/src/entry/turn_runner.cpp
+++ b/src/entry/turn_runner.cpp
@@ -1,8 +1,8 @@
 #include "entry/turn_runner.h"
 
+#include "backends/engine_client.h"
 #include "blackboard/board.h"
 #include "entry/slot_ticket.h"
-#include "backends/engine_client.h"
 #include "roles/messages.h"
 #include "util/log.h"
 #include "util/rendezvous.h"
--- a/src/entry/turn_runner.h
+++ b/src/entry/turn_runner.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "backends/engine_answer.h"
 #include "dispatch/retry_policy.h"
 #include "dispatch/slot_holder.h"
 #include "entry/call_options.h"
-#include "backends/engine_answer.h"
 #include "program/action.h"
 #include "program/event.h"
 
--- a/src/roles/document_fetcher.cpp
+++ b/src/roles/document_fetcher.cpp
@@ -1,10 +1,10 @@
 #include "roles/document_fetcher.h"
 
+#include "backends/http_kv_store.h"
+#include "backends/http_kv_watch.h"
 #include "blackboard/board.h"
 #include "membership/duty.h"
 #include "peer/rpc_client.h"
-#include "backends/http_kv_store.h"
-#include "backends/http_kv_watch.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/document_fetcher.h
+++ b/src/roles/document_fetcher.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "document/document_table.h"
 #include "backends/kv_store.h"
 #include "backends/kv_watch.h"
+#include "document/document_table.h"
 #include "roles/messages.h"
 
 #include <caf/behavior.hpp>
--- a/src/roles/entry_role.cpp
+++ b/src/roles/entry_role.cpp
@@ -1,12 +1,12 @@
 #include "roles/entry_role.h"
 
+#include "backends/http_tool_client.h"
 #include "entry/caller_api.h"
 #include "entry/control_api.h"
 #include "entry/entry_metrics.h"
 #include "entry/partition_router.h"
 #include "entry/tool_runner.h"
 #include "entry/turn_runner.h"
-#include "backends/http_tool_client.h"
 #include "program/history_memory.h"
 #include "roles/ask.h"
 #include "roles/ownership_controller.h"
--- a/src/roles/instance_poller.cpp
+++ b/src/roles/instance_poller.cpp
@@ -1,9 +1,9 @@
 #include "roles/instance_poller.h"
 
+#include "backends/http_instance_list.h"
 #include "blackboard/board.h"
 #include "membership/duty.h"
 #include "peer/network_address.h"
-#include "backends/http_instance_list.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/load_poller.cpp
+++ b/src/roles/load_poller.cpp
@@ -1,7 +1,7 @@
 #include "roles/load_poller.h"
 
-#include "blackboard/board.h"
 #include "backends/engine_client.h"
+#include "blackboard/board.h"
 
 #include <caf/event_based_actor.hpp>
 
--- a/src/roles/release_controller.cpp
+++ b/src/roles/release_controller.cpp
@@ -1,7 +1,7 @@
 #include "roles/release_controller.h"
 
-#include "blackboard/board.h"
 #include "backends/engine_client.h"
+#include "blackboard/board.h"
 #include "util/log.h"
 
 #include <caf/event_based_actor.hpp>
--- a/src/roles/role_process.h
+++ b/src/roles/role_process.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "backends/call_counts.h"
+#include "backends/http_engine_client.h"
 #include "blackboard/board.h"
 #include "membership/member.h"
 #include "peer/cluster_key.h"
@@ -7,8 +9,6 @@
 #include "peer/datagram_socket.h"
 #include "peer/http_listener.h"
 #include "peer/rpc_server.h"
-#include "backends/call_counts.h"
-#include "backends/http_engine_client.h"
 #include "settings/settings.h"
 
 #include <caf/actor.hpp>
