--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 	@git ls-files '*.cpp' '*.h' | xargs -r clang-format --dry-run --Werror
 
 lint: build
+	@scripts/check-names
 	@scripts/lint $(BUILD)
 
 clean:
--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -100,7 +100,7 @@
     return it != m_silent_until.end() && steady_now() < it->second;
 }
 
-// The first two by rendezvous hashing hold the record and its copy. The second stands in for an owner that is silent,
+// The first two by rendezvous hashing hold the record and its copy. The second decides for an owner that is silent,
 // or that cannot reach the store while the second may.
 asio::awaitable<budget_answer> budget_keeper::reserve(budget_request request)
 {
@@ -170,7 +170,7 @@
     budget_answer answer;
     answer.request = request.request;
     if (request.owner_silent) {
-        m_ledger.stand_in(request.program);
+        m_ledger.act_for_owner(request.program);
     }
     for (int tries = 0; tries < most_mark_tries; ++tries) {
         switch (m_ledger.reserve(request, steady_now())) {
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -81,7 +81,7 @@
         if (other.used < record.used) {
             return; // datagrams overtake each other
         }
-        m_standing_in.erase(it->first);
+        m_acting_for_owner.erase(it->first);
         const std::uint64_t revision = record.mark_revision;
         const std::uint64_t marked = std::max(record.marked, other.marked);
         record = other;
@@ -96,7 +96,7 @@
     const auto [it, added] = m_records.try_emplace(std::string(program), other);
     program_record& record = it->second;
     if (!added) {
-        record.used += other.stood_in;
+        record.used += other.granted_for_owner;
         record.marked = std::max(record.marked, other.marked);
         record.unmarked = std::min(record.unmarked, other.unmarked);
         for (const auto& [id, item] : other.reserved) {
@@ -109,9 +109,9 @@
     start_reservations(record, now);
 }
 
-void budget_ledger::stand_in(std::string_view program)
+void budget_ledger::act_for_owner(std::string_view program)
 {
-    m_standing_in.emplace(program);
+    m_acting_for_owner.emplace(program);
 }
 
 mark_order budget_ledger::order_for(const budget_request& request) const
@@ -154,7 +154,7 @@
     if (turn != record.reserved.end()) {
         const std::uint64_t tokens = std::min(message.tokens, turn->second.tokens);
         record.used += tokens;
-        record.stood_in += m_standing_in.contains(it->first) ? tokens : 0;
+        record.granted_for_owner += m_acting_for_owner.contains(it->first) ? tokens : 0;
         record.reserved.erase(turn);
     }
     if (!message.session.empty() && !message.place.target.empty()) {
@@ -196,7 +196,7 @@
             return old;
         });
     }
-    std::erase_if(m_standing_in, [this](const std::string& id) { return !m_records.contains(id); });
+    std::erase_if(m_acting_for_owner, [this](const std::string& id) { return !m_records.contains(id); });
     std::erase_if(m_records, [&](const auto& pair) {
         return pair.second.reserved.empty() && now - pair.second.last_use > m_rules.record_life;
     });
@@ -212,7 +212,7 @@
 {
     const auto it = m_records.find(program);
     if (it != m_records.end()) {
-        m_standing_in.erase(it->first);
+        m_acting_for_owner.erase(it->first);
         m_records.erase(it);
     }
 }
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -58,11 +58,11 @@
     /// Takes the record of another gateway in place of one's own copy. An older one is ignored.
     void adopt(std::string_view program, const program_record& other, timestamp now);
 
-    /// Joins the record of a gateway that stood in for this one with one's own: what it granted is added.
+    /// Joins the record of a gateway that decided for this one with one's own: what it granted is added.
     void merge(std::string_view program, const program_record& other, timestamp now);
 
     /// Notes that turns granted from now on are decided in place of a silent owner, until the record is adopted again.
-    void stand_in(std::string_view program);
+    void act_for_owner(std::string_view program);
 
     /// Returns the write that is needed before the turn can be granted. Precondition: `reserve` returned needs_mark.
     mark_order order_for(const budget_request& request) const;
@@ -88,7 +88,7 @@
 
     budget_rules m_rules;
     std::map<std::string, program_record, std::less<>> m_records;
-    std::set<std::string, std::less<>> m_standing_in;
+    std::set<std::string, std::less<>> m_acting_for_owner;
 };
 
 } // namespace lagoonferry
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -44,7 +44,7 @@
     program_record record;
     record.budget = message.at("b").get<std::uint64_t>();
     record.used = message.at("u").get<std::uint64_t>();
-    record.stood_in = message.at("d").get<std::uint64_t>();
+    record.granted_for_owner = message.at("d").get<std::uint64_t>();
     record.marked = message.at("m").get<std::uint64_t>();
     record.unmarked = message.at("f").get<std::uint64_t>();
     for (const json& item : message.at("r")) {
@@ -89,7 +89,7 @@
     if (message.record) {
         out["b"] = message.record->budget;
         out["u"] = message.record->used;
-        out["d"] = message.record->stood_in;
+        out["d"] = message.record->granted_for_owner;
         out["m"] = message.record->marked;
         out["f"] = message.record->unmarked;
         out["r"] = reservations_json(*message.record);
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -17,7 +17,7 @@
     std::string session;
     std::uint64_t budget = 0;
     std::uint64_t tokens = 0;  ///< the most that the turn generates
-    bool owner_silent = false; ///< the owner did not answer, so the receiver stands in for it
+    bool owner_silent = false; ///< the owner did not answer, so the receiver decides in its place
 };
 
 enum class budget_verdict {
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -165,20 +165,20 @@
     CHECK(other.find("p")->committed() == 80);
 }
 
-TEST_CASE("what a stand-in granted is added to the owner's record when it hands over")
+TEST_CASE("what was granted for a silent owner is added to the owner's record when it hands over")
 {
     mark_store store;
     budget_ledger owner;
-    budget_ledger stand_in;
+    budget_ledger deputy;
     CHECK(decide(owner, ask("1"), store, true, seconds(1)));
     owner.settle(settled("1", 80), seconds(1));
-    stand_in.adopt("p", *owner.find("p"), seconds(1));
-    stand_in.stand_in("p");
-    CHECK(decide(stand_in, ask("2"), store, true, seconds(2)));
-    stand_in.settle(settled("2", 70), seconds(2));
+    deputy.adopt("p", *owner.find("p"), seconds(1));
+    deputy.act_for_owner("p");
+    CHECK(decide(deputy, ask("2"), store, true, seconds(2)));
+    deputy.settle(settled("2", 70), seconds(2));
     CHECK(decide(owner, ask("3"), store, true, seconds(2)));
     owner.settle(settled("3", 50), seconds(2));
-    owner.merge("p", *stand_in.find("p"), seconds(3));
+    owner.merge("p", *deputy.find("p"), seconds(3));
     CHECK(owner.find("p")->used == 80 + 70 + 50);
 }
 
--- /dev/null
+++ b/tests/target_loads_test.cpp
@@ -0,0 +1,289 @@
+#include "routing/target_loads.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <queue>
+#include <random>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+target_record make_target(std::string id, std::uint32_t slots = 48)
+{
+    target_record record;
+    record.id = std::move(id);
+    record.service = "model";
+    record.failure_domain = "a";
+    record.slots = slots;
+    return record;
+}
+
+std::vector<const target_record*> pointers(const std::vector<target_record>& records)
+{
+    std::vector<const target_record*> out;
+    std::ranges::transform(records, std::back_inserter(out), [](const target_record& item) { return &item; });
+    return out;
+}
+
+placement_request turn_of(std::span<const prompt_part> prompt, session_place session = {})
+{
+    placement_request request;
+    request.prompt = prompt;
+    request.output_tokens = 34;
+    request.session = std::move(session);
+    request.own_domain = "a";
+    return request;
+}
+
+/// Half of what the engines could read if each prompt were read once and nothing stood idle.
+constexpr double programs_per_second = 90;
+
+struct replay_result {
+    double mean_first_ms = 0;
+    double unread_per_turn = 0;
+};
+
+/// A wave of programs with four turns each at seven gateways before 18 engines of three speeds, as on the users' first
+/// site. An engine reads prompts one after the other.
+class wave_replay {
+public:
+    /// `told`: gateways tell each other their loads. `places`: the place of a session is known at each gateway.
+    wave_replay(unsigned seed, bool told, bool places) : m_random(seed), m_told(told), m_places(places)
+    {
+        for (int n = 0; n < 18; ++n) {
+            m_records.push_back(make_target("e" + std::to_string(n)));
+            m_speed.push_back(std::array{0.6, 1.0, 1.6}[static_cast<std::size_t>(n) % 3]);
+        }
+        m_busy_until.resize(m_records.size());
+        for (unsigned n = 0; n < 7; ++n) {
+            m_gateways.emplace_back(seed * 100 + n);
+        }
+    }
+
+    replay_result run()
+    {
+        std::uniform_real_distribution<double> gap(0, 2.0 / programs_per_second);
+        double at = 0;
+        for (std::uint64_t n = 1; n <= 1'200; ++n) {
+            at += gap(m_random);
+            m_events.push({at * 1'000, event_kind::turn, n, 0, 0, 0});
+        }
+        while (!m_events.empty()) {
+            const event next = m_events.top();
+            m_events.pop();
+            tell(next.ms);
+            handle(next);
+        }
+        return {m_first_sum / m_turns, m_unread_sum / m_turns};
+    }
+
+private:
+    enum class event_kind { turn, first, end };
+    struct event {
+        double ms;
+        event_kind kind;
+        std::uint64_t program;
+        int turn;
+        std::size_t gateway;
+        std::size_t engine;
+        std::uint32_t unread = 0;
+        bool operator<(const event& other) const { return ms > other.ms; }
+    };
+
+    static timestamp time_of(double ms) { return timestamp(static_cast<std::int64_t>(ms * 1'000) + 1'000'000); }
+
+    void tell(double ms)
+    {
+        if (!m_told || ms - m_last_told < 60) {
+            return;
+        }
+        m_last_told = ms;
+        for (std::size_t from = 0; from < m_gateways.size(); ++from) {
+            for (std::size_t to = 0; to < m_gateways.size(); ++to) {
+                if (from != to) {
+                    m_gateways[to].on_peer_shares("g" + std::to_string(from), m_gateways[from].own_shares(time_of(ms)),
+                                                  time_of(ms));
+                }
+            }
+        }
+    }
+
+    void handle(const event& item)
+    {
+        target_loads& gateway = m_gateways[item.gateway];
+        const std::string& engine = m_records[item.engine].id;
+        if (item.kind == event_kind::first) {
+            gateway.on_started(engine, item.unread);
+        }
+        else if (item.kind == event_kind::end) {
+            gateway.on_end(engine);
+            gateway.on_token_time(engine, 5.1 / m_speed[item.engine], time_of(item.ms));
+            if (item.turn < 3) {
+                m_events.push({item.ms + 300, event_kind::turn, item.program, item.turn + 1, 0, 0});
+            }
+        }
+        else {
+            start_turn(item);
+        }
+    }
+
+    void start_turn(const event& item)
+    {
+        const std::size_t g = std::uniform_int_distribution<std::size_t>(0, m_gateways.size() - 1)(m_random);
+        target_loads& gateway = m_gateways[g];
+        const std::array prompt{prompt_part{item.program % 6, 2'560},
+                                prompt_part{1'000 + item.program, 1'000 + 700 * static_cast<std::uint32_t>(item.turn)}};
+        session_place& place = m_sessions[item.program];
+        const auto request = turn_of(prompt, m_places ? place : session_place{});
+        const target_record* chosen = gateway.choose(pointers(m_records), request, time_of(item.ms));
+        REQUIRE(chosen != nullptr);
+        const auto e = static_cast<std::size_t>(chosen - m_records.data());
+        const std::uint32_t all = prompt[0].tokens + prompt[1].tokens;
+        const std::uint32_t kept = place.target == chosen->id ? place.kept_tokens : prompt[0].tokens;
+        const std::uint32_t unread = all - std::min(all, kept);
+        const std::uint32_t expected = gateway.unread_tokens(*chosen, request, time_of(item.ms));
+        gateway.on_sent(*chosen, expected);
+        const double begin = std::max(item.ms, m_busy_until[e]);
+        const double first = begin + unread / 29.4 / m_speed[e];
+        m_busy_until[e] = first;
+        place = {chosen->id, all + 34};
+        m_first_sum += first - item.ms;
+        m_unread_sum += unread;
+        m_turns += 1;
+        m_events.push({first, event_kind::first, item.program, item.turn, g, e, expected});
+        m_events.push({first + 34 * 5.1 / m_speed[e], event_kind::end, item.program, item.turn, g, e});
+    }
+
+    std::minstd_rand m_random;
+    bool m_told;
+    bool m_places;
+    std::vector<target_record> m_records;
+    std::vector<double> m_speed;
+    std::vector<double> m_busy_until;
+    std::vector<target_loads> m_gateways;
+    std::priority_queue<event> m_events;
+    std::map<std::uint64_t, session_place> m_sessions;
+    double m_last_told = -1'000;
+    double m_first_sum = 0;
+    double m_unread_sum = 0;
+    double m_turns = 0;
+};
+
+} // namespace
+
+TEST_CASE("gateways that tell each other their loads do not all choose the same fast engines in a wave")
+{
+    double told = 0;
+    double untold = 0;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        told += wave_replay(seed, true, true).run().mean_first_ms;
+        untold += wave_replay(seed, false, true).run().mean_first_ms;
+    }
+    CAPTURE(told / 5);
+    CAPTURE(untold / 5);
+    CHECK(told < 0.8 * untold);
+}
+
+TEST_CASE("turns that know where their session's prompt is kept read less of it again")
+{
+    double known = 0;
+    double unknown = 0;
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+        known += wave_replay(seed, true, true).run().unread_per_turn;
+        unknown += wave_replay(seed, true, false).run().unread_per_turn;
+    }
+    CAPTURE(known / 5);
+    CAPTURE(unknown / 5);
+    CHECK(known < 0.7 * unknown);
+}
+
+TEST_CASE("a target that fails fast is not the one that looks free")
+{
+    const std::vector<target_record> records{make_target("bad"), make_target("good")};
+    target_loads loads(1);
+    const std::array prompt{prompt_part{1, 2'000}, prompt_part{2, 500}};
+    int bad = 0;
+    for (int n = 0; n < 100; ++n) {
+        const timestamp now = seconds(1) + milliseconds(20) * n;
+        const target_record* chosen = loads.choose(pointers(records), turn_of(prompt), now);
+        loads.on_sent(*chosen, 0);
+        if (chosen->id == "bad") {
+            ++bad;
+            loads.on_end("bad");
+            loads.on_failure("bad", now);
+        }
+        else if (n % 10 == 9) {
+            for (int done = 0; done < 5; ++done) {
+                loads.on_end("good");
+            }
+        }
+    }
+    CHECK(bad < 15);
+}
+
+TEST_CASE("failures that another gateway has seen count here as well, for a while")
+{
+    const std::vector<target_record> records{make_target("bad"), make_target("good")};
+    target_loads loads(1);
+    const std::array prompt{prompt_part{1, 100}};
+    loads.on_peer_shares("other", {{"bad", 0, 0, 4}}, seconds(1));
+    for (int n = 0; n < 20; ++n) {
+        CHECK(loads.choose(pointers(records), turn_of(prompt), seconds(1))->id == "good");
+    }
+    loads.on_peer_shares("other", {}, seconds(2));
+    int back = 0;
+    for (int n = 0; n < 40; ++n) {
+        back += loads.choose(pointers(records), turn_of(prompt), seconds(2))->id == "bad" ? 1 : 0;
+    }
+    CHECK(back > 0);
+}
+
+TEST_CASE("a target that refused gets a pause, and none is chosen when all refused")
+{
+    const std::vector<target_record> records{make_target("a"), make_target("b")};
+    target_loads loads(1);
+    const std::array prompt{prompt_part{1, 100}};
+    loads.choose(pointers(records), turn_of(prompt), seconds(1));
+    loads.on_refusal("a", seconds(1));
+    for (int n = 0; n < 10; ++n) {
+        CHECK(loads.choose(pointers(records), turn_of(prompt), seconds(1))->id == "b");
+    }
+    loads.on_refusal("b", seconds(1));
+    CHECK(loads.choose(pointers(records), turn_of(prompt), seconds(1)) == nullptr);
+    CHECK(loads.choose(pointers(records), turn_of(prompt), seconds(2)) != nullptr);
+}
+
+TEST_CASE("a slow spell of a machine keeps work away while it lasts, and no longer")
+{
+    const std::vector<target_record> records{make_target("slow"), make_target("usual")};
+    target_loads loads(1);
+    const std::array prompt{prompt_part{1, 1'000}};
+    loads.choose(pointers(records), turn_of(prompt), seconds(1));
+    loads.on_report("slow", {1, 0, 48, 2.5}, seconds(1));
+    for (int n = 0; n < 10; ++n) {
+        CHECK(loads.choose(pointers(records), turn_of(prompt), seconds(1))->id == "usual");
+    }
+    int back = 0;
+    for (int n = 0; n < 40; ++n) {
+        back += loads.choose(pointers(records), turn_of(prompt), seconds(5))->id == "slow" ? 1 : 0;
+    }
+    CHECK(back > 0);
+}
+
+TEST_CASE("a target that starts again has read nothing")
+{
+    std::vector<target_record> records{make_target("a")};
+    target_loads loads(1);
+    const std::array prompt{prompt_part{1, 100}, prompt_part{2, 100}};
+    loads.choose(pointers(records), turn_of(prompt), seconds(1));
+    loads.on_prompt("a", prompt, 30, seconds(1));
+    CHECK(loads.unread_tokens(records[0], turn_of(prompt), seconds(1)) == 0);
+    records[0].start = 5;
+    CHECK(loads.unread_tokens(records[0], turn_of(prompt), seconds(1)) > 100);
+}
