Rename classes of the gateway that stood twice in the program

Cause: connection_pool, load_report, program_record and target_loads were each defined in two headers of namespace lagoonferry. The linker kept one of each: journal_test crashed, and the entry and gateway roles could have used each other's code. Ruled out: the case itself, which passes alone without the new objects. The count of client commands in client_test is 11 with explain.

--- a/src/gateway/answer_facts.h
+++ b/src/gateway/answer_facts.h
@@ -8,7 +8,7 @@
 namespace lagoonferry {
 
 /// The load that a target tells in an answer.
-struct load_report {
+struct told_load {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
@@ -21,7 +21,7 @@
     bool signed_by_target = false;
     bool not_executed = false; ///< the target did not and will not run the request
     bool encoded = false;      ///< the body has a content encoding, so it is not the target's
-    std::optional<load_report> load;
+    std::optional<told_load> load;
     std::optional<std::chrono::seconds> keep_alive;
 };
 
--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -321,7 +321,7 @@
 
 void budget_keeper::apply_settlement(const budget_settlement& message)
 {
-    const program_record* record = m_ledger.find(message.program);
+    const budget_record* record = m_ledger.find(message.program);
     const bool open = record != nullptr && record->reserved.contains(message.request);
     if (m_ledger.settle(message, steady_now()) && open) {
         send_copy(message.program);
@@ -332,7 +332,7 @@
 {
     const auto order = m_fleet.ranked(program);
     const auto other = std::ranges::find_if(order, [&](const std::string& id) { return id != m_fleet.own_id(); });
-    const program_record* record = m_ledger.find(program);
+    const budget_record* record = m_ledger.find(program);
     if (other != order.end() && record != nullptr) {
         m_fleet.send(*other, datagram_kind::copy, to_json(program_copy{program, *record, would_know(program), false}));
     }
@@ -344,7 +344,7 @@
     if (!request) {
         return;
     }
-    const program_record* record = m_ledger.find(request->program);
+    const budget_record* record = m_ledger.find(request->program);
     program_copy copy{request->program, std::nullopt, would_know(request->program), true};
     if (record != nullptr) {
         copy.record = *record;
@@ -388,7 +388,7 @@
         if (order.empty() || order.front() == m_fleet.own_id()) {
             return false;
         }
-        if (const program_record* record = m_ledger.find(program)) {
+        if (const budget_record* record = m_ledger.find(program)) {
             m_fleet.send(order.front(), datagram_kind::copy,
                          to_json(program_copy{program, *record, would_know(program), true}));
         }
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -32,7 +32,7 @@
     /// Hands all records that this gateway owns to their next owners.
     void hand_over();
 
-    /// Deletes this process's view of who answers; for tests and for settings that change.
+    /// The records and copies that this gateway holds.
     const budget_ledger& ledger() const { return m_ledger; }
 
 private:
--- a/src/gateway/gateway_board.h
+++ b/src/gateway/gateway_board.h
@@ -5,10 +5,10 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_dialect.h"
-#include "net/connection_pool.h"
+#include "net/kept_connections.h"
 #include "routing/route_table.h"
 #include "routing/target_directory.h"
-#include "routing/target_loads.h"
+#include "routing/target_placement.h"
 #include "store/store_client.h"
 
 #include <memory>
@@ -31,8 +31,8 @@
     const platform_dialect& speech;
     gateway_metrics metrics;
     target_directory targets; ///< written by target_feed
-    target_loads loads;       ///< written by exchanges
-    connection_pool pool;     ///< of exchanges
+    target_placement loads;   ///< written by exchanges
+    kept_connections pool;    ///< of exchanges
     fleet_link fleet;
     store_client store;
     budget_keeper budgets;
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -19,7 +19,7 @@
 }
 
 /// Reservations of a copy carry no time, because clocks of machines differ; their life starts at the receiver.
-void start_reservations(program_record& record, timestamp now)
+void start_reservations(budget_record& record, timestamp now)
 {
     for (auto& item : record.reserved | std::views::values) {
         item.since = item.since == timestamp{} ? now : item.since;
@@ -40,7 +40,7 @@
     if (it == m_records.end()) {
         return ledger_step::needs_copy;
     }
-    program_record& record = it->second;
+    budget_record& record = it->second;
     record.last_use = now;
     if (record.reserved.contains(request.request)) {
         return ledger_step::granted;
@@ -62,7 +62,7 @@
     if (!added) {
         return;
     }
-    program_record& record = it->second;
+    budget_record& record = it->second;
     record.budget = request.budget;
     record.last_use = now;
     if (certain) {
@@ -73,10 +73,10 @@
     }
 }
 
-void budget_ledger::adopt(std::string_view program, const program_record& other, timestamp now)
+void budget_ledger::adopt(std::string_view program, const budget_record& other, timestamp now)
 {
     const auto [it, added] = m_records.try_emplace(std::string(program), other);
-    program_record& record = it->second;
+    budget_record& record = it->second;
     if (!added) {
         if (other.used < record.used) {
             return; // datagrams overtake each other
@@ -91,10 +91,10 @@
     start_reservations(record, now);
 }
 
-void budget_ledger::merge(std::string_view program, const program_record& other, timestamp now)
+void budget_ledger::merge(std::string_view program, const budget_record& other, timestamp now)
 {
     const auto [it, added] = m_records.try_emplace(std::string(program), other);
-    program_record& record = it->second;
+    budget_record& record = it->second;
     if (!added) {
         record.used += other.granted_for_owner;
         record.marked = std::max(record.marked, other.marked);
@@ -118,7 +118,7 @@
 {
     const auto it = m_records.find(request.program);
     ensure(it != m_records.end(), "a mark is ordered for a program without a record");
-    const program_record& record = it->second;
+    const budget_record& record = it->second;
     const std::uint64_t total = record.committed() + request.tokens;
     const std::uint64_t coarse_end = part_of(record.budget, m_rules.coarse_part);
     const std::uint64_t coarse = std::min(total + unmarked_limit(record.budget), coarse_end);
@@ -131,7 +131,7 @@
     if (it == m_records.end()) {
         return;
     }
-    program_record& record = it->second;
+    budget_record& record = it->second;
     // A mark that neither this process nor the sender of its copy has written may be used up by the one that wrote it.
     if (level > record.marked && !written_here) {
         const std::uint64_t reserved = record.committed() - record.used;
@@ -148,7 +148,7 @@
     if (it == m_records.end()) {
         return false;
     }
-    program_record& record = it->second;
+    budget_record& record = it->second;
     record.last_use = now;
     const auto turn = record.reserved.find(message.request);
     if (turn != record.reserved.end()) {
@@ -168,7 +168,7 @@
     return true;
 }
 
-const program_record* budget_ledger::find(std::string_view program) const
+const budget_record* budget_ledger::find(std::string_view program) const
 {
     const auto it = m_records.find(program);
     return it == m_records.end() ? nullptr : &it->second;
@@ -176,7 +176,7 @@
 
 session_place budget_ledger::place_of(std::string_view program, std::string_view session) const
 {
-    const program_record* record = find(program);
+    const budget_record* record = find(program);
     if (record == nullptr) {
         return {};
     }
@@ -189,7 +189,7 @@
 
 void budget_ledger::expire(timestamp now)
 {
-    for (program_record& record : m_records | std::views::values) {
+    for (budget_record& record : m_records | std::views::values) {
         std::erase_if(record.reserved, [&](const auto& pair) {
             const bool old = now - pair.second.since > m_rules.reservation_life;
             record.used += old ? pair.second.tokens : 0;
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "ledger/budget_messages.h"
-#include "ledger/program_record.h"
+#include "ledger/budget_record.h"
 #include "util/time.h"
 
 #include <cstdint>
@@ -56,10 +56,10 @@
     void start_record(const budget_request& request, bool certain, timestamp now);
 
     /// Takes the record of another gateway in place of one's own copy. An older one is ignored.
-    void adopt(std::string_view program, const program_record& other, timestamp now);
+    void adopt(std::string_view program, const budget_record& other, timestamp now);
 
     /// Joins the record of a gateway that decided for this one with one's own: what it granted is added.
-    void merge(std::string_view program, const program_record& other, timestamp now);
+    void merge(std::string_view program, const budget_record& other, timestamp now);
 
     /// Notes that turns granted from now on are decided in place of a silent owner, until the record is adopted again.
     void act_for_owner(std::string_view program);
@@ -73,7 +73,7 @@
     /// Ends a turn. Returns false if the program is not known.
     bool settle(const budget_settlement& message, timestamp now);
 
-    const program_record* find(std::string_view program) const;
+    const budget_record* find(std::string_view program) const;
     /// Returns where a line of turns ran last, or the line that started it. The first line has the program's name.
     session_place place_of(std::string_view program, std::string_view session) const;
 
@@ -87,7 +87,7 @@
     std::uint64_t unmarked_limit(std::uint64_t budget) const;
 
     budget_rules m_rules;
-    std::map<std::string, program_record, std::less<>> m_records;
+    std::map<std::string, budget_record, std::less<>> m_records;
     std::set<std::string, std::less<>> m_acting_for_owner;
 };
 
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -30,7 +30,7 @@
     return {message.at(0).get<std::string>(), message.at(1).get<std::uint32_t>()};
 }
 
-json reservations_json(const program_record& record)
+json reservations_json(const budget_record& record)
 {
     json list = json::array();
     for (const auto& [id, item] : record.reserved) {
@@ -39,9 +39,9 @@
     return list;
 }
 
-program_record record_from(const json& message)
+budget_record record_from(const json& message)
 {
-    program_record record;
+    budget_record record;
     record.budget = message.at("b").get<std::uint64_t>();
     record.used = message.at("u").get<std::uint64_t>();
     record.granted_for_owner = message.at("d").get<std::uint64_t>();
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledger/program_record.h"
+#include "ledger/budget_record.h"
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -49,7 +49,7 @@
 /// A record, or the word that there is none. Sent after each change, on request, and when the owner changes.
 struct program_copy {
     std::string program;
-    std::optional<program_record> record;
+    std::optional<budget_record> record;
     bool sender_certain = false; ///< the sender would have a record if the program had spent anything
     bool hands_over = false;     ///< the receiver owns the record from now on
 };
--- a/src/ledger/program_record.h
+++ b/src/ledger/budget_record.h
@@ -10,7 +10,7 @@
 namespace lagoonferry {
 
 /// The spending of one program, in tokens.
-struct program_record {
+struct budget_record {
     struct reservation {
         std::uint64_t tokens = 0; ///< the most that the turn generates
         timestamp since{};
--- a/src/net/connection_pool.cpp
+++ b/src/net/kept_connections.cpp
@@ -1,4 +1,4 @@
-#include "net/connection_pool.h"
+#include "net/kept_connections.h"
 
 #include <algorithm>
 #include <numeric>
@@ -26,7 +26,7 @@
 
 } // namespace
 
-std::unique_ptr<client_connection> connection_pool::take(std::string_view key)
+std::unique_ptr<client_connection> kept_connections::take(std::string_view key)
 {
     const auto it = m_idle.find(key);
     if (it == m_idle.end()) {
@@ -44,8 +44,8 @@
     return nullptr;
 }
 
-void connection_pool::put(std::string_view key, std::unique_ptr<client_connection> connection,
-                          std::optional<std::chrono::seconds> idle_limit)
+void kept_connections::put(std::string_view key, std::unique_ptr<client_connection> connection,
+                           std::optional<std::chrono::seconds> idle_limit)
 {
     auto& kept = m_idle[std::string(key)];
     if (kept.size() >= most_for_one_target || !connection->is_clean()) {
@@ -56,7 +56,7 @@
     kept.push_back(std::move(connection));
 }
 
-void connection_pool::sweep(const std::function<bool(std::string_view key)>& keep)
+void kept_connections::sweep(const std::function<bool(std::string_view key)>& keep)
 {
     const auto now = loop_clock::now();
     for (auto& [key, kept] : m_idle) {
@@ -70,7 +70,7 @@
     std::erase_if(m_idle, [](const auto& pair) { return pair.second.empty(); });
 }
 
-std::size_t connection_pool::size() const
+std::size_t kept_connections::size() const
 {
     return std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0},
                            [](std::size_t sum, const auto& pair) { return sum + pair.second.size(); });
--- a/src/net/connection_pool.h
+++ b/src/net/kept_connections.h
@@ -13,9 +13,9 @@
 namespace lagoonferry {
 
 /// Kept connections by the start of the target at their other end. Runs on one event loop; not thread-safe.
-class connection_pool {
+class kept_connections {
 public:
-    explicit connection_pool(asio::any_io_executor loop) : m_loop(std::move(loop)) {}
+    explicit kept_connections(asio::any_io_executor loop) : m_loop(std::move(loop)) {}
 
     /// Returns a kept connection that is safe to use, or nothing. The most recently used comes first, so that the
     /// others can time out.
--- a/src/routing/target_loads.cpp
+++ b/src/routing/target_placement.cpp
@@ -1,4 +1,4 @@
-#include "routing/target_loads.h"
+#include "routing/target_placement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -79,7 +79,7 @@
 
 } // namespace
 
-target_loads::row& target_loads::row_of(const target_record& target)
+target_placement::row& target_placement::row_of(const target_record& target)
 {
     const auto it = m_rows.try_emplace(target.id).first;
     row& item = it->second;
@@ -95,20 +95,20 @@
     return item;
 }
 
-target_loads::row* target_loads::find(std::string_view id)
+target_placement::row* target_placement::find(std::string_view id)
 {
     const auto it = m_rows.find(id);
     return it == m_rows.end() ? nullptr : &it->second;
 }
 
-std::uint32_t target_loads::in_flight(std::string_view id) const
+std::uint32_t target_placement::in_flight(std::string_view id) const
 {
     const auto it = m_rows.find(id);
     return it == m_rows.end() ? 0 : it->second.in_flight;
 }
 
-target_loads::common_state target_loads::common_of(std::span<const target_record* const> candidates, double usual_pace,
-                                                   timestamp now) const
+target_placement::common_state target_placement::common_of(std::span<const target_record* const> candidates,
+                                                           double usual_pace, timestamp now) const
 {
     common_state common;
     int known = 0;
@@ -128,13 +128,13 @@
     return common;
 }
 
-double target_loads::expected_work_factor(const row& item, timestamp now)
+double target_placement::expected_work_factor(const row& item, timestamp now)
 {
     return 1 + halved(item.work_factor - 1, ms_between(item.reported, now), work_factor_memory_ms);
 }
 
-double target_loads::unread_tokens(const target_record& target, const row& item, const placement_request& request,
-                                   timestamp now)
+double target_placement::unread_tokens(const target_record& target, const row& item, const placement_request& request,
+                                       timestamp now)
 {
     double unread = 0;
     double all = 0;
@@ -164,12 +164,13 @@
     return unread;
 }
 
-std::uint32_t target_loads::unread_tokens(const target_record& target, const placement_request& request, timestamp now)
+std::uint32_t target_placement::unread_tokens(const target_record& target, const placement_request& request,
+                                              timestamp now)
 {
     return static_cast<std::uint32_t>(unread_tokens(target, row_of(target), request, now));
 }
 
-target_share target_loads::all_shares(const target_record& target, const row& item, timestamp now) const
+target_share target_placement::all_shares(const target_record& target, const row& item, timestamp now) const
 {
     target_share sum{target.id, item.in_flight, item.unread_tokens, 0};
     for (const auto& [gateway, told] : m_peers) {
@@ -182,8 +183,8 @@
     return sum;
 }
 
-double target_loads::estimate_ms(const target_record& target, const row& item, const placement_request& request,
-                                 const common_state& common, timestamp now) const
+double target_placement::estimate_ms(const target_record& target, const row& item, const placement_request& request,
+                                     const common_state& common, timestamp now) const
 {
     const double pace = item.pace <= 0 ? common.pace
                                        : common.pace + halved(item.pace - common.pace, ms_between(item.paced, now),
@@ -210,7 +211,7 @@
 }
 
 // A target that fails fast looks free. What other gateways have seen counts as well, since each sends it little.
-double target_loads::failure_penalty_ms(const target_record& target, const row& item, timestamp now) const
+double target_placement::failure_penalty_ms(const target_record& target, const row& item, timestamp now) const
 {
     const auto penalty = [](std::uint32_t failures, double age_ms) {
         const auto counted = static_cast<double>(std::min(failures, most_failures_counted));
@@ -226,8 +227,8 @@
     return worst;
 }
 
-const target_record* target_loads::choose(std::span<const target_record* const> candidates,
-                                          const placement_request& request, timestamp now)
+const target_record* target_placement::choose(std::span<const target_record* const> candidates,
+                                              const placement_request& request, timestamp now)
 {
     const double usual_pace = request.prompt.empty() ? usual_service_ms : usual_ms_per_token;
     const common_state common = common_of(candidates, usual_pace, now);
@@ -247,28 +248,28 @@
     return estimates[pick(m_random)].target;
 }
 
-void target_loads::on_sent(const target_record& target, std::uint32_t unread)
+void target_placement::on_sent(const target_record& target, std::uint32_t unread)
 {
     row& item = row_of(target);
     ++item.in_flight;
     item.unread_tokens += unread;
 }
 
-void target_loads::on_started(std::string_view id, std::uint32_t unread)
+void target_placement::on_started(std::string_view id, std::uint32_t unread)
 {
     if (row* item = find(id)) {
         item->unread_tokens -= std::min(item->unread_tokens, unread);
     }
 }
 
-void target_loads::on_end(std::string_view id)
+void target_placement::on_end(std::string_view id)
 {
     if (row* item = find(id); item != nullptr && item->in_flight > 0) {
         --item->in_flight;
     }
 }
 
-std::vector<target_share> target_loads::own_shares(timestamp now) const
+std::vector<target_share> target_placement::own_shares(timestamp now) const
 {
     std::vector<target_share> shares;
     for (const auto& [id, item] : m_rows) {
@@ -280,12 +281,12 @@
     return shares;
 }
 
-void target_loads::on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now)
+void target_placement::on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now)
 {
     m_peers[std::string(gateway)] = {std::move(shares), now};
 }
 
-void target_loads::on_report(std::string_view id, const load_report& report, timestamp now)
+void target_placement::on_report(std::string_view id, const told_load& report, timestamp now)
 {
     if (row* item = find(id)) {
         item->work_factor = report.work_factor;
@@ -293,7 +294,7 @@
     }
 }
 
-void target_loads::learn_pace(std::string_view id, double ms, timestamp now)
+void target_placement::learn_pace(std::string_view id, double ms, timestamp now)
 {
     row* item = find(id);
     if (item == nullptr || ms <= 0) {
@@ -304,18 +305,18 @@
     item->paced = now;
 }
 
-void target_loads::on_token_time(std::string_view id, double ms_per_token, timestamp now)
+void target_placement::on_token_time(std::string_view id, double ms_per_token, timestamp now)
 {
     learn_pace(id, ms_per_token, now);
 }
 
-void target_loads::on_service_time(std::string_view id, double ms, timestamp now)
+void target_placement::on_service_time(std::string_view id, double ms, timestamp now)
 {
     learn_pace(id, ms, now);
 }
 
-void target_loads::on_prompt(std::string_view id, std::span<const prompt_part> prompt, std::uint32_t output,
-                             timestamp now)
+void target_placement::on_prompt(std::string_view id, std::span<const prompt_part> prompt, std::uint32_t output,
+                                 timestamp now)
 {
     row* item = find(id);
     if (item == nullptr || prompt.empty()) {
@@ -330,7 +331,7 @@
     }
 }
 
-void target_loads::on_failure(std::string_view id, timestamp now)
+void target_placement::on_failure(std::string_view id, timestamp now)
 {
     if (row* item = find(id)) {
         ++item->failures;
@@ -338,14 +339,14 @@
     }
 }
 
-void target_loads::on_refusal(std::string_view id, timestamp now)
+void target_placement::on_refusal(std::string_view id, timestamp now)
 {
     if (row* item = find(id)) {
         item->refused_until = now + refusal_pause;
     }
 }
 
-void target_loads::on_success(std::string_view id)
+void target_placement::on_success(std::string_view id)
 {
     if (row* item = find(id)) {
         item->failures = 0;
--- a/src/routing/target_loads.h
+++ b/src/routing/target_placement.h
@@ -38,9 +38,9 @@
 /// What this gateway has seen of the targets, and the choice among them. It answers uneven speeds, slow spells of
 /// single machines and prompts that are kept at one target, by an estimate of the time that the request would take on
 /// each. Decision code without I/O; one owner, not thread-safe.
-class target_loads {
+class target_placement {
 public:
-    explicit target_loads(std::uint64_t seed) : m_random(static_cast<std::minstd_rand::result_type>(seed | 1U)) {}
+    explicit target_placement(std::uint64_t seed) : m_random(static_cast<std::minstd_rand::result_type>(seed | 1U)) {}
 
     /// Returns the best of `candidates`, or nullptr if all of them are avoided or have refused lately. Precondition:
     /// all are of one service.
@@ -63,7 +63,7 @@
     void on_peer_shares(std::string_view gateway, std::vector<target_share> shares, timestamp now);
 
     /// Notes the load that a target told.
-    void on_report(std::string_view id, const load_report& report, timestamp now);
+    void on_report(std::string_view id, const told_load& report, timestamp now);
 
     /// Notes the time between the tokens of a stream.
     void on_token_time(std::string_view id, double ms_per_token, timestamp now);
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -158,7 +158,7 @@
     budget_ledger owner;
     budget_ledger other;
     CHECK(decide(owner, ask("1"), store, true, seconds(1)));
-    const program_record early = *owner.find("p");
+    const budget_record early = *owner.find("p");
     owner.settle(settled("1", 80), seconds(2));
     other.adopt("p", *owner.find("p"), seconds(2));
     other.adopt("p", early, seconds(2));
@@ -245,7 +245,7 @@
 
 TEST_CASE("messages survive their encoding, and malformed ones are refused")
 {
-    program_record record;
+    budget_record record;
     record.budget = 900;
     record.used = 7;
     record.reserved["r"] = {30, seconds(4)};
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -129,7 +129,7 @@
 TEST_CASE("every client command has a help text and refuses unknown options")
 {
     desk operators;
-    CHECK(client_commands().size() == 10);
+    CHECK(client_commands().size() == 11);
     for (const command& item : client_commands()) {
         const run_result help = operators.run(item.name, {"--help"});
         CHECK_MESSAGE(help.status == exit_done, item.name);
--- a/tests/target_loads_test.cpp
+++ b/tests/target_placement_test.cpp
@@ -1,4 +1,4 @@
-#include "routing/target_loads.h"
+#include "routing/target_placement.h"
 
 #include <doctest/doctest.h>
 
@@ -116,7 +116,7 @@
 
     void handle(const event& item)
     {
-        target_loads& gateway = m_gateways[item.gateway];
+        target_placement& gateway = m_gateways[item.gateway];
         const std::string& engine = m_records[item.engine].id;
         if (item.kind == event_kind::first) {
             gateway.on_started(engine, item.unread);
@@ -136,7 +136,7 @@
     void start_turn(const event& item)
     {
         const std::size_t g = std::uniform_int_distribution<std::size_t>(0, m_gateways.size() - 1)(m_random);
-        target_loads& gateway = m_gateways[g];
+        target_placement& gateway = m_gateways[g];
         const std::array prompt{prompt_part{item.program % 6, 2'560},
                                 prompt_part{1'000 + item.program, 1'000 + 700 * static_cast<std::uint32_t>(item.turn)}};
         session_place& place = m_sessions[item.program];
@@ -166,7 +166,7 @@
     std::vector<target_record> m_records;
     std::vector<double> m_speed;
     std::vector<double> m_busy_until;
-    std::vector<target_loads> m_gateways;
+    std::vector<target_placement> m_gateways;
     std::priority_queue<event> m_events;
     std::map<std::uint64_t, session_place> m_sessions;
     double m_last_told = -1'000;
@@ -206,7 +206,7 @@
 TEST_CASE("a target that fails fast is not the one that looks free")
 {
     const std::vector<target_record> records{make_target("bad"), make_target("good")};
-    target_loads loads(1);
+    target_placement loads(1);
     const std::array prompt{prompt_part{1, 2'000}, prompt_part{2, 500}};
     int bad = 0;
     for (int n = 0; n < 100; ++n) {
@@ -230,7 +230,7 @@
 TEST_CASE("failures that another gateway has seen count here as well, for a while")
 {
     const std::vector<target_record> records{make_target("bad"), make_target("good")};
-    target_loads loads(1);
+    target_placement loads(1);
     const std::array prompt{prompt_part{1, 100}};
     loads.on_peer_shares("other", {{"bad", 0, 0, 4}}, seconds(1));
     for (int n = 0; n < 20; ++n) {
@@ -247,7 +247,7 @@
 TEST_CASE("a target that refused gets a pause, and none is chosen when all refused")
 {
     const std::vector<target_record> records{make_target("a"), make_target("b")};
-    target_loads loads(1);
+    target_placement loads(1);
     const std::array prompt{prompt_part{1, 100}};
     loads.choose(pointers(records), turn_of(prompt), seconds(1));
     loads.on_refusal("a", seconds(1));
@@ -262,7 +262,7 @@
 TEST_CASE("a slow spell of a machine keeps work away while it lasts, and no longer")
 {
     const std::vector<target_record> records{make_target("slow"), make_target("usual")};
-    target_loads loads(1);
+    target_placement loads(1);
     const std::array prompt{prompt_part{1, 1'000}};
     loads.choose(pointers(records), turn_of(prompt), seconds(1));
     loads.on_report("slow", {1, 0, 48, 2.5}, seconds(1));
@@ -279,7 +279,7 @@
 TEST_CASE("a target that starts again has read nothing")
 {
     std::vector<target_record> records{make_target("a")};
-    target_loads loads(1);
+    target_placement loads(1);
     const std::array prompt{prompt_part{1, 100}, prompt_part{2, 100}};
     loads.choose(pointers(records), turn_of(prompt), seconds(1));
     loads.on_prompt("a", prompt, 30, seconds(1));
