Take removals that another gateway tells with its judgement

A gateway whose own call to the store had failed kept a removed target for 2.3 s, also when another gateway had read the removal from a healthy store. Change: told removals are lapses only if the teller says so. Test: fails without the change by its first check.

--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -223,7 +223,8 @@
         }
         std::vector<target_change> changes;
         std::ranges::transform(body.at("c"), std::back_inserter(changes), change_from);
-        note_news(m_board.targets.apply(changes, steady_now()), "gateway");
+        m_board.targets.apply_told(changes, steady_now());
+        note_news(changes, "gateway");
         m_board.targets.advance(body.at("t").get<std::uint64_t>());
         if (body.at("l").get<bool>()) {
             m_fresh_at = steady_now();
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -16,7 +16,7 @@
 {
     std::vector<target_change> news;
     for (target_change item : changes) {
-        const bool changed = item.record ? put(*item.record, item.revision) : remove(item, now);
+        const bool changed = item.record ? put(*item.record, item.revision) : remove(item, in_trouble(now), now);
         if (changed) {
             news.push_back(item);
         }
@@ -26,6 +26,19 @@
     return news;
 }
 
+void target_directory::apply_told(std::span<const target_change> changes, timestamp now)
+{
+    for (target_change item : changes) {
+        if (item.record) {
+            put(*item.record, item.revision);
+        }
+        else {
+            remove(item, false, now);
+        }
+        advance(item.revision);
+    }
+}
+
 std::vector<target_change> target_directory::replace(std::span<const target_change> all, std::uint64_t revision,
                                                      timestamp now)
 {
@@ -39,7 +52,7 @@
     }
     for (target_change& item : news) {
         if (item.removed) {
-            remove(item, now);
+            remove(item, in_trouble(now), now);
         }
     }
     advance(revision);
@@ -67,13 +80,13 @@
     return news;
 }
 
-bool target_directory::remove(target_change& change, timestamp now)
+bool target_directory::remove(target_change& change, bool may_have_lapsed, timestamp now)
 {
     const auto it = m_rows.find(change.id);
     if (it == m_rows.end() || it->second.removed || change.revision < it->second.revision) {
         return false;
     }
-    change.maybe_lapsed = change.maybe_lapsed || in_trouble(now);
+    change.maybe_lapsed = change.maybe_lapsed || may_have_lapsed;
     it->second.removed = true;
     it->second.maybe_lapsed = change.maybe_lapsed;
     it->second.removed_at = now;
--- a/src/routing/target_directory.h
+++ b/src/routing/target_directory.h
@@ -40,6 +40,10 @@
     /// report of life.
     std::vector<target_change> apply(std::span<const target_change> changes, timestamp now);
 
+    /// Takes changes that another gateway has read. Whether a removal may be a lapse is the word of that one, which
+    /// reached the store; trouble of this process alone must not keep a target that has left.
+    void apply_told(std::span<const target_change> changes, timestamp now);
+
     /// Replaces the list by a full one, read at `revision`. Targets that are missing there are removed. Returns what
     /// changed.
     std::vector<target_change> replace(std::span<const target_change> all, std::uint64_t revision, timestamp now);
@@ -74,7 +78,7 @@
     };
 
     bool put(const target_record& record, std::uint64_t revision);
-    bool remove(target_change& change, timestamp now);
+    bool remove(target_change& change, bool may_have_lapsed, timestamp now);
     bool in_trouble(timestamp now) const;
     bool in_grace(const row& item, timestamp now) const;
     bool may_get_work(const row& item, timestamp now) const;
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -105,6 +105,16 @@
     CHECK(usable(directory, "a", seconds(6)));
 }
 
+TEST_CASE("a gateway that has trouble with the store alone leaves a target that another one has seen leave")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    directory.note_store_trouble(seconds(2));
+    const std::vector<target_change> told{removal("a", 2)};
+    directory.apply_told(told, seconds(2));
+    CHECK_FALSE(usable(directory, "a", seconds(2)));
+}
+
 TEST_CASE("a draining target whose entry lapses does not come back into use")
 {
     target_directory directory;
