Refuse callers as not run until the documents are read

Cause: an instance that has just started knows no service document, so identify() found no account for the key and answered 401. Callers do not repeat a request after 401, and their program ends. Found by 130 runs of all process tests, 16 at a time, with logs: 2 runs of "an owner that restarts at once is replaced ..." failed with 401 for 200, 112 ms after the kill; the restarted process answered before it had a document.

Ruled out: a wrong key digest (the same key is accepted before and after) and the budget of retries of the test.

Process tests take the level of their processes' logs from LAGOONFERRY_TEST_LOG_LEVEL, for tracing.

--- a/src/entry/caller_identity.cpp
+++ b/src/entry/caller_identity.cpp
@@ -11,6 +11,21 @@
 
 namespace lagoonferry {
 
+namespace {
+
+/// A start reads the documents within this time when the key-value service or a peer answers.
+constexpr std::uint64_t documents_retry_ms = 500;
+
+/// A process that does not know all documents yet cannot tell an unknown key from one that it has not read.
+refusal unknown_caller(const document_view& documents, result_code code, std::string text)
+{
+    return documents.ready ? refuse(code, std::move(text))
+                           : refuse(result_code::platform_unavailable, "the service documents are not read yet",
+                                    documents_retry_ms);
+}
+
+} // namespace
+
 std::string caller_identity::full_name() const
 {
     return service->record.service + '/' + account;
@@ -28,15 +43,16 @@
     }
     const auto known = documents->accounts_by_digest.find(digest_hex(std::string_view(header).substr(scheme.size())));
     if (known == documents->accounts_by_digest.end()) {
-        why = refuse(result_code::unauthorized, "no account has this key");
+        why = unknown_caller(*documents, result_code::unauthorized, "no account has this key");
         return std::nullopt;
     }
     const auto& refs = known->second;
     const auto it = service.empty() ? refs.begin() : std::ranges::find(refs, service, &account_ref::service);
     if (it == refs.end() || (service.empty() && refs.size() > 1)) {
-        why = refuse(result_code::unknown_service, service.empty()
-                                                       ? "the key belongs to several services: name one in X-Service"
-                                                       : "the account has no service of this name");
+        why = service.empty() ? refuse(result_code::unknown_service,
+                                       "the key belongs to several services: name one in X-Service")
+                              : unknown_caller(*documents, result_code::unknown_service,
+                                               "the account has no service of this name");
         return std::nullopt;
     }
     return caller_identity{documents->services.at(it->service), it->account};
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -8,6 +8,7 @@
 #include <httplib.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <sstream>
 #include <thread>
 
@@ -33,6 +34,13 @@
     return {{"safety", value}, {"interactive", value}, {"normal", value}, {"bulk", value}};
 }
 
+// Level of the processes' logs, which go to the test's standard error: for tracing a case that failed once.
+std::string log_level()
+{
+    const char* level = std::getenv("LAGOONFERRY_TEST_LOG_LEVEL");
+    return level == nullptr ? "off" : level;
+}
+
 http_answer send(const std::string& address, const std::string& method, const std::string& path,
                  const nlohmann::json& body, const std::map<std::string, std::string>& headers, const std::string& key)
 {
@@ -181,7 +189,7 @@
                                        "--intent-confirmation-ms=" +
                                            std::to_string(m_options.intent_confirmation.count()),
                                        "--partitions=6",
-                                       "--log-level=off"};
+                                       "--log-level=" + log_level()};
     // A restarted process needs seeds other than its predecessor.
     std::string seeds;
     for (const auto& [entry, address] : m_seeds) {
