Print the logs of a process test's processes when its case fails

Now each process writes at info into memory, and the end of its log is printed when an assertion of the case has failed.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -1,15 +1,19 @@
 #include "child_process.h"
 
+#include "case_status.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdlib>
+#include <iostream>
 
 #include <fcntl.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/mman.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,6 +24,9 @@
 
 using clock = std::chrono::steady_clock;
 
+// About 50 lines: the last second or two of a process at the level info.
+constexpr off_t printed_log_bytes = 8'192;
+
 std::vector<char*> pointers_to(std::vector<std::string>& texts)
 {
     std::vector<char*> out;
@@ -69,6 +76,9 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, output[1], STDOUT_FILENO);
+    m_name = binary + (arguments.empty() ? "" : " " + arguments.front() + " " + arguments.back());
+    m_log = ::memfd_create("log", MFD_CLOEXEC);
+    posix_spawn_file_actions_adddup2(&actions, m_log, STDERR_FILENO);
     // The test ignores SIGPIPE, which would otherwise be inherited.
     sigset_t defaults;
     sigemptyset(&defaults);
@@ -96,8 +106,24 @@
             wait_for_exit(end_wait);
         }
     }
+    if (case_has_failed()) {
+        print_log();
+    }
     ::close(m_pidfd);
     ::close(m_output);
+    ::close(m_log);
+}
+
+void child_process::print_log() const
+{
+    const off_t size = ::lseek(m_log, 0, SEEK_END);
+    const off_t from = std::max<off_t>(0, size - printed_log_bytes);
+    std::string text(static_cast<std::size_t>(std::max<off_t>(0, size - from)), '\0');
+    const ssize_t n = ::pread(m_log, text.data(), text.size(), from);
+    text.resize(static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+    std::cerr << "log of process " << m_pid << " (" << m_name << "), exit status " << m_exit_status.value_or(-1)
+              << ":\n"
+              << text << '\n';
 }
 
 std::optional<std::string> child_process::read_line(std::chrono::milliseconds wait)
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -10,7 +10,7 @@
 namespace lagoonferry::test {
 
 /// A process started from the folder of binaries that the environment variable LAGOONFERRY_BIN_DIR names. Its standard
-/// error is the test's own. One thread at a time.
+/// error is kept in memory, and its end is printed when the test case has failed. One thread at a time.
 class child_process {
 public:
     /// Starts `binary` with `arguments`; `environment` holds "NAME=value" entries added to the test's own environment.
@@ -40,9 +40,13 @@
     static constexpr std::chrono::milliseconds end_wait{10'000};
 
 private:
+    void print_log() const;
+
+    std::string m_name; ///< binary and arguments, for the printed log
     pid_t m_pid = -1;
     int m_pidfd = -1;
     int m_output = -1;
+    int m_log = -1; ///< standard error of the process
     std::string m_buffered;
     std::optional<int> m_exit_status;
 };
--- a/tests/process/local_system.cpp
+++ b/tests/process/local_system.cpp
@@ -34,11 +34,11 @@
     return {{"safety", value}, {"interactive", value}, {"normal", value}, {"bulk", value}};
 }
 
-// Level of the processes' logs, which go to the test's standard error: for tracing a case that failed once.
+// Level of the processes' logs, which are printed when a case has failed.
 std::string log_level()
 {
     const char* level = std::getenv("LAGOONFERRY_TEST_LOG_LEVEL");
-    return level == nullptr ? "off" : level;
+    return level == nullptr ? "info" : level;
 }
 
 http_answer send(const std::string& address, const std::string& method, const std::string& path,
