Let a first owner spend one turn beyond the unmarked part, and limit a successor that was not handed the record

Change: the owner that knows that nothing was spent may spend 0.3 of the budget and one turn at its most without a mark. A gateway that takes a record over which was not handed to it, decides for a silent owner, or hears less than half of the others, gets one more unmarked turn only.

--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -172,6 +172,11 @@
     if (request.owner_silent) {
         m_ledger.act_for_owner(request.program);
     }
+    // The former owner may live and grant turns as well: it did not hand the record over, or this one is cut off.
+    const bool taken_over = !m_owned.contains(request.program) && !m_handed_over.contains(request.program);
+    if (taken_over || request.owner_silent || !m_fleet.well_connected()) {
+        m_ledger.limit_unmarked(request);
+    }
     for (int tries = 0; tries < most_mark_tries; ++tries) {
         switch (m_ledger.reserve(request, steady_now())) {
         case ledger_step::granted:
@@ -363,6 +368,9 @@
     }
     else if (copy->record) {
         m_ledger.adopt(copy->program, *copy->record, steady_now());
+        if (copy->hands_over) {
+            m_handed_over.insert(copy->program);
+        }
     }
     if (const auto it = m_copies.find(copy->program); it != m_copies.end() && copy->hands_over) {
         it->second->answer = *copy;
@@ -375,6 +383,7 @@
     while (true) {
         co_await pause(m_loop, upkeep_interval);
         m_ledger.expire(steady_now());
+        std::erase_if(m_handed_over, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
         std::erase_if(m_owned, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
         hand_over_to_owners();
     }
@@ -383,6 +392,7 @@
 // Ownership moves when gateways come and go. The record follows.
 void budget_keeper::hand_over_to_owners()
 {
+    std::erase_if(m_handed_over, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
     std::erase_if(m_owned, [this](const std::string& program) {
         const auto order = m_fleet.ranked(program);
         if (order.empty() || order.front() == m_fleet.own_id()) {
@@ -392,6 +402,7 @@
             m_fleet.send(order.front(), datagram_kind::copy,
                          to_json(program_copy{program, *record, would_know(program), true}));
         }
+        m_handed_over.erase(program);
         return true;
     });
 }
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -75,6 +75,7 @@
     std::set<std::string, std::less<>> m_answering;                             ///< requests of others in decision
     std::map<std::string, timestamp, std::less<>> m_silent_until;               ///< owners that did not answer
     std::set<std::string, std::less<>> m_owned;                                 ///< programs decided here
+    std::set<std::string, std::less<>> m_handed_over; ///< programs whose former owner decides on them no more
 };
 
 } // namespace lagoonferry
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -66,7 +66,8 @@
     record.budget = request.budget;
     record.last_use = now;
     if (certain) {
-        record.unmarked = unmarked_limit(request.budget);
+        // One turn beyond the part that a successor counts as spent: a budget may be exceeded by one turn.
+        record.unmarked = std::min(request.budget, unmarked_limit(request.budget) + request.tokens);
     }
     else {
         record.used = unmarked_limit(request.budget);
@@ -114,6 +115,16 @@
     m_acting_for_owner.emplace(program);
 }
 
+void budget_ledger::limit_unmarked(const budget_request& request)
+{
+    const auto it = m_records.find(request.program);
+    if (it == m_records.end() || !m_limited.insert(it->first).second) {
+        return;
+    }
+    budget_record& record = it->second;
+    record.unmarked = std::min(record.unmarked, record.committed() + request.tokens);
+}
+
 mark_order budget_ledger::order_for(const budget_request& request) const
 {
     const auto it = m_records.find(request.program);
@@ -196,7 +207,9 @@
             return old;
         });
     }
-    std::erase_if(m_acting_for_owner, [this](const std::string& id) { return !m_records.contains(id); });
+    const auto forgotten = [this](const std::string& id) { return !m_records.contains(id); };
+    std::erase_if(m_acting_for_owner, forgotten);
+    std::erase_if(m_limited, forgotten);
     std::erase_if(m_records, [&](const auto& pair) {
         return pair.second.reserved.empty() && now - pair.second.last_use > m_rules.record_life;
     });
@@ -213,6 +226,7 @@
     const auto it = m_records.find(program);
     if (it != m_records.end()) {
         m_acting_for_owner.erase(it->first);
+        m_limited.erase(it->first);
         m_records.erase(it);
     }
 }
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -15,8 +15,8 @@
 namespace lagoonferry {
 
 struct budget_rules {
-    /// Part of a budget that may be spent without a mark in the store. 96 of 100 programs of the users' days stay
-    /// below it, so they need no call to the store.
+    /// Part of a budget that counts as spent when a record is lost. A first owner may spend this part and one turn at
+    /// its most without a mark in the store, so most programs need no call to the store.
     double unmarked_part = 0.3;
     /// Part up to which marks are written in steps of `unmarked_part`; beyond it for one turn at a time, so that a lost
     /// record wastes no more than one turn near the end of the budget.
@@ -64,6 +64,10 @@
     /// Notes that turns granted from now on are decided in place of a silent owner, until the record is adopted again.
     void act_for_owner(std::string_view program);
 
+    /// Allows one more turn like `request` without a mark, once for each program: another gateway may be granting turns
+    /// of the program too, and a budget may be exceeded by one turn.
+    void limit_unmarked(const budget_request& request);
+
     /// Returns the write that is needed before the turn can be granted. Precondition: `reserve` returned needs_mark.
     mark_order order_for(const budget_request& request) const;
 
@@ -89,6 +93,7 @@
     budget_rules m_rules;
     std::map<std::string, budget_record, std::less<>> m_records;
     std::set<std::string, std::less<>> m_acting_for_owner;
+    std::set<std::string, std::less<>> m_limited; ///< programs without further unmarked spending
 };
 
 } // namespace lagoonferry
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -93,6 +93,44 @@
     CHECK(store.calls < 8);
 }
 
+// On the users' grown sites the most of one turn is a third of many budgets, and 900 of 2,141 programs of a quiet day
+// called the store although they used less than a third of their budget.
+TEST_CASE("a program whose turns may take a third of its budget each, and take little, needs no call to the store")
+{
+    budget_ledger ledger;
+    mark_store store;
+    constexpr std::uint64_t most = 350;
+    for (int n = 0; n < 4; ++n) {
+        CHECK(decide(ledger, ask(std::to_string(n), most), store, true, seconds(n)));
+        ledger.settle(settled(std::to_string(n), 80), seconds(n));
+    }
+    CHECK(store.calls == 0);
+}
+
+// An owner that is cut off and the holder of the copy both go on with a program that spends all it gets.
+TEST_CASE("both sides of a split together exceed a budget by no more than one turn")
+{
+    mark_store store;
+    budget_ledger first;
+    budget_ledger second;
+    REQUIRE(decide(first, ask("0"), store, true, seconds(0)));
+    first.settle(settled("0", turn), seconds(0));
+    second.adopt("p", *first.find("p"), seconds(0));
+    std::uint64_t handed_out = turn;
+    for (int n = 1; n < 30; ++n) {
+        for (budget_ledger* owner : {&first, &second}) {
+            const budget_request request = ask(std::to_string(n) + (owner == &first ? "a" : "b"));
+            owner->limit_unmarked(request);
+            if (decide(*owner, request, store, true, seconds(n))) {
+                owner->settle(settled(request.request, turn), seconds(n));
+                handed_out += turn;
+            }
+        }
+    }
+    CHECK(handed_out <= budget + turn);
+    CHECK(handed_out >= budget);
+}
+
 TEST_CASE("parallel turns count at their most until they end")
 {
     budget_ledger ledger;
