Let callers that are refused for want of the store come back after 0.9 to 1.6 s

Cause: a refused caller came back within 0.12 to 0.45 s. It has three attempts of two tries at a turn, so its program failed 1.4 s after the store went away; the users' outages last 3 to 9 s.

Ruled out: holding requests until the store is back (the users do not accept it).

Change: return_advice decides on the time of return by cause. Without the store it is 0.9 to 1.6 s, inside the third of the time left that callers honour.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <numeric>
-#include <random>
 
 namespace lagoonferry {
 
@@ -38,24 +37,14 @@
 /// Answers to earlier requests that a target may send late on one connection.
 constexpr int most_late_answers = 3;
 
-/// A refused caller comes back within this range, spread so that callers refused together do not return together.
-constexpr int retry_after_min_ms = 120;
-constexpr int retry_after_max_ms = 450;
-
 /// Output tokens of a turn, as a part of the most that it may have; turns are placed by it.
 constexpr double usual_output_part = 0.25;
 
-std::minstd_rand& random_source()
-{
-    static std::minstd_rand source{std::random_device{}()};
-    return source;
-}
-
-std::string retry_after_text()
+std::string seconds_text(milliseconds span)
 {
-    std::uniform_int_distribution<int> spread(retry_after_min_ms, retry_after_max_ms);
-    const std::string ms = std::to_string(spread(random_source()));
-    return "0." + std::string(3 - ms.size(), '0') + ms;
+    constexpr long long ms_per_second = 1'000;
+    const std::string rest = std::to_string(span.count() % ms_per_second);
+    return std::to_string(span.count() / ms_per_second) + "." + std::string(3 - rest.size(), '0') + rest;
 }
 
 std::string connection_key(const target_record& target)
@@ -168,7 +157,7 @@
         break;
     }
     m_board.metrics.on_budget("undecided");
-    co_await refuse(503, "the budget cannot be checked without the store");
+    co_await refuse(503, "the budget cannot be checked without the store", refusal_cause::store_away);
     co_return false;
 }
 
@@ -619,23 +608,24 @@
         co_await refuse(503, reason);
         co_return;
     }
-    co_await answer_own(time_is_up() ? 504 : 502, m_last_problem, false);
+    co_await answer_own(time_is_up() ? 504 : 502, m_last_problem, std::nullopt);
     note_result(time_is_up() ? "timed_out" : "failed", m_last_problem);
 }
 
-asio::awaitable<void> exchange::refuse(unsigned status, std::string_view reason)
+asio::awaitable<void> exchange::refuse(unsigned status, std::string_view reason, refusal_cause cause)
 {
-    co_await answer_own(status, reason, status == 503);
+    const auto back = status == 503 ? std::optional(m_board.returns.after(cause)) : std::nullopt;
+    co_await answer_own(status, reason, back);
     note_result("refused_" + std::to_string(status), reason);
 }
 
-asio::awaitable<void> exchange::answer_own(unsigned status, std::string_view reason, bool retry)
+asio::awaitable<void> exchange::answer_own(unsigned status, std::string_view reason, std::optional<milliseconds> back)
 {
     http_fields fields;
     m_board.speech.write_own_answer_fields(fields, m_call);
     fields.set(http::field::content_type, "text/plain");
-    if (retry) {
-        fields.set(http::field::retry_after, retry_after_text());
+    if (back) {
+        fields.set(http::field::retry_after, seconds_text(*back));
     }
     co_await m_sink.send_whole(status, std::move(fields), reason);
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_board.h"
 #include "net/client_connection.h"
 #include "net/loop_deadline.h"
+#include "routing/return_advice.h"
 
 #include <chrono>
 #include <memory>
@@ -59,8 +60,8 @@
     asio::awaitable<send_result> send(attempt& current, milliseconds first_byte_limit);
     asio::awaitable<bool> read_own_head(attempt& current, milliseconds limit);
     asio::awaitable<void> give_up();
-    asio::awaitable<void> refuse(unsigned status, std::string_view reason);
-    asio::awaitable<void> answer_own(unsigned status, std::string_view reason, bool retry);
+    asio::awaitable<void> refuse(unsigned status, std::string_view reason, refusal_cause cause = refusal_cause::busy);
+    asio::awaitable<void> answer_own(unsigned status, std::string_view reason, std::optional<milliseconds> back);
 
     const target_record* choose_target();
     placement_request placement() const;
--- a/src/gateway/gateway_board.cpp
+++ b/src/gateway/gateway_board.cpp
@@ -7,14 +7,14 @@
 gateway_board::gateway_board(const asio::any_io_executor& executor, gateway_settings values,
                              const platform_dialect& speech_of_platform)
     : loop(executor), settings(std::move(values)), speech(speech_of_platform), loads(stable_hash(settings.id)),
-      pool(executor), fleet(executor, settings),
-      store(executor, speech,
-            [this](std::string_view call, store_status result) {
-                metrics.on_store_call(call, result);
-                if (result == store_status::unavailable || result == store_status::unknown) {
-                    targets.note_store_trouble(steady_now());
-                }
-            }),
+      returns(stable_hash(settings.id) ^ static_cast<std::uint64_t>(steady_now().count())), pool(executor),
+      fleet(executor, settings), store(executor, speech,
+                                       [this](std::string_view call, store_status result) {
+                                           metrics.on_store_call(call, result);
+                                           if (result == store_status::unavailable || result == store_status::unknown) {
+                                               targets.note_store_trouble(steady_now());
+                                           }
+                                       }),
       budgets(executor, fleet, store)
 {
 }
--- a/src/gateway/gateway_board.h
+++ b/src/gateway/gateway_board.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_dialect.h"
 #include "net/kept_connections.h"
+#include "routing/return_advice.h"
 #include "routing/route_table.h"
 #include "routing/target_directory.h"
 #include "routing/target_placement.h"
@@ -32,6 +33,7 @@
     gateway_metrics metrics;
     target_directory targets; ///< written by target_feed
     target_placement loads;   ///< written by exchanges
+    return_advice returns;    ///< of exchanges
     kept_connections pool;    ///< of exchanges
     fleet_link fleet;
     store_client store;
