Log each decision on a budget with the figures that decided it

Change: one line a decision with used, reserved, unmarked and marked tokens, the mark's revision and whether a silent owner is replaced. Cost: one line a turn; the volume is bounded as that of all lines.

--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -165,6 +165,17 @@
     co_return answer;
 }
 
+void budget_keeper::log_decision(const budget_request& request, std::string_view verdict) const
+{
+    const budget_record* record = m_ledger.find(request.program);
+    const budget_record known = record == nullptr ? budget_record{} : *record;
+    log(log_part::program, log_level::info, "A turn is weighed against its budget.", field("request", request.request),
+        field("program", request.program), field("verdict", verdict), field("tokens", request.tokens),
+        field("budget", request.budget), field("used", known.used), field("reserved", known.committed() - known.used),
+        field("unmarked", known.unmarked), field("marked", known.marked), field("mark", known.mark_revision),
+        field("for_silent_owner", request.owner_silent));
+}
+
 asio::awaitable<budget_answer> budget_keeper::decide_alone(const budget_request& request)
 {
     budget_answer answer;
@@ -181,18 +192,21 @@
         switch (m_ledger.reserve(request, steady_now())) {
         case ledger_step::granted:
             answer.verdict = budget_verdict::granted;
+            log_decision(request, "granted");
             answer.place = m_ledger.place_of(request.program, request.session);
             m_owned.insert(request.program);
             send_copy(request.program);
             co_return answer;
         case ledger_step::spent:
             answer.verdict = budget_verdict::spent;
+            log_decision(request, "spent");
             co_return answer;
         case ledger_step::needs_copy:
             co_await find_record(request);
             break;
         case ledger_step::needs_mark:
             if (!co_await write_mark(request)) {
+                log_decision(request, "undecided");
                 co_return answer;
             }
             break;
--- a/src/gateway/budget_keeper.h
+++ b/src/gateway/budget_keeper.h
@@ -63,6 +63,7 @@
     void send_copy(const std::string& program);
     void hand_over_to_owners();
     bool would_know(std::string_view program) const;
+    void log_decision(const budget_request& request, std::string_view verdict) const;
     bool silent(const std::string& id) const;
 
     asio::any_io_executor m_loop;
