Add a fault soak of gateways as real processes, and pass a lost owner's last copy on when its holder stops

Cause, from the new log line on budgets: g3, the owner of program c10-90, was killed with 256 tokens granted. g2 held the copy, decided for the silent owner without success (the store was out of reach) and then stopped. It handed over the records that it owned, not this copy. A stopped gateway does not count as lost, so g0 counted as a keeper of the record, knew none, and g3, restarted, took the program for new: 568 tokens on a budget of 480, most of a turn 80.

Ruled out: the split of views at the start (all gateways knew each other for 5 s); the store's mark (found and added, but it covers what g3 granted before, not the three unmarked turns after).

Change: a stopping gateway also passes on copies of which it is the only keeper left, to the first two by rank.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 PACKAGES := $(shell cat scripts/packages.txt)
 
-.PHONY: demo test bench spec build deps format format-check lint clean
+.PHONY: demo test soak bench spec build deps format format-check lint clean
 
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && apt-get install -y --no-install-recommends $(PACKAGES))
@@ -17,6 +17,9 @@
 test: build
 	@scripts/run-tests $(BUILD)
 
+soak: build
+	@scripts/soak $(BUILD)
+
 bench: build
 	@scripts/bench $(BUILD)
 
--- a/src/gateway/budget_keeper.cpp
+++ b/src/gateway/budget_keeper.cpp
@@ -421,9 +421,21 @@
     });
 }
 
+// The copy of a lost owner's record is the last one. Its new keepers would take the program for new without it.
 void budget_keeper::hand_over()
 {
     hand_over_to_owners();
+    for (const std::string& program : m_ledger.programs()) {
+        if (m_owned.contains(program) || !m_fleet.only_keeper_of(program, record_holders)) {
+            continue;
+        }
+        const nlohmann::json body = to_json(program_copy{program, *m_ledger.find(program), would_know(program), true});
+        std::vector<std::string> receivers = m_fleet.ranked(program);
+        receivers.resize(std::min(receivers.size(), record_holders));
+        for (const std::string& id : receivers) {
+            m_fleet.send(id, datagram_kind::copy, body);
+        }
+    }
 }
 
 } // namespace lagoonferry
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_link.h"
 
+#include "gateway/record_keepers.h"
 #include "net/pause.h"
 #include "net/spawn.h"
 #include "util/log.h"
@@ -280,18 +281,27 @@
     return m_losses_known_at && now >= *m_losses_known_at && boot_clock() >= m_paused_until;
 }
 
-// The first gateways for a key, also counting the lost ones. A record survives as long as one of them was not lost.
-std::vector<std::string> fleet_link::keepers(std::string_view key, std::size_t holders) const
+std::set<std::string, std::less<>> fleet_link::lost_ids() const
 {
-    const std::uint64_t hash = stable_hash(key);
-    std::set<std::string> ids;
-    std::ranges::transform(m_usable, std::inserter(ids, ids.end()), &member::id);
+    std::set<std::string, std::less<>> ids;
     std::ranges::transform(m_lost_until, std::inserter(ids, ids.end()), [](const auto& pair) { return pair.first; });
-    std::vector<std::string> order(ids.begin(), ids.end());
-    std::ranges::sort(order, std::greater{}, [hash](const std::string& id) { return rendezvous_weight(hash, id); });
-    order.resize(std::min(order.size(), holders));
-    std::erase_if(order, [this](const std::string& id) { return m_lost_until.contains(id); });
-    return order;
+    return ids;
+}
+
+// A record survives as long as one of the first gateways for its key was not lost.
+std::vector<std::string> fleet_link::keepers(std::string_view key, std::size_t holders) const
+{
+    std::vector<std::string> live;
+    std::ranges::transform(m_usable, std::back_inserter(live), &member::id);
+    return surviving_keepers(key, live, lost_ids(), holders);
+}
+
+bool fleet_link::only_keeper_of(std::string_view key, std::size_t holders) const
+{
+    std::vector<std::string> live{m_settings.id}; // also when this one is leaving
+    std::ranges::transform(m_usable, std::back_inserter(live), &member::id);
+    const auto list = surviving_keepers(key, live, lost_ids(), holders);
+    return list.size() == 1 && list.front() == m_settings.id;
 }
 
 bool fleet_link::keeps_records_of(std::string_view key, std::size_t holders) const
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,10 @@
     /// them, also counting gateways that were lost lately, and was not lost itself.
     bool keeps_records_of(std::string_view key, std::size_t holders) const;
 
+    /// Returns whether all other gateways that such a record was kept at were lost lately. Also counts this one when it
+    /// is leaving.
+    bool only_keeper_of(std::string_view key, std::size_t holders) const;
+
     /// Returns another live gateway that would have such a record, or an empty text.
     std::string other_keeper_of(std::string_view key, std::size_t holders) const;
 
@@ -109,6 +114,7 @@
     void on_losses_ask(const std::string& sender);
     void on_losses(const nlohmann::json& body);
     std::vector<std::string> keepers(std::string_view key, std::size_t holders) const;
+    std::set<std::string, std::less<>> lost_ids() const;
     bool knows_losses(timestamp now) const;
 
     static constexpr std::size_t receive_bytes = 2'048;
--- /dev/null
+++ b/tests/soak/gateway_process.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+#include <sys/types.h>
+
+namespace lagoonferry::soak {
+
+/// One gateway as a real process. Its log goes to a file that is kept over restarts. Not thread-safe.
+class gateway_process {
+public:
+    /// `binary` is the path of the program; the settings and the log are written to `folder`.
+    gateway_process(std::string binary, const std::string& folder, nlohmann::json settings);
+
+    /// Kills the process and waits for its end.
+    ~gateway_process();
+    gateway_process(const gateway_process&) = delete;
+    gateway_process& operator=(const gateway_process&) = delete;
+
+    /// Starts the process. `first`: the whole system starts for the first time.
+    void start(bool first);
+
+    /// Sends a signal to the process if it runs.
+    void send_signal(int signal) const;
+
+    /// Reaps the process if it has ended. Returns whether it runs.
+    bool running();
+
+    const std::string& id() const { return m_id; }
+    std::string address_of(const std::string& listener) const { return m_settings.at("listen").at(listener); }
+
+private:
+    std::string m_binary;
+    std::string m_id;
+    std::string m_settings_path;
+    std::string m_log_path;
+    nlohmann::json m_settings;
+    pid_t m_pid = -1;
+};
+
+} // namespace lagoonferry::soak
--- /dev/null
+++ b/tests/soak/soak_caller.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/client_connection.h"
+#include "promises.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::soak {
+
+/// How the callers of a run fared, over all of them.
+struct caller_tally {
+    std::uint64_t sent = 0;
+    std::uint64_t served = 0;
+    std::map<std::string, std::uint64_t> outcomes; ///< by status or cause
+};
+
+/// A caller that runs programs one after the other: turns, and calls between them. It keeps connections open until the
+/// other side closes them, and addresses for as long as the pages allow. Runs on one event loop; not thread-safe.
+class soak_caller {
+public:
+    soak_caller(const asio::any_io_executor& loop, promises& checks, caller_tally& tally,
+                std::vector<std::string> directories, std::string name, std::uint64_t seed);
+
+    /// Runs programs until `stop` is set.
+    asio::awaitable<void> run(const bool& stop);
+
+private:
+    struct request {
+        std::string id;
+        request_kind kind = request_kind::safe;
+        std::string program; ///< empty: none
+        std::uint64_t budget = 0;
+    };
+    enum class result { served, refused, spent, failed };
+
+    asio::awaitable<void> run_program(const bool& stop);
+    asio::awaitable<result> ask(request wanted);
+    asio::awaitable<result> attempt(const request& wanted, std::chrono::milliseconds left);
+    asio::awaitable<result> read_answer(const request& wanted, client_connection& connection, deadline until,
+                                        bool& keep);
+    asio::awaitable<result> read_stream(const request& wanted, answer_reader& reader, deadline until);
+    asio::awaitable<bool> look_up();
+    result note(const std::string& outcome, result value);
+    std::string next_id();
+
+    asio::any_io_executor m_loop;
+    promises& m_checks;
+    caller_tally& m_tally;
+    std::vector<std::string> m_directories;
+    std::vector<std::string> m_addresses;
+    deadline m_addresses_until{};
+    std::string m_name;
+    std::uint64_t m_count = 0;
+    std::chrono::milliseconds m_retry_after{0};
+    std::minstd_rand m_random;
+    std::map<std::string, std::unique_ptr<client_connection>> m_kept;
+};
+
+} // namespace lagoonferry::soak
--- /dev/null
+++ b/tests/soak/soak_store.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http_serving.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::soak {
+
+/// Stand-in for the users' metadata store: keys with one revision counter, ranges, watches and transactions, and faults
+/// that tests switch on. Runs on one event loop; not thread-safe.
+class soak_store {
+public:
+    /// How calls are answered.
+    enum class mode {
+        serve,
+        refuse,      ///< 503, nothing is done
+        lose_answer, ///< done, then the connection is reset
+        slow,        ///< answered after 240 ms
+    };
+
+    explicit soak_store(asio::any_io_executor loop);
+
+    const std::string& address() const { return m_address; }
+    void set_mode(mode value) { m_mode = value; }
+
+    /// Drops the history: watches behind the present revision are answered 410.
+    void compact();
+
+    /// Writes or removes a key, as the operator and the targets do.
+    void put(const std::string& key, const std::string& value);
+    void remove(const std::string& key);
+
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    struct change {
+        std::uint64_t revision = 0;
+        std::string key;
+    };
+    struct item {
+        std::string value;
+        std::uint64_t revision = 0;
+    };
+    using query = std::map<std::string, std::string>;
+
+    asio::awaitable<bool> handle(tcp::socket& socket, const http_request& request);
+    asio::awaitable<std::string> watch(const query& wanted, unsigned& status);
+    std::string key_answer(const query& wanted, unsigned& status) const;
+    std::string range_answer(const query& wanted) const;
+    std::string transaction(const std::string& body, unsigned& status);
+    nlohmann::json item_json(const std::string& key) const;
+
+    asio::any_io_executor m_loop;
+    std::string m_address;
+    mode m_mode = mode::serve;
+    std::uint64_t m_revision = 7;
+    std::uint64_t m_compacted = 0;
+    std::uint64_t m_calls = 0;
+    std::map<std::string, item> m_items;
+    std::vector<change> m_history;
+};
+
+} // namespace lagoonferry::soak
--- /dev/null
+++ b/tests/soak/soak_target.cpp
@@ -0,0 +1,147 @@
+#include "soak_target.h"
+
+#include "net/pause.h"
+#include "platform/names.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace lagoonferry::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+namespace names = platform::names;
+
+constexpr int events_of_stream = 8;
+constexpr milliseconds between_events{8};
+constexpr milliseconds work_time{15};
+
+std::string field(const http_request& request, std::string_view name)
+{
+    return std::string(to_std(request[to_beast(name)]));
+}
+
+std::string chunk_of(std::string_view bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return std::string(size.data()) + std::string(bytes) + "\r\n";
+}
+
+} // namespace
+
+soak_target::soak_target(const asio::any_io_executor& loop, soak_store& store, promises& checks, std::string service,
+                         std::string id, std::uint64_t seed)
+    : m_loop(loop), m_store(store), m_checks(checks), m_service(std::move(service)), m_id(std::move(id)),
+      m_random(static_cast<std::minstd_rand::result_type>(2 * seed + 1))
+{
+    m_address = serve_http(m_loop, "127.0.0.1", [this](tcp::socket& socket, const http_request& request) {
+        return handle(socket, request);
+    });
+    m_relay = std::make_unique<standin::tcp_relay>(m_address);
+    m_relay->start("127.0.0.1");
+}
+
+void soak_target::announce(bool draining)
+{
+    m_store.put(std::string(names::servers_prefix) + m_id, nlohmann::json{{"service", m_service},
+                                                                          {"address", m_relay->address()},
+                                                                          {"zone", "z1"},
+                                                                          {"version", 1},
+                                                                          {"slots", 32},
+                                                                          {"state", draining ? "draining" : "ready"},
+                                                                          {"coldLeftMs", 0},
+                                                                          {"sequence", ++m_sequence},
+                                                                          {"born", m_born_ms}}
+                                                               .dump());
+}
+
+void soak_target::withdraw()
+{
+    m_store.remove(std::string(names::servers_prefix) + m_id);
+}
+
+void soak_target::restart()
+{
+    m_sequence = 0;
+    ++m_born_ms;
+}
+
+bool soak_target::happens(double share)
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
+std::string soak_target::head_fields(const http_request& request) const
+{
+    return std::string(names::request_id) + ": " + field(request, names::request_id) + "\r\n" +
+           std::string(names::response_stamp) + ": stamp-" + field(request, names::request_id) + "\r\n";
+}
+
+asio::awaitable<bool> soak_target::handle(tcp::socket& socket, const http_request& request)
+{
+    const std::string expected = field(request, names::expect_instance);
+    if (!expected.empty() && expected != m_id) {
+        const std::string fields = head_fields(request);
+        co_return co_await send_answer(socket, 421, fields, "");
+    }
+    if (happens(m_faults.refuse)) {
+        const std::string fields = head_fields(request) + std::string(names::not_executed) + ": 1\r\n";
+        co_return co_await send_answer(socket, 503, fields, "");
+    }
+    m_checks.on_run(field(request, names::request_id), m_id);
+    if (to_std(request.target()).starts_with("/stream/")) {
+        co_return co_await answer_stream(socket, request);
+    }
+    co_return co_await answer_whole(socket, request);
+}
+
+asio::awaitable<bool> soak_target::answer_whole(tcp::socket& socket, const http_request& request)
+{
+    co_await pause(m_loop, work_time);
+    if (happens(m_faults.lose_answer)) {
+        reset_connection(socket);
+        co_return false;
+    }
+    const unsigned status = happens(m_faults.fail) ? 500 : 200;
+    const std::string body = "answer to " + field(request, names::request_id) + std::string(600, '.');
+    const std::string fields = head_fields(request);
+    co_return co_await send_answer(socket, status, fields, body);
+}
+
+asio::awaitable<bool> soak_target::answer_stream(tcp::socket& socket, const http_request& request)
+{
+    co_await pause(m_loop, work_time);
+    if (happens(m_faults.lose_answer)) {
+        reset_connection(socket);
+        co_return false;
+    }
+    const std::string head = "HTTP/1.1 200 S\r\n" + head_fields(request) +
+                             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if (!co_await send_bytes(socket, head)) {
+        co_return false;
+    }
+    const std::string resume = field(request, names::last_event_id);
+    const int first = resume.empty() ? 1 : std::atoi(resume.c_str()) + 1;
+    const int breaks_at = happens(m_faults.break_off) ? first + 2 : -1;
+    for (int n = first; n <= events_of_stream; ++n) {
+        const std::string event = "id: " + std::to_string(n) + "\ndata: piece " + std::to_string(n) + "\n\n";
+        if (n == breaks_at) {
+            const std::string part = chunk_of(event.substr(0, event.size() / 2));
+            co_await send_bytes(socket, part);
+            reset_connection(socket);
+            co_return false;
+        }
+        const std::string piece = chunk_of(event);
+        if (!co_await send_bytes(socket, piece)) {
+            co_return false;
+        }
+        co_await pause(m_loop, between_events);
+    }
+    co_return co_await send_bytes(socket, "0\r\n\r\n");
+}
+
+} // namespace lagoonferry::soak
