--- a/src/entry/caller_identity.cpp
+++ b/src/entry/caller_identity.cpp
@@ -49,10 +49,9 @@
     const auto& refs = known->second;
     const auto it = service.empty() ? refs.begin() : std::ranges::find(refs, service, &account_ref::service);
     if (it == refs.end() || (service.empty() && refs.size() > 1)) {
-        why = service.empty() ? refuse(result_code::unknown_service,
-                                       "the key belongs to several services: name one in X-Service")
-                              : unknown_caller(*documents, result_code::unknown_service,
-                                               "the account has no service of this name");
+        why = service.empty()
+                  ? refuse(result_code::unknown_service, "the key belongs to several services: name one in X-Service")
+                  : unknown_caller(*documents, result_code::unknown_service, "the account has no service of this name");
         return std::nullopt;
     }
     return caller_identity{documents->services.at(it->service), it->account};
