--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -9,7 +9,7 @@
 
 namespace lagoonferry::soak {
 
-/// What a request may be repeated.
+/// How often a request may run: any number of times, once, or again behind the last event that arrived.
 enum class request_kind { safe, unsafe, stream };
 
 /// Checks the promises of the pages from what callers and targets see. Every violation is kept as a line. Not
@@ -25,13 +25,13 @@
     /// A caller got a status of the system's own that says that the request has not run.
     void on_refused(const std::string& id, unsigned status);
 
-    /// A caller got a whole answer with success. `body` has to name the request; `events` are the ids of a stream.
+    /// A caller got a whole answer with success. `names_request`: its body is the one to this request.
     void on_success(const std::string& id, bool signed_by_target, bool names_request);
 
     /// A caller got the event `id` after `last` (0: none yet).
     void on_event(const std::string& request, std::uint64_t id, std::uint64_t last);
 
-    /// Tokens were handed to a caller for a program.
+    /// A caller got tokens for a program. A budget may be exceeded by the most of one turn.
     void on_tokens(const std::string& program, std::uint64_t tokens, std::uint64_t budget, std::uint64_t most_of_turn);
 
     /// Notes any other violation.
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,154 @@
+#include "soak_run.h"
+
+#include "net/pause.h"
+#include "net/spawn.h"
+#include "platform/names.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+namespace lagoonferry::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// After the last fault is mended the system may take this long until it serves again.
+constexpr milliseconds recovery_limit{12'000};
+
+/// Then all requests of this span have to be served, but for the share below.
+constexpr milliseconds calm_span{3'000};
+constexpr double least_served = 0.99;
+
+/// Time from the start of the processes to the first request.
+constexpr milliseconds start_span{1'500};
+
+/// Outstanding requests end within this time.
+constexpr milliseconds end_span{6'000};
+
+nlohmann::json settings_of(int number, const soak_options& options, const std::string& store)
+{
+    // Each gateway has a loopback address of its own, so all use the same ports. Runs at one time differ by their seed.
+    const auto run = static_cast<int>(options.seed % 200);
+    const std::string ip = "127." + std::to_string(20 + run) + ".0." + std::to_string(number + 1);
+    const auto at = [&ip](int port) { return ip + ":" + std::to_string(port); };
+    return {{"nodeName", "g" + std::to_string(number)},
+            {"ip", ip},
+            {"zone", "z" + std::to_string(number % 2)},
+            {"region", "r"},
+            {"listen", {{"front", at(8149)}, {"ready", at(8141)}, {"control", at(8144)}, {"directory", at(8143)}}},
+            {"portRange", {7380, 7395}},
+            {"seeds", nlohmann::json::array()},
+            {"bootstrap", true},
+            {"limits", {{"cpuShare", 0.25}, {"maxFds", 1'024}}},
+            {"bounds", {{"drainMs", 2'000}, {"graceS", 8}, {"ttl_max_s", 5}}},
+            {"platform", {{"address", store}, {"ttlMinMs", 1'000}}}};
+}
+
+} // namespace
+
+soak_run::soak_run(const soak_options& options)
+    : m_options(options), m_store(m_loop.get_executor()), m_relay(m_store.address()),
+      m_script(m_loop.get_executor(), {m_gateways, m_relay, m_targets, m_store}, options.seed)
+{
+    std::filesystem::create_directories(m_options.folder);
+    constexpr int models = 4;
+    constexpr int tools = 3;
+    for (int n = 0; n < models + tools; ++n) {
+        m_targets.push_back(std::make_unique<soak_target>(m_loop.get_executor(), m_store, m_checks,
+                                                          n < models ? "models" : "tools", "t" + std::to_string(n),
+                                                          options.seed + static_cast<std::uint64_t>(n)));
+        m_targets.back()->announce(false);
+    }
+    m_store.put(std::string(platform::names::config_key), document_text(1));
+    m_relay.start("127.0.0.1");
+    for (int n = 0; n < m_options.gateways; ++n) {
+        // All gateways get one address of the store: their datagrams are authenticated by it.
+        m_gateways.push_back(std::make_unique<gateway_process>(m_options.program, m_options.folder,
+                                                               settings_of(n, m_options, m_relay.address())));
+    }
+    m_script.set_gateways(m_gateways.size());
+}
+
+bool soak_run::run()
+{
+    asio::co_spawn(m_loop, play(), [](const std::exception_ptr& thrown) {
+        if (thrown) {
+            std::rethrow_exception(thrown); // ends the run
+        }
+    });
+    // The gateways must not outlive an interrupted run.
+    asio::signal_set signals(m_loop, SIGINT, SIGTERM);
+    signals.async_wait([this](const error_code& ec, int number) {
+        if (!ec) {
+            m_checks.broken("interrupted by signal " + std::to_string(number));
+            m_loop.stop();
+        }
+    });
+    m_loop.run();
+    report();
+    return m_checks.violations().empty();
+}
+
+asio::awaitable<void> soak_run::play()
+{
+    const auto loop = m_loop.get_executor();
+    std::ranges::for_each(m_gateways, [](auto& process) { process->start(true); });
+    co_await pause(loop, start_span);
+    start_callers();
+    co_await m_script.run(m_options.faults);
+    co_await pause(loop, recovery_limit);
+    const caller_tally before = m_tally;
+    co_await pause(loop, calm_span);
+    check_recovery(before);
+    m_stop = true;
+    co_await pause(loop, end_span);
+    m_loop.stop();
+}
+
+void soak_run::start_callers()
+{
+    std::vector<std::string> directories;
+    std::ranges::transform(m_gateways, std::back_inserter(directories),
+                           [](const auto& process) { return process->address_of("directory"); });
+    for (int n = 0; n < m_options.callers; ++n) {
+        m_callers.push_back(std::make_unique<soak_caller>(m_loop.get_executor(), m_checks, m_tally, directories,
+                                                          "c" + std::to_string(n),
+                                                          m_options.seed * 1'000 + static_cast<std::uint64_t>(n)));
+        spawn(m_loop.get_executor(), m_callers.back()->run(m_stop), "caller");
+    }
+}
+
+void soak_run::report() const
+{
+    std::ofstream faults(m_options.folder + "/faults.txt");
+    std::ranges::for_each(m_script.events(), [&faults](const std::string& line) { faults << line << '\n'; });
+    std::cout << "seed " << m_options.seed << ": " << m_tally.sent << " requests, " << m_tally.served << " served, "
+              << m_script.events().size() << " fault events, " << m_store.calls() << " store calls, "
+              << m_checks.violations().size() << " broken;";
+    for (const auto& [outcome, count] : m_tally.outcomes) {
+        std::cout << ' ' << outcome << ' ' << count << ',';
+    }
+    std::cout << std::endl;
+    constexpr std::size_t most_lines = 10;
+    for (std::size_t n = 0; n < std::min(most_lines, m_checks.violations().size()); ++n) {
+        std::cout << "  " << m_checks.violations()[n] << std::endl;
+    }
+}
+
+void soak_run::check_recovery(const caller_tally& before)
+{
+    const auto sent = static_cast<double>(m_tally.sent - before.sent);
+    const auto served = static_cast<double>(m_tally.served - before.served);
+    if (sent == 0 || served < sent * least_served - m_options.callers) {
+        m_checks.broken("RECOVER: " + std::to_string(served) + " of " + std::to_string(sent) +
+                        " requests are served after the recovery");
+    }
+}
+
+} // namespace lagoonferry::soak
--- /dev/null
+++ b/tests/soak/soak_run.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "fault_script.h"
+#include "gateway_process.h"
+#include "promises.h"
+#include "soak_caller.h"
+#include "soak_store.h"
+#include "soak_target.h"
+#include "tcp_relay.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonferry::soak {
+
+/// What one run of the soak consists of.
+struct soak_options {
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds faults{12'000}; ///< time in which faults begin
+    int gateways = 4;
+    int callers = 24;
+    std::string program; ///< path of the binary
+    std::string folder;  ///< for settings, logs and the list of faults
+};
+
+/// One run with one seed: gateways, stand-ins, callers, and the script of faults. Not thread-safe.
+class soak_run {
+public:
+    explicit soak_run(const soak_options& options);
+
+    /// Returns whether all promises were kept. Prints a line on the run, and what was broken. Call once.
+    bool run();
+
+private:
+    asio::awaitable<void> play();
+    void start_callers();
+    void check_recovery(const caller_tally& before);
+    void report() const;
+
+    soak_options m_options;
+    asio::io_context m_loop{1};
+    promises m_checks;
+    caller_tally m_tally;
+    soak_store m_store;
+    std::vector<std::unique_ptr<soak_target>> m_targets;
+    standin::tcp_relay m_relay; ///< to the store, for all gateways
+    std::vector<std::unique_ptr<gateway_process>> m_gateways;
+    std::vector<std::unique_ptr<soak_caller>> m_callers;
+    fault_script m_script;
+    bool m_stop = false;
+};
+
+} // namespace lagoonferry::soak
