Tell each change of the target list to the other gateways twice

Change: change_repeater joins the news of each read with those of the read before, so a lost datagram is made good by the next without a call to the store.

--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -151,7 +151,8 @@
     m_fresh_at = steady_now();
     m_behind = m_told_from > std::max(m_board.targets.revision(), m_covered);
     if (tell_others) {
-        tell(from, news);
+        const told_changes told = m_repeater.next(from, m_board.targets.revision(), news);
+        tell(told.from, told.changes);
     }
     co_return true;
 }
@@ -223,8 +224,8 @@
         }
         std::vector<target_change> changes;
         std::ranges::transform(body.at("c"), std::back_inserter(changes), change_from);
-        m_board.targets.apply_told(changes, steady_now());
-        note_news(changes, "gateway");
+        const auto news = m_board.targets.apply_told(changes, steady_now());
+        note_news(news, "gateway");
         m_board.targets.advance(body.at("t").get<std::uint64_t>());
         if (body.at("l").get<bool>()) {
             m_fresh_at = steady_now();
--- a/src/gateway/target_feed.h
+++ b/src/gateway/target_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_board.h"
+#include "routing/change_repeater.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -35,6 +36,7 @@
 
     gateway_board& m_board;
     asio::steady_timer m_wake;
+    change_repeater m_repeater;
     timestamp m_fresh_at{}; ///< the list was known to be current
     timestamp m_called_at{-1};
     bool m_loaded = false;
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -26,17 +26,16 @@
     return news;
 }
 
-void target_directory::apply_told(std::span<const target_change> changes, timestamp now)
+std::vector<target_change> target_directory::apply_told(std::span<const target_change> changes, timestamp now)
 {
+    std::vector<target_change> news;
     for (target_change item : changes) {
-        if (item.record) {
-            put(*item.record, item.revision);
-        }
-        else {
-            remove(item, false, now);
+        if (item.record ? put(*item.record, item.revision) : remove(item, false, now)) {
+            news.push_back(item);
         }
         advance(item.revision);
     }
+    return news;
 }
 
 std::vector<target_change> target_directory::replace(std::span<const target_change> all, std::uint64_t revision,
--- a/src/routing/target_directory.h
+++ b/src/routing/target_directory.h
@@ -41,8 +41,8 @@
     std::vector<target_change> apply(std::span<const target_change> changes, timestamp now);
 
     /// Takes changes that another gateway has read. Whether a removal may be a lapse is the word of that one, which
-    /// reached the store; trouble of this process alone must not keep a target that has left.
-    void apply_told(std::span<const target_change> changes, timestamp now);
+    /// reached the store; trouble of this process alone must not keep a target that has left. Returns what was news.
+    std::vector<target_change> apply_told(std::span<const target_change> changes, timestamp now);
 
     /// Replaces the list by a full one, read at `revision`. Targets that are missing there are removed. Returns what
     /// changed.
