--- a/src/entry/control_api.cpp
+++ b/src/entry/control_api.cpp
@@ -249,11 +249,13 @@
 void control_api::instances(const httplib::Request& /*request*/, httplib::Response& response) const
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const judged_member& item : *m_links.shared->all_entries.read()) {
+    const auto entries = m_links.shared->all_entries.read();
+    for (const judged_member& item : *entries) {
         list.push_back(member_json(item.known));
         list.back()["presumed_down"] = item.presumed_down;
     }
-    for (const member& item : m_links.shared->members.read()->dispatchers) {
+    const auto members = m_links.shared->members.read();
+    for (const member& item : members->dispatchers) {
         list.push_back(member_json(item));
     }
     send_json(response, {{"instances", list}});
--- a/src/roles/dispatch_controller.cpp
+++ b/src/roles/dispatch_controller.cpp
@@ -81,7 +81,8 @@
         return;
     }
     std::vector<std::string> holders;
-    for (const judged_member& item : *m_board->all_entries.read()) {
+    const auto entries = m_board->all_entries.read();
+    for (const judged_member& item : *entries) {
         if (!item.presumed_down) {
             holders.push_back(item.known.id);
         }
--- a/src/roles/membership_controller.cpp
+++ b/src/roles/membership_controller.cpp
@@ -141,7 +141,8 @@
 {
     std::set<std::string, std::less<>> ids;
     const auto add = [&ids](const target& item) { ids.insert(item.id); };
-    for (const auto& [service, in_force] : m_board->documents.read()->services) {
+    const auto documents = m_board->documents.read();
+    for (const auto& [service, in_force] : documents->services) {
         for (const model& item : in_force->document.models) {
             std::ranges::for_each(item.targets, add);
         }
@@ -165,7 +166,8 @@
 {
     target_map map;
     std::vector<target_info> infos;
-    for (const auto& [service, in_force] : m_board->documents.read()->services) {
+    const auto documents = m_board->documents.read();
+    for (const auto& [service, in_force] : documents->services) {
         for (const model& item : in_force->document.models) {
             for (const target& engine : item.targets) {
                 target_info info;
--- a/src/roles/release_controller.cpp
+++ b/src/roles/release_controller.cpp
@@ -36,7 +36,8 @@
         std::ranges::for_each(order.targets, add_one);
         return;
     }
-    for (const auto& [id, target] : m_board->targets.read()->targets) {
+    const auto known = m_board->targets.read();
+    for (const auto& [id, target] : known->targets) {
         if (target.scope == order.service) {
             add_one(id);
         }
