Go on from the store's revision after a quiet watch

Change: both feeds advance to the store's revision; a gateway that reads the whole list for the others tells what changed, sorted by revision. The time of a watch of documents is a setting, so that tests need not wait. Tests: three cases of gateway_fleet_test.cpp, failing before.

--- a/src/gateway/document_feed.cpp
+++ b/src/gateway/document_feed.cpp
@@ -13,9 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// How long one watch waits. A shorter wait costs calls; a silent connection is noticed by its keep-alive probes.
-constexpr milliseconds watch_wait{25'000};
-
 /// Pause after a failed call to the store; it doubles with each further one.
 constexpr milliseconds failure_pause{250};
 constexpr milliseconds longest_failure_pause{1'000};
@@ -88,8 +85,8 @@
 
 asio::awaitable<bool> document_feed::wait_for_changes()
 {
-    const store_reply reply =
-        co_await m_board.store.watch(m_board.speech.layout().operator_prefix, m_revision, watch_wait);
+    const store_reply reply = co_await m_board.store.watch(m_board.speech.layout().operator_prefix, m_revision,
+                                                           m_board.settings.document_watch);
     if (reply.status == store_status::compacted) {
         m_loaded = false;
         co_return true;
@@ -98,11 +95,7 @@
         co_return false;
     }
     take(reply.found.items, "watch");
-    for (const store_item& item : reply.found.items) {
-        m_revision = std::max(m_revision, item.revision);
-    }
-    // An empty answer may hide changes while the store drops its history, so the keys are read again.
-    m_loaded = !reply.found.items.empty();
+    m_revision = std::max(m_revision, reply.found.revision);
     co_return true;
 }
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -34,6 +34,9 @@
     std::chrono::milliseconds stop_grace{8'000};  ///< between SIGTERM and SIGKILL
     std::chrono::milliseconds address_ttl_max{5'000};
     std::chrono::milliseconds min_lease{1'000};
+    /// How long one watch of documents waits. A shorter wait costs calls; a silent connection is noticed by its
+    /// keep-alive probes.
+    std::chrono::milliseconds document_watch{25'000};
 };
 
 } // namespace lagoonferry
--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -108,25 +108,31 @@
         const bool waits = lead && age < poll_age(0);
         const auto hold = waits ? std::chrono::duration_cast<milliseconds>(poll_age(0)) : milliseconds(0);
         m_called_at = steady_now();
-        const bool done = m_loaded ? co_await read_changes(by_age, hold) : co_await read_all();
+        const bool done = m_loaded ? co_await read_changes(by_age, hold) : co_await read_all(by_age);
         if (!done) {
             co_await pause(m_board.loop, failure_pause);
         }
     }
 }
 
-asio::awaitable<bool> target_feed::read_all()
+asio::awaitable<bool> target_feed::read_all(bool tell_others)
 {
+    const std::uint64_t from = m_board.targets.revision();
     const store_reply reply = co_await m_board.store.read_all(m_board.speech.layout().targets);
     if (reply.status != store_status::ok) {
         co_return false;
     }
     const auto changes = decode(reply.found.items);
-    const auto news = m_board.targets.replace(changes, reply.found.revision, steady_now());
+    auto news = m_board.targets.replace(changes, reply.found.revision, steady_now());
     note_news(news, "list");
     m_fresh_at = steady_now();
     m_loaded = true;
     m_behind = false;
+    // The history that is gone is gone for all gateways, and each would have to read the whole list.
+    if (tell_others && from > 0) {
+        std::ranges::sort(news, {}, &target_change::revision); // a lost datagram must not hide older changes
+        tell_news(from, news);
+    }
     co_return true;
 }
 
@@ -148,11 +154,12 @@
     const auto changes = decode(reply.found.items);
     const auto news = m_board.targets.apply(changes, steady_now());
     note_news(news, "changes");
+    // Without this a quiet list falls behind the history that the store keeps, and all gateways have to read it again.
+    m_board.targets.advance(reply.found.revision);
     m_fresh_at = steady_now();
     m_behind = m_told_from > std::max(m_board.targets.revision(), m_covered);
     if (tell_others) {
-        const told_changes told = m_repeater.next(from, m_board.targets.revision(), news);
-        tell(told.from, told.changes);
+        tell_news(from, news);
     }
     co_return true;
 }
@@ -190,6 +197,12 @@
     }
 }
 
+void target_feed::tell_news(std::uint64_t from, std::span<const target_change> news)
+{
+    const told_changes told = m_repeater.next(from, m_board.targets.revision(), news);
+    tell(told.from, told.changes);
+}
+
 // The last datagram covers the range up to the present revision; the others only bring their changes earlier.
 void target_feed::tell(std::uint64_t from, std::span<const target_change> news)
 {
--- a/src/gateway/target_feed.h
+++ b/src/gateway/target_feed.h
@@ -25,10 +25,11 @@
 
 private:
     asio::awaitable<void> run();
-    asio::awaitable<bool> read_all();
+    asio::awaitable<bool> read_all(bool tell_others);
     asio::awaitable<bool> read_changes(bool tell_others, std::chrono::milliseconds wait);
     bool leads() const;
     std::vector<target_change> decode(std::span<const store_item> items);
+    void tell_news(std::uint64_t from, std::span<const target_change> news);
     void tell(std::uint64_t from, std::span<const target_change> news);
     void on_told(const nlohmann::json& body);
     void note_news(std::span<const target_change> news, std::string_view source);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/budget_keeper.h"
+#include "gateway/document_feed.h"
 #include "gateway/gateway_board.h"
 #include "gateway/target_feed.h"
 #include "net/spawn.h"
@@ -132,6 +133,62 @@
     std::vector<std::unique_ptr<test_gateway>> m_gateways;
 };
 
+constexpr const char* target_entry =
+    R"({"service":"s","address":"127.0.0.1:9","state":"ready","slots":8,"sequence":1})";
+
+std::string target_key(std::string_view id)
+{
+    return std::string(platform::names::servers_prefix) + std::string(id);
+}
+
+/// A gateway that reads the list of targets from a stand-in of the store, and another one that hears it.
+struct feed_pair {
+    feed_pair()
+        : store(loop.get_executor()), board(loop.get_executor(), settings_with(store.address()), speech),
+          listener(loop.get_executor(), listener_settings = other_settings(board.settings)), feed(board)
+    {
+        store.put(target_key("t1"), target_entry);
+        board.store.set_address({asio::ip::make_address(board.settings.store.ip), board.settings.store.port});
+        REQUIRE(board.fleet.start());
+        listener.on(datagram_kind::targets, [this](const std::string& /*sender*/, const nlohmann::json& body) {
+            told += body.dump().find("\"t2\"") != std::string::npos ? 1 : 0;
+        });
+        REQUIRE(listener.start());
+        listed_instance known;
+        known.id = board.settings.id;
+        known.role = member_role::entry;
+        known.address = {board.settings.ip, board.settings.callers.port, datagram_port, 0};
+        known.failure_domain = "a";
+        listener.add_members(std::vector{known});
+        feed.start();
+    }
+
+    static gateway_settings settings_with(std::string_view address)
+    {
+        gateway_settings settings = settings_of(0);
+        settings.document_watch = milliseconds(300);
+        settings.store = {"127.0.0.1",
+                          static_cast<std::uint16_t>(std::stoi(std::string(address.substr(address.find(':') + 1))))};
+        return settings;
+    }
+
+    static gateway_settings other_settings(const gateway_settings& first)
+    {
+        gateway_settings settings = settings_of(1);
+        settings.store = first.store; // authenticates the datagrams
+        return settings;
+    }
+
+    asio::io_context loop{1};
+    soak::soak_store store;
+    platform::dialect speech;
+    gateway_board board;
+    gateway_settings listener_settings;
+    fleet_link listener;
+    target_feed feed;
+    int told = 0; ///< datagrams that name t2
+};
+
 bool holds(const test_gateway& gateway, const std::string& program, std::uint64_t used)
 {
     const budget_record* record = gateway.budgets.ledger().find(program);
@@ -172,39 +229,47 @@
 // A gateway that lost the datagram with a removal was late with it: DRAIN, 2,024 ms for 2,000.
 TEST_CASE("each change of the target list is told to the other gateways twice")
 {
-    asio::io_context loop{1};
-    soak::soak_store store(loop.get_executor());
-    const std::string entry = R"({"service":"s","address":"127.0.0.1:9","state":"ready","slots":8,"sequence":1})";
-    store.put(std::string(platform::names::servers_prefix) + "t1", entry);
-
-    gateway_settings settings = settings_of(0);
-    const std::size_t colon = store.address().find(':');
-    settings.store = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(store.address().substr(colon + 1)))};
-    const platform::dialect speech;
-    gateway_board board(loop.get_executor(), settings, speech);
-    board.store.set_address({asio::ip::make_address(settings.store.ip), settings.store.port});
-    REQUIRE(board.fleet.start());
-    target_feed feed(board);
-    feed.start();
-
-    gateway_settings other = settings_of(1);
-    other.store = settings.store; // authenticates the datagrams
-    fleet_link listener(loop.get_executor(), other);
-    int told = 0;
-    listener.on(datagram_kind::targets, [&told](const std::string& /*sender*/, const nlohmann::json& body) {
-        told += body.dump().find("\"t2\"") != std::string::npos ? 1 : 0;
-    });
-    REQUIRE(listener.start());
-    listed_instance known;
-    known.id = settings.id;
-    known.role = member_role::entry;
-    known.address = {settings.ip, settings.callers.port, datagram_port, 0};
-    known.failure_domain = "a";
-    listener.add_members(std::vector{known});
-
-    loop.run_for(milliseconds(1'500));
-    CHECK(told == 0);
-    store.put(std::string(platform::names::servers_prefix) + "t2", entry);
-    loop.run_for(milliseconds(3'000));
-    CHECK(told == 2);
+    feed_pair pair;
+    pair.loop.run_for(milliseconds(1'500));
+    CHECK(pair.told == 0);
+    pair.store.put(target_key("t2"), target_entry);
+    pair.loop.run_for(milliseconds(3'000));
+    CHECK(pair.told == 2);
+}
+
+// All gateways of a large fleet read the whole list again 20 s after its last change, twice the calls of the hour.
+TEST_CASE("a quiet list of targets does not fall behind the history of the store")
+{
+    feed_pair pair;
+    pair.loop.run_for(milliseconds(700));
+    pair.store.put("other", "value");
+    pair.loop.run_for(milliseconds(1'300)); // two watches without an event
+    pair.store.compact();
+    const std::uint64_t before = pair.store.ranges();
+    pair.loop.run_for(milliseconds(1'500));
+    CHECK(pair.store.ranges() == before);
+}
+
+// A change that is found by reading the whole list was told to nobody, so every gateway had to read it.
+TEST_CASE("changes found by reading the whole list are told to the other gateways")
+{
+    feed_pair pair;
+    pair.loop.run_for(milliseconds(1'000));
+    pair.store.put(target_key("t2"), target_entry);
+    pair.store.compact();
+    pair.loop.run_for(milliseconds(2'000));
+    CHECK(pair.store.ranges() == 2);
+    CHECK(pair.told >= 1);
+}
+
+// Each gateway read all documents again after each watch without an event.
+TEST_CASE("a quiet watch of documents goes on without reading them again")
+{
+    feed_pair pair;
+    document_feed documents(pair.board);
+    documents.start();
+    pair.loop.run_for(milliseconds(500));
+    const std::uint64_t before = pair.store.ranges();
+    pair.loop.run_for(milliseconds(1'500)); // several watches
+    CHECK(pair.store.ranges() == before);
 }
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -128,6 +128,7 @@
         body = co_await watch(wanted, status);
     }
     else if (target.starts_with("/v1/kv-range")) {
+        ++m_ranges;
         body = range_answer(wanted);
     }
     else if (target.starts_with("/v1/kv-key")) {
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -37,6 +37,7 @@
     void remove(const std::string& key);
 
     std::uint64_t calls() const { return m_calls; }
+    std::uint64_t ranges() const { return m_ranges; } ///< reads of ranges of keys
 
 private:
     struct change {
@@ -62,6 +63,7 @@
     std::uint64_t m_revision = 7;
     std::uint64_t m_compacted = 0;
     std::uint64_t m_calls = 0;
+    std::uint64_t m_ranges = 0;
     std::map<std::string, item> m_items;
     std::vector<change> m_history;
 };
