Let a backlog after a loss fade sooner from the room kept for urgent calls

Ruled out by trials: a mean over 2 or 5 s before the maximum, not counting waiting calls (17 s to never). Change: for 40 s after a loss of slots or a takeover the half-life is 10 s.

--- a/src/dispatch/dispatch_settings.h
+++ b/src/dispatch/dispatch_settings.h
@@ -21,6 +21,10 @@
     bool reserve_demand = true;
     double demand_margin = 1.3;
     timestamp demand_half_life = std::chrono::seconds(60);
+    /// After the loss of targets or of a dispatcher urgent calls wait together. Counted as lasting demand they would
+    /// keep a quarter of the slots empty for half a minute (`lagoonferry_bench recovery`, domain-lost).
+    timestamp settling_half_life = std::chrono::seconds(10);
+    timestamp settling_time = std::chrono::seconds(40);
 
     /// Waiting calls of a class, per target of the group.
     per_class<double> queue_per_target{128, 128, 32, 16};
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -57,8 +57,8 @@
                                  timestamp now)
     : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_recovery(settings, epoch, now),
       m_random(seed), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
-      m_demand(settings.demand_half_life), m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us),
-      m_typical_hold_us(first_hold_us)
+      m_demand({settings.demand_half_life, settings.settling_half_life, settings.settling_time}),
+      m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us), m_typical_hold_us(first_hold_us)
 {
 }
 
@@ -658,7 +658,10 @@
     }
     // Calls that wait for the reports of holders are no sign of a lack of room.
     if (m_recovery.share(now) >= 1) {
-        m_demand.observe(calls, now);
+        m_demand.observe(calls, m_all_limits, now);
+    }
+    else {
+        m_demand.note_stop(now);
     }
 }
 
