Keep the limit of a target with one slot at one call

Cause: the limit never fell below 2, also for a target that declared one slot, so it was given two calls at once. Change: the declared slots bound the limit also below 2. Test: dispatch_parts_test.cpp, failing before (limit 2).

--- a/src/dispatch/concurrency_limit.cpp
+++ b/src/dispatch/concurrency_limit.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+/// A smaller limit would leave a target without a second call that shows whether it is still slow.
 constexpr double least = 2;
 constexpr double decrease = 0.85;
 constexpr timestamp decrease_interval = std::chrono::seconds(1);
@@ -14,8 +15,7 @@
 } // namespace
 
 concurrency_limit::concurrency_limit(std::uint32_t declared, timestamp token_goal)
-    : m_largest(std::max<double>(declared, least)), m_goal_us(static_cast<double>(token_goal.count())),
-      m_value(m_largest)
+    : m_largest(std::max<double>(declared, 1)), m_goal_us(static_cast<double>(token_goal.count())), m_value(m_largest)
 {
 }
 
@@ -23,7 +23,7 @@
 {
     if (token_us > m_goal_us) {
         if (now - m_changed >= decrease_interval) {
-            m_value = std::max(least, m_value * decrease);
+            m_value = std::max(std::min(least, m_largest), m_value * decrease);
             m_changed = now;
         }
         return;
--- a/tests/dispatch_parts_test.cpp
+++ b/tests/dispatch_parts_test.cpp
@@ -117,6 +117,16 @@
     }
 }
 
+// Targets were given two calls at once though they declared one slot.
+TEST_CASE("the limit of a target never exceeds the slots that it declared")
+{
+    concurrency_limit limit(1, milliseconds(72));
+    CHECK(limit.value() == 1);
+    limit.observe(100'000, 1, seconds(5));
+    limit.observe(10'000, 1, seconds(6));
+    CHECK(limit.value() == 1);
+}
+
 TEST_CASE("a limit falls while the goal is missed and returns when it is met")
 {
     concurrency_limit limit(20, milliseconds(72));
