Move the room of each class out of the dispatcher, and test three parts of the last mends

Change: class_room decides how many slots of a target each class may fill (limits, demand, suspended targets); no decision differs. Tests: two cases in slot_recovery_test.cpp, one in gateway_fleet_test.cpp.

--- /dev/null
+++ b/src/dispatch/class_room.cpp
@@ -0,0 +1,69 @@
+#include "dispatch/class_room.h"
+
+#include "dispatch/target_track.h"
+#include "dispatch/waiting_queue.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace lagoonferry {
+
+class_room::class_room(const dispatch_settings& settings)
+    : m_settings(settings), m_demand({settings.demand_half_life, settings.settling_half_life, settings.settling_time})
+{
+}
+
+void class_room::observe(std::span<const target_track> targets, const waiting_queue& queue, double known_share,
+                         timestamp now)
+{
+    per_class<double> calls{};
+    m_all_limits = 0;
+    for (const auto& target : targets) {
+        for (std::size_t n = 0; n < class_count; ++n) {
+            calls.at(n) += target.in_class.at(n);
+        }
+        m_all_limits += target.takes_calls() ? limit_of(target, service_class::safety, known_share) : 0;
+    }
+    for (std::size_t n = 0; n < class_count; ++n) {
+        calls.at(n) += queue.count(static_cast<service_class>(n));
+    }
+    // Calls that wait for the reports of holders are no sign of a lack of room.
+    if (known_share >= 1) {
+        m_demand.observe(calls, m_all_limits, now);
+    }
+    else {
+        m_demand.note_stop(now);
+    }
+}
+
+std::uint32_t class_room::limit_of(const target_track& target, service_class c, double known_share) const
+{
+    if (m_settings.unlimited) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const std::uint32_t whole = m_settings.adaptive_limit ? target.limit.value() : target.info.slots;
+    const double share = m_settings.class_share.at(index_of(c)) * known_share;
+    return std::max(1U, static_cast<std::uint32_t>(whole * share));
+}
+
+bool class_room::has_room(const target_track& target, service_class c, double known_share, timestamp now) const
+{
+    if (known_share <= 0 || now < target.suspended_until || target.in_flight >= limit_of(target, c, known_share)) {
+        return false;
+    }
+    // One call at a time shows whether a target that failed its last calls works again.
+    if (target.failures >= failures_to_suspend && target.in_flight > 0) {
+        return false;
+    }
+    if (!m_settings.reserve_demand || c == service_class::safety) {
+        return true;
+    }
+    const auto first = target.in_class.begin() + static_cast<std::ptrdiff_t>(index_of(c));
+    const auto in_flight = std::accumulate(first, target.in_class.end(), 0U);
+    const double whole = limit_of(target, service_class::safety, known_share);
+    const double reserved = m_settings.demand_margin * m_demand.above(c) * whole / std::max(1.0, m_all_limits);
+    return in_flight < std::max(1.0, whole - reserved);
+}
+
+} // namespace lagoonferry
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -25,8 +25,6 @@
 constexpr timestamp longest_unlisted = std::chrono::seconds(3);
 constexpr timestamp ask_interval = std::chrono::seconds(1);
 constexpr timestamp preempt_repeat = std::chrono::seconds(1); // the request may have been lost
-// A target that fails its calls frees its slots fast, so that it would attract every call of its group.
-constexpr std::uint32_t failures_to_suspend = 3;
 constexpr timestamp suspension = std::chrono::seconds(2);
 constexpr timestamp least_progress = std::chrono::milliseconds(200);
 
@@ -56,8 +54,7 @@
                                  std::unique_ptr<queue_order> order, std::uint64_t epoch, std::uint64_t seed,
                                  timestamp now)
     : m_settings(settings), m_choice(std::move(choice)), m_order(std::move(order)), m_recovery(settings, epoch, now),
-      m_random(seed), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life),
-      m_demand({settings.demand_half_life, settings.settling_half_life, settings.settling_time}),
+      m_random(seed), m_prefixes(largest_prefix_table), m_shares(settings.account_half_life), m_room(settings),
       m_typical_step_us(first_step_us), m_typical_prefill_us(first_prefill_us), m_typical_hold_us(first_hold_us)
 {
 }
@@ -123,7 +120,7 @@
     ask_about_unlisted(now, out);
     m_shares.prune(now);
     update_typical();
-    update_demand(now);
+    m_room.observe(m_targets, m_queue, m_recovery.share(now), now);
     refuse_without_target(out);
     if (m_settings.refuse_late) {
         refuse_late(now, out);
@@ -342,7 +339,7 @@
     double slots = 0;
     double in_flight = 0;
     for (const auto& target : m_targets) {
-        if (takes_calls(target)) {
+        if (target.takes_calls()) {
             slots += target.limit.value() * m_settings.class_share.at(index_of(c));
             in_flight += target.in_flight;
         }
@@ -389,13 +386,14 @@
 
 per_class<bool> slot_dispatcher::open_classes(timestamp now) const
 {
+    const double share = m_recovery.share(now);
     per_class<bool> open{};
     for (const auto& target : m_targets) {
-        if (!takes_calls(target)) {
+        if (!target.takes_calls()) {
             continue;
         }
         for (std::size_t n = 0; n < class_count; ++n) {
-            open.at(n) = open.at(n) || has_room(target, static_cast<service_class>(n), now);
+            open.at(n) = open.at(n) || m_room.has_room(target, static_cast<service_class>(n), share, now);
         }
     }
     return open;
@@ -403,6 +401,7 @@
 
 bool slot_dispatcher::fill_views(const waiting_call& call, timestamp now)
 {
+    const double share = m_recovery.share(now);
     m_views.resize(m_targets.size());
     bool any = false;
     for (std::size_t n = 0; n < m_targets.size(); ++n) {
@@ -410,8 +409,8 @@
         auto& view = m_views[n];
         view.id = target.info.id;
         view.in_flight = target.in_flight;
-        view.limit = limit_of(target, call.acquire.priority, now);
-        view.open = has_room(target, call.acquire.priority, now) && takes_calls(target) &&
+        view.limit = m_room.limit_of(target, call.acquire.priority, share);
+        view.open = m_room.has_room(target, call.acquire.priority, share, now) && target.takes_calls() &&
                     !is_excluded(call.acquire, target.info.id);
         view.reported_running = target.reported_running;
         view.reported_waiting = target.reported_waiting;
@@ -424,7 +423,7 @@
         any = any || view.open;
     }
     for (const auto& holding : m_prefixes.of(call.acquire.prefix)) {
-        m_views[holding.target].cached_tokens = takes_calls(m_targets[holding.target]) ? holding.tokens : 0;
+        m_views[holding.target].cached_tokens = m_targets[holding.target].takes_calls() ? holding.tokens : 0;
     }
     return any;
 }
@@ -616,62 +615,6 @@
     out.push_back({slot.holder, slot_preempt{slot.slot}});
 }
 
-bool slot_dispatcher::takes_calls(const target_track& target)
-{
-    return target.info.state == target_state::live;
-}
-
-std::uint32_t slot_dispatcher::limit_of(const target_track& target, service_class c, timestamp now) const
-{
-    if (m_settings.unlimited) {
-        return std::numeric_limits<std::uint32_t>::max();
-    }
-    const std::uint32_t whole = m_settings.adaptive_limit ? target.limit.value() : target.info.slots;
-    const double share = m_settings.class_share.at(index_of(c)) * m_recovery.share(now);
-    return std::max(1U, static_cast<std::uint32_t>(whole * share));
-}
-
-bool slot_dispatcher::has_room(const target_track& target, service_class c, timestamp now) const
-{
-    if (m_recovery.share(now) <= 0 || now < target.suspended_until || target.in_flight >= limit_of(target, c, now)) {
-        return false;
-    }
-    // One call at a time shows whether a target that failed its last calls works again.
-    if (target.failures >= failures_to_suspend && target.in_flight > 0) {
-        return false;
-    }
-    if (!m_settings.reserve_demand || c == service_class::safety) {
-        return true;
-    }
-    const auto first = target.in_class.begin() + static_cast<std::ptrdiff_t>(index_of(c));
-    const auto in_flight = std::accumulate(first, target.in_class.end(), 0U);
-    const double whole = limit_of(target, service_class::safety, now);
-    const double reserved = m_settings.demand_margin * m_demand.above(c) * whole / std::max(1.0, m_all_limits);
-    return in_flight < std::max(1.0, whole - reserved);
-}
-
-void slot_dispatcher::update_demand(timestamp now)
-{
-    per_class<double> calls{};
-    m_all_limits = 0;
-    for (const auto& target : m_targets) {
-        for (std::size_t n = 0; n < class_count; ++n) {
-            calls.at(n) += target.in_class.at(n);
-        }
-        m_all_limits += takes_calls(target) ? limit_of(target, service_class::safety, now) : 0;
-    }
-    for (std::size_t n = 0; n < class_count; ++n) {
-        calls.at(n) += m_queue.count(static_cast<service_class>(n));
-    }
-    // Calls that wait for the reports of holders are no sign of a lack of room.
-    if (m_recovery.share(now) >= 1) {
-        m_demand.observe(calls, m_all_limits, now);
-    }
-    else {
-        m_demand.note_stop(now);
-    }
-}
-
 double slot_dispatcher::step_us(const target_track& target, timestamp now) const
 {
     const auto& latency = target.latency;
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dispatch/account_shares.h"
-#include "dispatch/class_demand.h"
+#include "dispatch/class_room.h"
 #include "dispatch/dispatch_counters.h"
 #include "dispatch/dispatch_settings.h"
 #include "dispatch/prefix_table.h"
@@ -117,10 +117,6 @@
     slot_record* youngest_bulk();
     void request_preempt(slot_record& slot, timestamp now, output& out);
 
-    static bool takes_calls(const target_track& target);
-    std::uint32_t limit_of(const target_track& target, service_class c, timestamp now) const;
-    bool has_room(const target_track& target, service_class c, timestamp now) const;
-    void update_demand(timestamp now);
     double step_us(const target_track& target, timestamp now) const;
     double prefill_us(const target_track& target) const;
     void update_typical();
@@ -136,8 +132,7 @@
     waiting_queue m_queue;
     prefix_table m_prefixes;
     account_shares m_shares;
-    class_demand m_demand;
-    double m_all_limits = 0; ///< sum over the targets that take calls
+    class_room m_room;
     std::vector<target_view> m_views;
     std::uint64_t m_next_slot = 1;
     std::uint64_t m_next_call = 1;
--- a/src/dispatch/target_track.h
+++ b/src/dispatch/target_track.h
@@ -12,6 +12,9 @@
 
 /// What a dispatcher knows of one target.
 struct target_track {
+    /// Whether new calls may go there.
+    bool takes_calls() const { return info.state == target_state::live; }
+
     target_info info;
     concurrency_limit limit;
     latency_track latency;
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -152,6 +152,8 @@
         REQUIRE(board.fleet.start());
         listener.on(datagram_kind::targets, [this](const std::string& /*sender*/, const nlohmann::json& body) {
             told += body.dump().find("\"t2\"") != std::string::npos ? 1 : 0;
+            std::ranges::transform(body.at("c"), std::back_inserter(revisions),
+                                   [](const auto& change) { return change.at("v").template get<std::uint64_t>(); });
         });
         REQUIRE(listener.start());
         listed_instance known;
@@ -186,7 +188,8 @@
     gateway_settings listener_settings;
     fleet_link listener;
     target_feed feed;
-    int told = 0; ///< datagrams that name t2
+    int told = 0;                         ///< datagrams that name t2
+    std::vector<std::uint64_t> revisions; ///< of all changes that were told, in order
 };
 
 bool holds(const test_gateway& gateway, const std::string& program, std::uint64_t used)
@@ -262,6 +265,21 @@
     CHECK(pair.told >= 1);
 }
 
+// The news fill two datagrams. If the first named the newest revision and the second were lost, its changes would be
+// missing.
+TEST_CASE("changes found by reading the whole list are told in the order of their revisions")
+{
+    feed_pair pair;
+    pair.loop.run_for(milliseconds(1'000));
+    for (const char* id : {"t9", "t8", "t7", "t6", "t5", "t4", "t3", "t2"}) {
+        pair.store.put(target_key(id), target_entry);
+    }
+    pair.store.compact();
+    pair.loop.run_for(milliseconds(700));
+    REQUIRE(pair.revisions.size() >= 8);
+    CHECK(std::ranges::is_sorted(std::span(pair.revisions).first(8)));
+}
+
 // Each gateway read all documents again after each watch without an event.
 TEST_CASE("a quiet watch of documents goes on without reading them again")
 {
--- a/tests/slot_recovery_test.cpp
+++ b/tests/slot_recovery_test.cpp
@@ -68,6 +68,34 @@
     return m;
 }
 
+/// Grants that a bulk call each of 40 requests gets now.
+std::size_t bulk_grants(slot_dispatcher& d, timestamp now)
+{
+    std::size_t granted = 0;
+    for (std::uint64_t n = 0; n < 40; ++n) {
+        auto m = acquire_of("entry-1", 5000 + n);
+        m.priority = service_class::bulk;
+        granted += count<slot_grant>(d.handle(m, now));
+    }
+    return granted;
+}
+
+/// Asks for a slot for 30 urgent calls.
+void ask_urgent(slot_dispatcher& d, timestamp now)
+{
+    for (std::uint64_t n = 100; n < 130; ++n) {
+        d.handle(acquire_of("entry-1", n), now);
+    }
+}
+
+/// Gives up all urgent calls.
+void cancel_urgent(slot_dispatcher& d, timestamp now)
+{
+    for (std::uint64_t n = 100; n < 130; ++n) {
+        d.handle(slot_cancel{n, "entry-1"}, now);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a successor grants nothing before every holder has reported, so that no target exceeds its limit")
@@ -95,6 +123,45 @@
     CHECK(count<slot_grant>(d.tick(start + seconds(10))) == 5);
 }
 
+// The backlog after a loss kept slots empty for more than 30 s. Without a loss the room is kept: half of it fades in 60
+// s.
+TEST_CASE("after the loss of a target the backlog of urgent calls soon leaves room for bulk calls")
+{
+    for (const bool lost : {false, true}) {
+        auto d = make_dispatcher({}, former_epoch + 1, 7, start);
+        for (int n = 0; n < 4; ++n) {
+            d.set_target({"engine-" + std::to_string(n), "model", "fd-1", 10}, start);
+        }
+        ask_urgent(d, start + seconds(20));
+        d.tick(start + seconds(20));
+        if (lost) {
+            d.set_target({"engine-3", "model", "fd-1", 10, target_state::gone}, start + seconds(21));
+        }
+        d.tick(start + seconds(21));
+        cancel_urgent(d, start + seconds(22));
+        d.tick(start + seconds(41));
+        const std::size_t granted = bulk_grants(d, start + seconds(41));
+        CHECK(granted ==
+              (lost ? 15 : 12)); // half of 3 targets; or 40 slots less 1.3 times 24, rounded up at each target
+    }
+}
+
+TEST_CASE("after a takeover the backlog of urgent calls soon leaves room for bulk calls")
+{
+    auto d = make_dispatcher({}, former_epoch + 1, 7, start);
+    for (int n = 0; n < 4; ++n) {
+        d.set_target({"engine-" + std::to_string(n), "model", "fd-1", 10}, start);
+    }
+    d.set_holders({"entry-1"});
+    d.tick(start + milliseconds(50));
+    ask_urgent(d, start + milliseconds(100));
+    d.handle(report("entry-1", former_epoch + 1, 0), start + seconds(1));
+    d.tick(start + seconds(1));
+    cancel_urgent(d, start + seconds(2));
+    d.tick(start + seconds(21));
+    CHECK(bulk_grants(d, start + seconds(21)) == 20); // half of 4 targets
+}
+
 // Grants to the calls that a lost domain left in the queue kept a tenth of the slots empty for 20 s (40 instances).
 TEST_CASE("a call of a silent holder gets a slot only after those of the others")
 {
