--- a/src/client/log_explanation.cpp
+++ b/src/client/log_explanation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <set>
 
 namespace lagoonferry {
@@ -76,6 +77,7 @@
     std::set<std::string> programs;
     std::set<std::string> targets;
     std::set<std::string> sources;
+    bool ended = false; ///< a gateway reports the end of the request
     long first_ms = 0;
     long last_ms = 0;
 };
@@ -95,6 +97,7 @@
         context.programs.insert(value_of(line.text, "program"));
         context.targets.insert(value_of(line.text, "target"));
         context.sources.insert(line.source);
+        context.ended = context.ended || line.text.find("Request ended.") != std::string::npos;
     }
     context.programs.erase("");
     context.targets.erase("");
@@ -107,6 +110,29 @@
 /// Lines of the program that are this much older show how it came there.
 constexpr long program_memory_ms = 15'000;
 
+/// A gateway that starts again this long after the last line of a request without an end may have held it.
+constexpr long restart_memory_ms = 15'000;
+
+/// Returns the starts after the last line of a request of processes that did not report a stop, each after the last
+/// line that the process wrote before. A gateway that dies cannot report the end of its requests.
+std::vector<log_entry> starts_without_stop(std::span<const log_entry> lines, long after_ms)
+{
+    std::vector<log_entry> found;
+    std::map<std::string, const log_entry*, std::less<>> last;
+    for (const log_entry& line : lines) {
+        const log_entry*& before = last[line.source];
+        const long ms = time_of_day_ms(stamp_of(line.text));
+        const bool starts = line.text.find("] Started.") != std::string::npos;
+        const bool stopped = before == nullptr || before->text.find("] Stopped.") != std::string::npos;
+        if (starts && !stopped && ms > after_ms && ms <= after_ms + restart_memory_ms) {
+            found.push_back(*before);
+            found.push_back(line);
+        }
+        before = &line;
+    }
+    return found;
+}
+
 bool explains(const log_entry& line, std::string_view request, const request_context& context)
 {
     if (value_of(line.text, "request") == request) {
@@ -162,6 +188,9 @@
     }
     std::ranges::copy_if(lines, std::back_inserter(found),
                          [&](const log_entry& line) { return explains(line, request, context); });
+    if (!context.ended) {
+        std::ranges::move(starts_without_stop(lines, context.last_ms), std::back_inserter(found));
+    }
     std::ranges::stable_sort(found, {}, [](const log_entry& line) { return stamp_of(line.text); });
     return found;
 }
--- a/src/client/log_explanation.h
+++ b/src/client/log_explanation.h
@@ -17,8 +17,9 @@
 std::vector<log_entry> read_log_entries(std::string_view source, std::string_view text);
 
 /// Returns the lines that explain what became of a request, in order of time: its own, those of its program, and what
-/// its gateways noted about the targets, owners, the store and themselves shortly before and during it. Empty if no
-/// line names the request. Thread-safe.
+/// its gateways noted about the targets, owners, the store and themselves shortly before and during it. If no gateway
+/// reports its end, also the next starts of gateways that did not stop, with their last lines before. Empty if no line
+/// names the request. Precondition: the lines of each source are in order of time. Thread-safe.
 std::vector<log_entry> explain_request(std::span<const log_entry> lines, std::string_view request);
 
 } // namespace lagoonferry
--- a/tests/log_explanation_test.cpp
+++ b/tests/log_explanation_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace lagoonferry;
 
 namespace {
@@ -52,3 +54,27 @@
     }
     CHECK(explain_request(all_lines(), "unknown").empty());
 }
+
+// Recorded when all gateways lost power; the gateway that held the request could not report its end.
+TEST_CASE("a request without an end is explained by the starts of gateways that did not stop")
+{
+    constexpr std::string_view owner =
+        R"(2026-09-17 00:02:43,232 INFO  [program] A turn is weighed against its budget. request=7e8b2ceb program=b802ab verdict=granted
+2026-09-17 00:02:43,460 INFO  [entry] Request ended. request=045f15bc program=9a14b0 outcome=answered
+2026-09-17 00:02:44,873 INFO  [main] Started. settings=local.json
+)";
+    constexpr std::string_view restarted =
+        R"(2026-09-17 00:02:41,574 INFO  [main] Stopped. requests=0
+2026-09-17 00:02:43,900 INFO  [main] Started. settings=local.json
+)";
+    auto lines = read_log_entries("a.log", owner);
+    std::ranges::copy(read_log_entries("b.log", restarted), std::back_inserter(lines));
+    const auto found = explain_request(lines, "7e8b2ceb");
+    REQUIRE(found.size() == 3);
+    CHECK(found[0].text.find("is weighed") != std::string::npos);
+    CHECK(found[1].text.find("request=045f15bc") != std::string::npos);
+    CHECK(found[2].text.find("Started.") != std::string::npos);
+    CHECK(found[2].source == "a.log");
+    // A request with an end is not explained by later starts.
+    CHECK(explain_request(lines, "045f15bc").back().text.find("Request ended.") != std::string::npos);
+}
