Keep one copy of the class shares, so that a document's shares take effect

The document's headroom was ignored. Change: class_room owns the shares, set_class_share reaches it, and the expected wait reads them from there.

--- a/src/dispatch/class_room.cpp
+++ b/src/dispatch/class_room.cpp
@@ -10,7 +10,8 @@
 namespace lagoonferry {
 
 class_room::class_room(const dispatch_settings& settings)
-    : m_settings(settings), m_demand({settings.demand_half_life, settings.settling_half_life, settings.settling_time})
+    : m_settings(settings), m_class_share(settings.class_share),
+      m_demand({settings.demand_half_life, settings.settling_half_life, settings.settling_time})
 {
 }
 
@@ -43,7 +44,7 @@
         return std::numeric_limits<std::uint32_t>::max();
     }
     const std::uint32_t whole = m_settings.adaptive_limit ? target.limit.value() : target.info.slots;
-    const double share = m_settings.class_share.at(index_of(c)) * known_share;
+    const double share = class_share(c) * known_share;
     return std::max(1U, static_cast<std::uint32_t>(whole * share));
 }
 
--- a/src/dispatch/class_room.h
+++ b/src/dispatch/class_room.h
@@ -24,6 +24,10 @@
 public:
     explicit class_room(const dispatch_settings& settings);
 
+    /// Sets the part of a target's limit that each class may fill, from 0 to 1; the settings give the first value.
+    void set_class_share(const per_class<double>& share) { m_class_share = share; }
+    double class_share(service_class c) const { return m_class_share.at(index_of(c)); }
+
     /// Notes the calls that hold or wait for a slot.
     void observe(std::span<const target_track> targets, const waiting_queue& queue, double known_share, timestamp now);
 
@@ -35,6 +39,7 @@
 
 private:
     dispatch_settings m_settings;
+    per_class<double> m_class_share; ///< in place of the one in the settings, which stays as it was at the start
     class_demand m_demand;
     double m_all_limits = 0; ///< sum over the targets that take calls
 };
--- a/src/dispatch/slot_dispatcher.cpp
+++ b/src/dispatch/slot_dispatcher.cpp
@@ -340,7 +340,7 @@
     double in_flight = 0;
     for (const auto& target : m_targets) {
         if (target.takes_calls()) {
-            slots += target.limit.value() * m_settings.class_share.at(index_of(c));
+            slots += target.limit.value() * m_room.class_share(c);
             in_flight += target.in_flight;
         }
     }
--- a/src/dispatch/slot_dispatcher.h
+++ b/src/dispatch/slot_dispatcher.h
@@ -46,7 +46,7 @@
     void set_target(const target_info& target, timestamp now);
 
     /// Replaces the share of each limit that a class and the classes below it may fill.
-    void set_class_share(const per_class<double>& share) { m_settings.class_share = share; }
+    void set_class_share(const per_class<double>& share) { m_room.set_class_share(share); }
 
     /// Sets the weights of accounts in the order of the queue; see `account_shares`.
     void set_account_weights(const std::map<std::string, double, std::less<>>& weights)
