Tell callers a share of a large fleet by host and failure domain

Change: the answer is ordered by address_lookup, as at the product's own interface: weighted rendezvous hashing by host and failure domain of the caller and by the size of the machine. All gateways give the same answer, so callers keep their connections. Test: gateway_lookup_test.cpp; with the former order callers of six kinds are told 64 of 100 gateways, now at least 95.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/client_session.h"
 
 #include "gateway/exchange.h"
+#include "membership/address_lookup.h"
 #include "net/pause.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -40,7 +41,7 @@
 /// outlive that.
 constexpr milliseconds address_ttl{2'000};
 
-/// Addresses in one answer.
+/// Addresses in one answer; the platform allows no more.
 constexpr std::size_t most_addresses = 64;
 
 milliseconds idle_timeout(const gateway_board& board)
@@ -249,15 +250,15 @@
     co_await send_whole(200, std::move(fields), body);
 }
 
-std::string client_session::lookup_answer(const http_request& /*request*/) const
+std::string client_session::lookup_answer(const http_request& request) const
 {
-    std::vector<std::string> addresses;
-    for (const member& item : m_board.fleet.usable()) {
-        if (addresses.size() < most_addresses && item.address.http_port != 0) {
-            addresses.push_back(item.address.ip + ":" + std::to_string(item.address.http_port));
-        }
-    }
-    return m_board.speech.lookup_body(addresses, std::min(address_ttl, m_board.settings.address_ttl_max));
+    const std::string_view target = to_std(request.target());
+    address_lookup lookup(std::min(address_ttl, m_board.settings.address_ttl_max));
+    lookup.update(m_board.fleet.usable());
+    // Callers drop connections to addresses that are missing from a new answer, so all gateways answer the same.
+    const address_answer answer =
+        lookup.order(m_board.speech.caller_host(target), m_board.speech.caller_domain(target), most_addresses);
+    return m_board.speech.lookup_body(answer.addresses, answer.ttl);
 }
 
 std::string client_session::head(unsigned status, const http_fields& fields, std::string_view framing) const
--- a/src/gateway/platform_dialect.h
+++ b/src/gateway/platform_dialect.h
@@ -67,6 +67,9 @@
     /// Returns the failure domain of a caller that asks where to connect; empty if it does not say.
     virtual std::string caller_domain(std::string_view target) const = 0;
 
+    /// Returns the host name for which a caller asks where to connect, or an empty text.
+    virtual std::string caller_host(std::string_view target) const = 0;
+
     /// Returns the body of the answer to a caller that asks where to connect.
     virtual std::string lookup_body(std::span<const std::string> addresses, std::chrono::milliseconds ttl) const = 0;
 
--- /dev/null
+++ b/tests/gateway_lookup_test.cpp
@@ -0,0 +1,108 @@
+#include "gateway/client_session.h"
+#include "gateway/gateway_board.h"
+#include "net/client_connection.h"
+#include "net/spawn.h"
+#include "platform/dialect.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace lagoonferry;
+using std::chrono::milliseconds;
+
+namespace {
+
+gateway_settings lookup_settings()
+{
+    gateway_settings settings;
+    settings.id = "g0";
+    settings.ip = "127.9.1.1";
+    settings.failure_domain = "a";
+    settings.callers = {settings.ip, 18'249};
+    settings.lookup = {settings.ip, 18'250};
+    settings.datagram_port = 17'480;
+    settings.store = {"127.0.0.1", 9}; // nobody listens there
+    return settings;
+}
+
+/// A gateway that knows many others from the store's list, and answers where to connect.
+class lookup_rig {
+public:
+    explicit lookup_rig(int gateways) : m_board(m_loop.get_executor(), lookup_settings(), m_speech)
+    {
+        std::vector<listed_instance> all;
+        for (int n = 1; n < gateways; ++n) {
+            all.push_back({"g" + std::to_string(n),
+                           member_role::entry,
+                           {"127.9.2." + std::to_string(n), 18'249, 17'480, 0},
+                           "a",
+                           false});
+        }
+        m_board.fleet.add_members(all);
+        m_board.routes = std::make_shared<const route_table>(routing_document{});
+        REQUIRE(listen_for_sessions(m_board, m_board.settings.lookup, listener_kind::local));
+    }
+
+    std::set<std::string> addresses_for(const std::string& target)
+    {
+        std::string body;
+        spawn(m_loop.get_executor(), fetch(target, body), "test");
+        for (int n = 0; n < 100 && body.empty(); ++n) {
+            m_loop.run_for(milliseconds(10));
+        }
+        REQUIRE_FALSE(body.empty());
+        return nlohmann::json::parse(body).at("addresses").get<std::set<std::string>>();
+    }
+
+private:
+    asio::awaitable<void> fetch(std::string target, std::string& body)
+    {
+        const deadline until = deadline_after(milliseconds(800));
+        client_connection connection(m_loop.get_executor());
+        http_request ask{http::verb::get, target, 11};
+        ask.set(http::field::host, "g0");
+        error_code ec = co_await connection.connect(
+            {asio::ip::make_address(m_board.settings.ip), m_board.settings.lookup.port}, until);
+        if (!ec) {
+            ec = co_await connection.send(ask, until);
+        }
+        answer_reader answer(connection);
+        if (!ec) {
+            ec = co_await answer.read_head(until);
+        }
+        std::string text;
+        if (!ec && answer.status() == 200 && !co_await answer.read_rest(text, 65'536, until)) {
+            body = text;
+        }
+    }
+
+    asio::io_context m_loop{1};
+    platform::dialect m_speech;
+    gateway_board m_board;
+};
+
+} // namespace
+
+// The first 64 by name were told to all callers: of 300 gateways 236 had nothing to do.
+TEST_CASE("callers of different hosts and failure domains are told different gateways of a large fleet")
+{
+    constexpr int gateways = 100;
+    lookup_rig rig(gateways);
+    std::set<std::string> told;
+    for (const char* host : {"a.example", "b.example"}) {
+        for (const char* domain : {"a", "b", "c"}) {
+            const std::string target = std::string("/v1/resolve?name=") + host + "&region=r&zone=" + domain;
+            const auto addresses = rig.addresses_for(target);
+            CHECK(addresses.size() == 64);
+            CHECK(rig.addresses_for(target) == addresses); // callers drop connections to addresses that are missing
+            told.insert(addresses.begin(), addresses.end());
+        }
+    }
+    CHECK(told.size() >= gateways - 5);
+}
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -257,6 +257,8 @@
     CHECK(speech.local_call_of("GET", "/v1/readiness") == local_call::readiness);
     CHECK(speech.local_call_of("GET", "/v1/resolve?name=a&zone=z") == local_call::lookup);
     CHECK(speech.local_call_of("POST", "/v1/readiness") == local_call::none);
+    CHECK(speech.caller_host("/v1/resolve?name=a.example&zone=z") == "a.example");
+    CHECK(speech.caller_domain("/v1/resolve?name=a.example&zone=z") == "z");
     CHECK(speech.caller_domain("/v1/resolve?name=a&region=r&zone=z") == "z");
     const auto body =
         nlohmann::json::parse(speech.lookup_body(std::vector<std::string>{"1.2.3.4:5"}, milliseconds(2'000)));
