Let three gateways of a failure domain watch documents for the others

Cause: each gateway watched the documents, so a change of them cost as many calls to the store as there are gateways, each start and each 25 s one more, and a gateway that the store turned away tried again for all of that time. Change: the first three of each failure domain for the duty watch, and announce a new document at once; the others ask the one that told. Heartbeats tell which gateways watch; one that hears none of them for 1.2 s watches by itself. Orders to empty a machine are acknowledged by the gateways that watch. Fleets of up to three gateways a domain behave as before.

--- a/src/gateway/document_feed.cpp
+++ b/src/gateway/document_feed.cpp
@@ -1,8 +1,10 @@
 #include "gateway/document_feed.h"
 
+#include "membership/duty.h"
 #include "net/client_connection.h"
 #include "net/pause.h"
 #include "net/spawn.h"
+#include "util/rendezvous.h"
 
 #include <algorithm>
 #include <array>
@@ -17,6 +19,19 @@
 constexpr milliseconds failure_pause{250};
 constexpr milliseconds longest_failure_pause{1'000};
 
+/// Gateways of a failure domain that watch. The store may turn away a third of the machines while it serves the others,
+/// and a silent connection is noticed late, so a single one is not enough.
+constexpr std::size_t watchers_of_domain = 3;
+
+/// A document must be in force 2 s after the store has taken it. Without a word of a gateway that watches, this one
+/// asks the store itself after the first time; the second is the pause until it looks again, which is also the longest
+/// delay after a pause of the process. A gateway tells each other one at least once in a second.
+constexpr milliseconds longest_silence{1'200};
+constexpr milliseconds listen_interval{200};
+
+/// Source of documents that others may not know yet.
+constexpr std::string_view watch_source = "watch";
+
 /// Time for the answer of another gateway.
 constexpr milliseconds peer_limit{500};
 
@@ -28,6 +43,7 @@
 
 /// Gateways that try to acknowledge an order, each after the one before it had this time.
 constexpr std::size_t acknowledging_gateways = 3;
+constexpr std::size_t acknowledging_without_watchers = 8;
 constexpr milliseconds acknowledge_step{600};
 constexpr int most_acknowledge_tries = 20;
 
@@ -37,10 +53,10 @@
 
 void document_feed::start()
 {
-    m_board.fleet.on_newer_document([this](std::uint64_t version) {
+    m_board.fleet.on_newer_document([this](std::uint64_t version, const std::string& sender) {
         if (!m_reading_newer) {
             m_reading_newer = true;
-            spawn(m_board.loop, read_newer(version), "newer document");
+            spawn(m_board.loop, read_newer(version, sender), "newer document");
         }
     });
     spawn(m_board.loop, run(), "routing document");
@@ -50,27 +66,62 @@
 {
     milliseconds next_pause = failure_pause;
     while (true) {
-        const bool done = m_loaded ? co_await wait_for_changes() : co_await read_all();
-        if (done != m_board.routes_confirmed) {
-            log(log_part::platform, done ? log_level::info : log_level::warning,
-                done ? "The store answers on the routing document."
-                     : "The store does not answer on the routing document.",
-                field("revision", m_revision));
+        const bool watches = !m_board.routes || must_watch();
+        note_source(watches);
+        if (!watches) {
+            set_confirmed(m_board.routes != nullptr);
+            co_await pause(m_board.loop, listen_interval);
+            continue;
         }
-        m_board.routes_confirmed = done;
+        const bool done = m_loaded ? co_await wait_for_changes() : co_await read_all();
+        set_confirmed(done);
+        m_board.fleet.set_watches_document(done && !m_board.stopping && must_watch());
         if (done) {
             next_pause = failure_pause;
             continue;
         }
-        m_loaded = false;
+        m_loaded = false; // only a whole answer shows soon that the store is back
         if (!m_board.routes) {
-            co_await read_from_peers();
+            co_await read_from_peers({});
         }
         co_await pause(m_board.loop, next_pause);
         next_pause = std::min(next_pause * 2, longest_failure_pause);
     }
 }
 
+bool document_feed::must_watch() const
+{
+    return has_duty(duty::watch_documents, m_board.fleet.usable(), m_board.settings.id, watchers_of_domain) ||
+           !m_board.fleet.document_watched_within(longest_silence);
+}
+
+void document_feed::note_source(bool watches)
+{
+    if (watches == m_watches) {
+        return;
+    }
+    m_watches = watches;
+    if (!watches) {
+        m_board.fleet.set_watches_document(false);
+    }
+    log(log_part::document, log_level::info,
+        watches ? "This gateway watches the routing document itself."
+                : "Other gateways watch the routing document for this one.",
+        field("version", m_board.routes ? m_board.routes->document().version : 0), field("revision", m_revision),
+        field("gateways", m_board.fleet.usable().size()));
+}
+
+void document_feed::set_confirmed(bool confirmed)
+{
+    if (confirmed != m_board.routes_confirmed) {
+        log(log_part::platform, confirmed ? log_level::info : log_level::warning,
+            confirmed ? "The store answers on the routing document."
+                      : "The store does not answer on the routing document.",
+            field("revision", m_revision), field("watches", m_watches));
+    }
+    m_board.routes_confirmed = confirmed;
+}
+
 asio::awaitable<bool> document_feed::read_all()
 {
     const store_reply reply = co_await m_board.store.read_all(m_board.speech.layout().operator_prefix);
@@ -94,17 +145,17 @@
     if (reply.status != store_status::ok) {
         co_return false;
     }
-    take(reply.found.items, "watch");
+    take(reply.found.items, watch_source);
     m_revision = std::max(m_revision, reply.found.revision);
     co_return true;
 }
 
-asio::awaitable<void> document_feed::read_newer(std::uint64_t version)
+asio::awaitable<void> document_feed::read_newer(std::uint64_t version, std::string sender)
 {
     log(log_part::document, log_level::info, "Another gateway knows a newer routing document.",
-        field("version", version));
+        field("version", version), field("gateway", sender));
     // The store may turn this machine away, or be slow; the gateway that told has the document.
-    if (!co_await read_from_peers()) {
+    if (!co_await read_from_peers(std::move(sender))) {
         const store_reply reply = co_await m_board.store.read(m_board.speech.layout().routing_document);
         if (reply.status == store_status::ok) {
             take(reply.found.items, "heartbeat");
@@ -116,25 +167,39 @@
     m_reading_newer = false;
 }
 
-// Asks a few others in turn. Returns whether one of them had a newer document.
-asio::awaitable<bool> document_feed::read_from_peers()
+// A few others in turn, with `first` before them if it is one of the gateways.
+std::vector<asio::ip::address> document_feed::peers_to_ask(std::string_view first)
 {
-    const std::vector<member> peers = m_board.fleet.usable();
-    const std::uint64_t before = m_board.routes ? m_board.routes->document().version : 0;
-    std::size_t asked = 0;
-    for (std::size_t n = 0; n < peers.size() && asked < peers_asked; ++n) {
-        const member& peer = peers[m_next_peer++ % peers.size()];
+    std::vector<asio::ip::address> chosen;
+    const auto add = [&](const member& item) {
         error_code ec;
-        const auto ip = asio::ip::make_address(peer.address.ip, ec);
-        if (ec || peer.id == m_board.settings.id) {
-            continue;
+        const auto ip = asio::ip::make_address(item.address.ip, ec);
+        if (!ec && item.id != m_board.settings.id && chosen.size() < peers_asked &&
+            std::ranges::find(chosen, ip) == chosen.end()) {
+            chosen.push_back(ip);
         }
-        ++asked;
+    };
+    const std::vector<member>& peers = m_board.fleet.usable();
+    if (const auto it = std::ranges::find(peers, first, &member::id); it != peers.end()) {
+        add(*it);
+    }
+    for (std::size_t n = 0; n < peers.size() && chosen.size() < peers_asked; ++n) {
+        add(peers[m_next_peer++ % peers.size()]);
+    }
+    return chosen;
+}
+
+// Returns whether one of the others had a newer document.
+asio::awaitable<bool> document_feed::read_from_peers(std::string first)
+{
+    const std::uint64_t before = m_board.routes ? m_board.routes->document().version : 0;
+    for (const asio::ip::address& ip : peers_to_ask(first)) {
+        error_code ec;
         const deadline until = deadline_after(peer_limit);
         client_connection connection(m_board.loop);
         ec = co_await connection.connect({ip, m_board.settings.peers.port}, until);
         http_request ask{http::verb::get, std::string(document_path), 11};
-        ask.set(http::field::host, peer.address.ip);
+        ask.set(http::field::host, ip.to_string());
         if (!ec) {
             ec = co_await connection.send(ask, until);
         }
@@ -149,7 +214,7 @@
         if (ec || answer.status() != 200) {
             continue;
         }
-        take_text(text, 0, peer.id);
+        take_text(text, 0, ip.to_string());
         if (m_board.routes && m_board.routes->document().version > before) {
             co_return true;
         }
@@ -194,14 +259,31 @@
     m_board.fleet.set_document_version(document->version);
     m_board.routes = std::make_shared<const route_table>(std::move(*document));
     m_board.document_text = text;
+    if (source == watch_source) {
+        m_board.fleet.announce_document();
+    }
+}
+
+// Only gateways that watch hear of an order. The place of this one among them is by the machine's name, so that the
+// machine itself need not be alive.
+std::size_t document_feed::acknowledging_rank(const std::string& machine) const
+{
+    std::vector<std::string> watchers = duty_holders(duty::watch_documents, m_board.fleet.usable(), watchers_of_domain);
+    std::ranges::sort(watchers, std::greater{},
+                      [hash = stable_hash(machine)](const std::string& id) { return rendezvous_weight(hash, id); });
+    const auto it = std::ranges::find(watchers, m_board.settings.id);
+    if (it != watchers.end()) {
+        return static_cast<std::size_t>(it - watchers.begin());
+    }
+    return m_board.fleet.own_rank(machine);
 }
 
-// No gateway keeps anything on disks, so a machine is empty at once. The order's place among the gateways is by the
-// machine's name, so that the machine itself need not be alive.
+// No gateway keeps anything on disks, so a machine is empty at once.
 asio::awaitable<void> document_feed::acknowledge_emptying(std::string machine, std::uint64_t order_revision)
 {
-    const std::size_t rank = m_board.fleet.own_rank(machine);
-    if (rank >= acknowledging_gateways) {
+    const std::size_t rank = acknowledging_rank(machine);
+    const bool others_watch = m_board.fleet.document_watched_within(longest_silence);
+    if (rank >= (others_watch ? acknowledging_gateways : acknowledging_without_watchers)) {
         co_return;
     }
     co_await pause(m_board.loop, acknowledge_step * rank);
--- a/src/gateway/fleet_link.cpp
+++ b/src/gateway/fleet_link.cpp
@@ -20,6 +20,9 @@
 /// Name of the routing document among the versions that heartbeats carry.
 constexpr std::string_view document_name = "routing";
 
+/// Told beside it, with the same version, by gateways that watch the document.
+constexpr std::string_view watched_name = "routing-watched";
+
 /// Peers of a heartbeat in a small fleet.
 constexpr std::size_t least_peers = 3;
 
@@ -149,7 +152,11 @@
 
 std::vector<document_version> fleet_link::documents() const
 {
-    return {{std::string(document_name), m_document_version}};
+    std::vector<document_version> told{{std::string(document_name), m_document_version}};
+    if (m_watches_document) {
+        told.push_back({std::string(watched_name), m_document_version});
+    }
+    return told;
 }
 
 void fleet_link::send_heartbeats(timestamp now)
@@ -228,12 +235,36 @@
     if (m_table->changes() != m_changes_seen || now - m_refreshed_at >= m_timing.silence_check) {
         refresh(now);
     }
-    const auto it = std::ranges::find(message.documents, document_name, &document_version::service);
-    if (it != message.documents.end() && it->version > m_document_version && m_on_newer_document) {
-        m_on_newer_document(it->version);
+    on_documents(message, now);
+}
+
+void fleet_link::on_documents(const heartbeat& message, timestamp now)
+{
+    const auto version_of = [&message](std::string_view name) {
+        const auto it = std::ranges::find(message.documents, name, &document_version::service);
+        return it == message.documents.end() ? std::nullopt : std::optional(it->version);
+    };
+    if (const auto watched = version_of(watched_name)) {
+        m_document_watched_at = now;
+        m_watched_version = std::max(m_watched_version, *watched);
+    }
+    const auto known = version_of(document_name);
+    if (known && *known > m_document_version && m_on_newer_document) {
+        m_on_newer_document(*known, message.sender.about.id);
     }
 }
 
+bool fleet_link::document_watched_within(timestamp span) const
+{
+    return m_document_watched_at != timestamp{} && steady_now() - m_document_watched_at <= span &&
+           m_document_version >= m_watched_version;
+}
+
+void fleet_link::announce_document()
+{
+    broadcast(datagram_kind::heartbeat, to_json(m_table->next_heartbeat(documents(), {}, steady_now())));
+}
+
 void fleet_link::add_members(std::span<const listed_instance> found)
 {
     const timestamp now = steady_now();
@@ -247,8 +278,8 @@
     m_table->mark_leaving(m_settings.id, now);
     send_heartbeats(now);
     refresh(now);
-    const nlohmann::json body = to_json(m_table->next_heartbeat(documents(), {}, now));
-    broadcast(datagram_kind::heartbeat, body);
+    m_watches_document = false; // its watch ends with the process
+    announce_document();
 }
 
 void fleet_link::refresh(timestamp now)
@@ -363,11 +394,6 @@
         field("self_lost", m_lost_until.contains(m_settings.id)));
 }
 
-std::vector<member> fleet_link::usable() const
-{
-    return m_usable;
-}
-
 std::vector<std::string> fleet_link::ranked(std::string_view key) const
 {
     struct candidate {
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -51,8 +51,11 @@
     /// Sets what is called for datagrams of a kind.
     void on(datagram_kind kind, handler call) { m_handlers[kind] = std::move(call); }
 
-    /// Sets what is called when another gateway knows a newer routing document.
-    void on_newer_document(std::function<void(std::uint64_t version)> call) { m_on_newer_document = std::move(call); }
+    /// Sets what is called when another gateway, `sender`, knows a newer routing document.
+    void on_newer_document(std::function<void(std::uint64_t version, const std::string& sender)> call)
+    {
+        m_on_newer_document = std::move(call);
+    }
 
     /// Adds gateways that may run at these addresses, from the store's list.
     void add_members(std::span<const listed_instance> found);
@@ -62,11 +65,21 @@
     /// Sets the version that heartbeats tell.
     void set_document_version(std::uint64_t version) { m_document_version = version; }
 
+    /// Tells all others the version at once.
+    void announce_document();
+
+    /// Sets whether heartbeats tell that this gateway would hear of a newer document from the store.
+    void set_watches_document(bool watches) { m_watches_document = watches; }
+
+    /// Returns whether, within `span` before now, another gateway told that it would hear of a newer document from the
+    /// store, and that this one has the newest.
+    bool document_watched_within(timestamp span) const;
+
     /// Tells the others that this gateway stops.
     void leave();
 
-    /// Returns the live gateways that do not stop, with this one unless it stops.
-    std::vector<member> usable() const;
+    /// Returns the live gateways that do not stop, with this one unless it stops, by id. Valid until the loop runs on.
+    const std::vector<member>& usable() const { return m_usable; }
 
     /// Returns the ids of the live gateways, the owner of `key` first, by rendezvous hashing.
     std::vector<std::string> ranked(std::string_view key) const;
@@ -108,6 +121,7 @@
     void renew_if_superseded(timestamp now);
     void on_datagram(const datagram& message, const udp::endpoint& from);
     void on_heartbeat(const heartbeat& message, const udp::endpoint& from);
+    void on_documents(const heartbeat& message, timestamp now);
     std::vector<std::byte> encode(datagram_kind kind, const nlohmann::json& body) const;
     void send_to(const udp::endpoint& to, std::span<const std::byte> datagram);
     member own_member(std::uint64_t incarnation) const;
@@ -132,8 +146,11 @@
     std::vector<std::string> m_seed_ips;
     timestamp m_started;
     std::map<datagram_kind, handler> m_handlers;
-    std::function<void(std::uint64_t)> m_on_newer_document;
+    std::function<void(std::uint64_t, const std::string&)> m_on_newer_document;
     std::uint64_t m_document_version = 0;
+    bool m_watches_document = false;
+    timestamp m_document_watched_at{};   ///< last telling of another gateway that watches
+    std::uint64_t m_watched_version = 0; ///< the newest that such a gateway told
     std::uint64_t m_renewals = 0;
     std::map<std::string, timestamp, std::less<>> m_last_heard;
     timestamp m_last_beat{};
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <iterator>
 #include <map>
 
 namespace lagoonferry {
@@ -12,32 +14,33 @@
 
 constexpr std::array<std::string_view, 2> duty_names{"poll_instances", "watch_documents"};
 
-struct holder {
-    std::string id;
+struct candidate {
+    std::string_view id;
     double score = 0;
 };
 
 } // namespace
 
-std::vector<std::string> duty_holders(duty what, std::span<const member> members)
+std::vector<std::string> duty_holders(duty what, std::span<const member> members, std::size_t of_domain)
 {
     const std::uint64_t key = stable_hash(duty_names.at(static_cast<std::size_t>(what)));
-    std::map<std::string, holder> by_domain;
+    std::map<std::string_view, std::vector<candidate>> by_domain;
     for (const member& item : members) {
-        const double score = rendezvous_score(key, stable_hash(item.id), 1);
-        holder& best = by_domain[item.failure_domain];
-        if (best.id.empty() || score > best.score) {
-            best = {item.id, score};
-        }
+        by_domain[item.failure_domain].push_back({item.id, rendezvous_score(key, stable_hash(item.id), 1)});
     }
     std::vector<std::string> result;
-    std::ranges::transform(by_domain, std::back_inserter(result), [](const auto& item) { return item.second.id; });
+    for (auto& [domain, candidates] : by_domain) {
+        const auto last = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(of_domain, candidates.size()));
+        std::ranges::partial_sort(candidates, last, std::greater{}, &candidate::score);
+        std::transform(candidates.begin(), last, std::back_inserter(result),
+                       [](const candidate& item) { return std::string(item.id); });
+    }
     return result;
 }
 
-bool has_duty(duty what, std::span<const member> members, std::string_view id)
+bool has_duty(duty what, std::span<const member> members, std::string_view id, std::size_t of_domain)
 {
-    const auto holders = duty_holders(what, members);
+    const auto holders = duty_holders(what, members, of_domain);
     return std::ranges::find(holders, id) != holders.end();
 }
 
--- a/src/membership/duty.h
+++ b/src/membership/duty.h
@@ -2,6 +2,7 @@
 
 #include "membership/member.h"
 
+#include <cstddef>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,12 +13,12 @@
 /// Work that only a few members do for all, to save calls to the platform.
 enum class duty { poll_instances, watch_documents };
 
-/// Returns one member of each failure domain for a duty, by rendezvous hashing, ordered by failure domain. `members`
-/// are the alive members that are not presumed down. Different views for a moment give an extra holder, never none.
-/// Thread-safe.
-std::vector<std::string> duty_holders(duty what, std::span<const member> members);
+/// Returns at most `of_domain` members of each failure domain for a duty, by rendezvous hashing, ordered by failure
+/// domain. `members` are the alive members that are not presumed down. Different views for a moment give an extra
+/// holder, never none. Thread-safe.
+std::vector<std::string> duty_holders(duty what, std::span<const member> members, std::size_t of_domain = 1);
 
 /// Returns whether `id` holds the duty. Thread-safe.
-bool has_duty(duty what, std::span<const member> members, std::string_view id);
+bool has_duty(duty what, std::span<const member> members, std::string_view id, std::size_t of_domain = 1);
 
 } // namespace lagoonferry
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -1,7 +1,9 @@
 #include "gateway/budget_keeper.h"
+#include "gateway/client_session.h"
 #include "gateway/document_feed.h"
 #include "gateway/gateway_board.h"
 #include "gateway/target_feed.h"
+#include "membership/duty.h"
 #include "net/spawn.h"
 #include "platform/dialect.h"
 #include "platform/names.h"
@@ -192,6 +194,89 @@
     std::vector<std::uint64_t> revisions; ///< of all changes that were told, in order
 };
 
+std::string document_text(std::uint64_t version)
+{
+    return nlohmann::json{{"version", version},
+                          {"routes",
+                           {{{"name", "r"},
+                             {"host", "h.example"},
+                             {"pathPrefix", "/r/"},
+                             {"service", "s"},
+                             {"kind", "safe"},
+                             {"timeoutMs", 5'000},
+                             {"sloMs", 200},
+                             {"gapAimMs", 400},
+                             {"priority", 1},
+                             {"sticky", true},
+                             {"resumable", false},
+                             {"maxAttempts", 2}}}},
+                          {"services", {{{"name", "s"}, {"maxConns", 300}}}},
+                          {"limits",
+                           {{"maxHeaderBytes", 16'384},
+                            {"maxBodyBytes", 1'048'576},
+                            {"headerTimeoutMs", 5'000},
+                            {"idleTimeoutMs", 10'000}}}}
+        .dump();
+}
+
+/// A gateway whose documents come from a stand-in of the store; others ask it for them.
+struct document_gateway {
+    document_gateway(asio::io_context& loop, int number, const std::string& store_address)
+        : board(loop.get_executor(), settings_with(number, store_address), speech), documents(board)
+    {
+        board.store.set_address({asio::ip::make_address(board.settings.store.ip), board.settings.store.port});
+        REQUIRE(board.fleet.start());
+        REQUIRE(listen_for_sessions(board, board.settings.peers, listener_kind::peers));
+    }
+
+    static gateway_settings settings_with(int number, std::string_view address)
+    {
+        gateway_settings settings = settings_of(number);
+        settings.peers = {settings.ip, 18'150};
+        settings.document_watch = milliseconds(300);
+        settings.store = {"127.0.0.1",
+                          static_cast<std::uint16_t>(std::stoi(std::string(address.substr(address.find(':') + 1))))};
+        return settings;
+    }
+
+    std::uint64_t version() const { return board.routes ? board.routes->document().version : 0; }
+
+    platform::dialect speech;
+    gateway_board board;
+    document_feed documents;
+};
+
+/// Six gateways of one failure domain before one store.
+struct document_fleet {
+    document_fleet() : store(loop.get_executor())
+    {
+        store.put(std::string(platform::names::config_key), document_text(3));
+        std::vector<listed_instance> all;
+        for (int n = 0; n < 6; ++n) {
+            gateways.push_back(std::make_unique<document_gateway>(loop, n, store.address()));
+            const gateway_settings& settings = gateways.back()->board.settings;
+            all.push_back({settings.id,
+                           member_role::entry,
+                           {settings.ip, settings.callers.port, datagram_port, 0},
+                           settings.failure_domain,
+                           false});
+        }
+        for (const auto& gateway : gateways) {
+            gateway->board.fleet.add_members(all);
+            gateway->documents.start();
+        }
+    }
+
+    bool all_have(std::uint64_t version) const
+    {
+        return std::ranges::all_of(gateways, [&](const auto& item) { return item->version() == version; });
+    }
+
+    asio::io_context loop{1};
+    soak::soak_store store;
+    std::vector<std::unique_ptr<document_gateway>> gateways;
+};
+
 bool holds(const test_gateway& gateway, const std::string& program, std::uint64_t used)
 {
     const budget_record* record = gateway.budgets.ledger().find(program);
@@ -291,3 +376,51 @@
     pair.loop.run_for(milliseconds(1'500)); // several watches
     CHECK(pair.store.ranges() == before);
 }
+
+// With a watch of its own at each gateway, a change of the document cost as many calls as there are gateways.
+TEST_CASE("three gateways of a failure domain watch documents, and tell the others what is new")
+{
+    document_fleet fleet;
+    fleet.loop.run_for(milliseconds(2'500));
+    REQUIRE(fleet.all_have(3));
+    const std::uint64_t before = fleet.store.calls();
+    fleet.loop.run_for(milliseconds(1'500));
+    CHECK(fleet.store.calls() - before <= 3 * 6); // one watch takes 300 ms
+
+    fleet.store.put(std::string(platform::names::config_key), document_text(5));
+    fleet.loop.run_for(milliseconds(300));
+    CHECK(fleet.all_have(5));
+    CHECK(std::ranges::all_of(fleet.gateways, [](const auto& item) { return item->board.routes_confirmed; }));
+}
+
+// The bound is the 2 s in which a document must be in force.
+TEST_CASE("gateways watch documents by themselves when those that watched have lost the store")
+{
+    document_fleet fleet;
+    fleet.loop.run_for(milliseconds(2'500));
+    REQUIRE(fleet.all_have(3));
+    const auto watchers = duty_holders(duty::watch_documents, fleet.gateways.front()->board.fleet.usable(), 3);
+    REQUIRE(watchers.size() == 3);
+    for (const auto& item : fleet.gateways) {
+        if (std::ranges::find(watchers, item->board.settings.id) != watchers.end()) {
+            item->board.store.set_address({asio::ip::make_address("127.0.0.1"), 9}); // refuses connections
+        }
+    }
+    fleet.store.put(std::string(platform::names::config_key), document_text(5));
+    fleet.loop.run_for(milliseconds(2'000));
+    CHECK(fleet.all_have(5));
+}
+
+TEST_CASE("an order to empty a machine is acknowledged by the gateways that watch")
+{
+    document_fleet fleet;
+    fleet.loop.run_for(milliseconds(2'500));
+    REQUIRE(fleet.all_have(3));
+    for (const char* machine : {"store-1", "store-2", "store-3"}) {
+        fleet.store.put(std::string(platform::names::retire_prefix) + machine, R"({"durationS":5})");
+    }
+    fleet.loop.run_for(milliseconds(1'000));
+    for (const char* machine : {"store-1", "store-2", "store-3"}) {
+        CHECK(fleet.store.has(std::string(platform::names::retire_status_prefix) + machine));
+    }
+}
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -36,6 +36,8 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
 
+    bool has(const std::string& key) const { return m_items.contains(key); }
+
     std::uint64_t calls() const { return m_calls; }
     std::uint64_t ranges() const { return m_ranges; } ///< reads of ranges of keys
 
