Tell loads to a part of a large fleet, and changes of targets by way of relays

Since callers reach all gateways, each would tell its loads to 299 others four times a second (about 190 KB, worked out). Change, above 100 gateways only: loads go to 24 random others at a time, also when nothing runs, and what is heard is scaled to the fleet. Changes of targets go to one relay in each failure domain, which passes them on to its domain; two relays take turns, so that the second telling of a change does not use the relay of the first.

--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -25,6 +25,10 @@
 /// Unchanged shares are told again after this time, before the others forget them.
 constexpr milliseconds repeat_interval{700};
 
+/// Gateways that are told at one time in a large fleet. With a word to all four times a second, 300 gateways sent 190
+/// KB a second each. A gateway hears two fifths of 300 others within the time for which it counts what they told.
+constexpr std::size_t told_in_large_fleet = 24;
+
 /// Targets in one datagram.
 constexpr std::size_t most_shares = 60;
 
@@ -43,7 +47,10 @@
         const milliseconds interval = base_interval * static_cast<int>(fleet) / static_cast<int>(usual_fleet);
         co_await pause(m_board.loop, std::min(interval, longest_interval));
         std::vector<target_share> shares = m_board.loads.own_shares(steady_now());
-        const bool repeat = !shares.empty() && steady_now() - m_told_at > repeat_interval;
+        const bool large = m_board.fleet.is_large();
+        // Others take the gateways that they hear for a sample of all, so idle ones tell as well.
+        m_board.loads.set_sampled_fleet(large ? fleet - 1 : 0);
+        const bool repeat = large || (!shares.empty() && steady_now() - m_told_at > repeat_interval);
         if (shares == m_told && !repeat) {
             continue;
         }
@@ -54,7 +61,12 @@
         for (const target_share& item : shares) {
             body.push_back({item.id, item.in_flight, item.unread_tokens, item.failures});
         }
-        m_board.fleet.broadcast(datagram_kind::loads, body);
+        if (large) {
+            m_board.fleet.send_to_some(told_in_large_fleet, datagram_kind::loads, body);
+        }
+        else {
+            m_board.fleet.broadcast(datagram_kind::loads, body);
+        }
         m_told = std::move(shares);
         m_told_at = steady_now();
     }
--- a/src/gateway/target_feed.cpp
+++ b/src/gateway/target_feed.cpp
@@ -1,12 +1,14 @@
 #include "gateway/target_feed.h"
 
 #include "gateway/poll_schedule.h"
+#include "membership/duty.h"
 #include "net/pause.h"
 #include "net/spawn.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
 
 namespace lagoonferry {
 
@@ -27,6 +29,13 @@
 /// Least time between two calls of the first gateway, for times in which targets change quickly.
 constexpr milliseconds least_call_spacing{150};
 
+/// Gateways of a failure domain that take turns to pass datagrams on. Each change is told twice, so the loss of one of
+/// them delays nothing.
+constexpr std::size_t relays_of_domain = 2;
+
+/// Set in a datagram that its receiver passes on.
+constexpr const char* relay_field = "y";
+
 /// Changes in one datagram. A target's facts are about 150 bytes.
 constexpr std::size_t most_changes = 6;
 
@@ -207,6 +216,7 @@
 void target_feed::tell(std::uint64_t from, std::span<const target_change> news)
 {
     const std::uint64_t to = m_board.targets.revision();
+    ++m_tellings;
     do {
         const auto part = news.first(std::min(news.size(), most_changes));
         news = news.subspan(part.size());
@@ -216,13 +226,51 @@
         body["t"] = last ? to : part.back().revision;
         body["l"] = last;
         from = body["t"];
-        m_board.fleet.broadcast(datagram_kind::targets, body);
+        send(body);
     } while (!news.empty());
 }
 
+// In a large fleet one gateway of each failure domain passes the datagram on.
+void target_feed::send(const nlohmann::json& body)
+{
+    if (!m_board.fleet.is_large()) {
+        m_board.fleet.broadcast(datagram_kind::targets, body);
+        return;
+    }
+    nlohmann::json to_relays = body;
+    to_relays[relay_field] = true;
+    for (const std::string& id : relays()) {
+        if (id == m_board.settings.id) {
+            m_board.fleet.send_to_own_domain(datagram_kind::targets, body);
+        }
+        else {
+            m_board.fleet.send(id, datagram_kind::targets, to_relays);
+        }
+    }
+}
+
+std::vector<std::string> target_feed::relays() const
+{
+    const std::vector<member>& usable = m_board.fleet.usable();
+    std::map<std::string_view, std::vector<std::string>> by_domain;
+    for (std::string& id : duty_holders(duty::relay_changes, usable, relays_of_domain)) {
+        const auto it = std::ranges::find(usable, id, &member::id);
+        by_domain[it->failure_domain].push_back(std::move(id));
+    }
+    std::vector<std::string> chosen;
+    std::ranges::transform(by_domain, std::back_inserter(chosen),
+                           [this](const auto& pair) { return pair.second[m_tellings % pair.second.size()]; });
+    return chosen;
+}
+
 void target_feed::on_told(const nlohmann::json& body)
 {
     try {
+        if (body.contains(relay_field)) {
+            nlohmann::json passed_on = body;
+            passed_on.erase(relay_field);
+            m_board.fleet.send_to_own_domain(datagram_kind::targets, passed_on);
+        }
         const auto from = body.at("f").get<std::uint64_t>();
         if (!m_loaded) {
             return;
--- a/src/gateway/target_feed.h
+++ b/src/gateway/target_feed.h
@@ -31,6 +31,8 @@
     std::vector<target_change> decode(std::span<const store_item> items);
     void tell_news(std::uint64_t from, std::span<const target_change> news);
     void tell(std::uint64_t from, std::span<const target_change> news);
+    void send(const nlohmann::json& body);
+    std::vector<std::string> relays() const;
     void on_told(const nlohmann::json& body);
     void note_news(std::span<const target_change> news, std::string_view source);
     timestamp due() const;
@@ -43,6 +45,7 @@
     bool m_loaded = false;
     bool m_behind = false;         ///< news was told that starts behind what is known
     std::uint64_t m_covered = 0;   ///< revision up to which nothing is missing, besides that of the list
+    std::size_t m_tellings = 0;    ///< so far; gives the turn of the relays
     std::uint64_t m_told_from = 0; ///< start of the news that was told while behind
     std::set<std::string, std::less<>> m_unreadable; ///< entries whose fault is logged
 };
--- a/src/membership/duty.cpp
+++ b/src/membership/duty.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 2> duty_names{"poll_instances", "watch_documents"};
+constexpr std::array<std::string_view, 3> duty_names{"poll_instances", "watch_documents", "relay_changes"};
 
 struct candidate {
     std::string_view id;
--- a/src/membership/duty.h
+++ b/src/membership/duty.h
@@ -11,7 +11,7 @@
 namespace lagoonferry {
 
 /// Work that only a few members do for all, to save calls to the platform.
-enum class duty { poll_instances, watch_documents };
+enum class duty { poll_instances, watch_documents, relay_changes };
 
 /// Returns at most `of_domain` members of each failure domain for a duty, by rendezvous hashing, ordered by failure
 /// domain. `members` are the alive members that are not presumed down. Different views for a moment give an extra
--- a/src/routing/peer_loads.cpp
+++ b/src/routing/peer_loads.cpp
@@ -7,7 +7,9 @@
 
 void peer_loads::on_told(std::string_view gateway, std::span<const target_share> shares, timestamp now)
 {
-    std::vector<std::string>& targets = m_targets_of.try_emplace(std::string(gateway)).first->second;
+    teller& known = m_tellers.try_emplace(std::string(gateway)).first->second;
+    known.told = now;
+    std::vector<std::string>& targets = known.targets;
     std::ranges::for_each(targets, [&](const std::string& target) { remove(gateway, target); });
     targets.clear();
     std::ranges::transform(shares, std::back_inserter(targets), &target_share::id);
@@ -17,6 +19,12 @@
     }
 }
 
+std::size_t peer_loads::heard_since(timestamp since) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_tellers, [since](const auto& pair) { return pair.second.told >= since; }));
+}
+
 std::span<const peer_loads::telling> peer_loads::at(std::string_view target) const
 {
     const auto it = m_by_target.find(target);
--- a/src/routing/peer_loads.h
+++ b/src/routing/peer_loads.h
@@ -28,14 +28,22 @@
     /// Notes the requests of another gateway, which replace all that it told before.
     void on_told(std::string_view gateway, std::span<const target_share> shares, timestamp now);
 
+    /// Returns the number of gateways that told something at `since` or later.
+    std::size_t heard_since(timestamp since) const;
+
     /// Returns what the gateways told last of a target, also long ago. Valid until the next telling.
     std::span<const telling> at(std::string_view target) const;
 
 private:
+    struct teller {
+        std::vector<std::string> targets; ///< of which it told last
+        timestamp told{};
+    };
+
     void remove(std::string_view gateway, std::string_view target);
 
     std::map<std::string, std::vector<telling>, std::less<>> m_by_target;
-    std::map<std::string, std::vector<std::string>, std::less<>> m_targets_of; ///< of a gateway
+    std::map<std::string, teller, std::less<>> m_tellers;
 };
 
 } // namespace lagoonferry
--- a/src/routing/target_placement.cpp
+++ b/src/routing/target_placement.cpp
@@ -111,13 +111,17 @@
                                                            double usual_pace, timestamp now) const
 {
     common_state common;
+    if (m_sampled_fleet > 0) {
+        const auto heard = static_cast<double>(m_peers.heard_since(now - peer_memory));
+        common.sampling = std::max(1.0, static_cast<double>(m_sampled_fleet) / std::max(1.0, heard));
+    }
     int known = 0;
     for (const target_record* target : candidates) {
         const auto it = m_rows.find(target->id);
         if (it == m_rows.end()) {
             continue;
         }
-        common.in_flight += all_loads(*target, it->second, now).in_flight;
+        common.in_flight += all_loads(*target, it->second, common.sampling, now).in_flight;
         if (it->second.pace > 0) {
             common.pace += it->second.pace;
             ++known;
@@ -171,13 +175,13 @@
 }
 
 target_placement::present_load target_placement::all_loads(const target_record& target, const row& item,
-                                                           timestamp now) const
+                                                           double sampling, timestamp now) const
 {
-    present_load sum{item.in_flight, item.unread_tokens};
+    present_load sum{static_cast<double>(item.in_flight), static_cast<double>(item.unread_tokens)};
     for (const auto& telling : m_peers.at(target.id)) {
         if (now - telling.told < peer_memory) {
-            sum.in_flight += telling.in_flight;
-            sum.unread_tokens += telling.unread_tokens;
+            sum.in_flight += sampling * telling.in_flight;
+            sum.unread_tokens += sampling * telling.unread_tokens;
         }
     }
     return sum;
@@ -190,14 +194,14 @@
                                        : common.pace + halved(item.pace - common.pace, ms_between(item.paced, now),
                                                               pace_half_life_s * 1'000);
     const double slowness = expected_work_factor(item, now);
-    const present_load present = all_loads(target, item, now);
+    const present_load present = all_loads(target, item, common.sampling, now);
     const double waiting = std::max(0.0, present.in_flight + 1.0 - target.slots);
     double ms = 0;
     if (!request.prompt.empty()) {
         const double ms_per_unread = prompt_ms_per_token * pace / usual_ms_per_token * slowness;
         const double own = unread_tokens(target, item, request, now) * ms_per_unread;
         const double ahead = present.unread_tokens * ms_per_unread;
-        const double delayed = std::max<double>(present.in_flight, common.in_flight);
+        const double delayed = std::max(present.in_flight, common.in_flight);
         ms = ahead + own * (1 + delay_of_others * delayed) +
              request.output_tokens * pace * slowness * (1 + batch_growth * present.in_flight) + waiting * waiting_ms;
     }
--- a/src/routing/target_placement.h
+++ b/src/routing/target_placement.h
@@ -54,6 +54,9 @@
     /// Notes the requests of another gateway, which replace the ones that it told before.
     void on_peer_shares(std::string_view gateway, std::span<const target_share> shares, timestamp now);
 
+    /// Sets the number of other gateways when only a random part of them is heard at a time; 0 when all are.
+    void set_sampled_fleet(std::size_t others) { m_sampled_fleet = others; }
+
     /// Notes the load that a target told.
     void on_report(std::string_view id, const told_load& report, timestamp now);
 
@@ -102,12 +105,13 @@
     struct common_state {
         double pace = 0;      ///< mean of the known ones
         double in_flight = 0; ///< mean of all
+        double sampling = 1;  ///< other gateways for each one that was heard lately
     };
 
     /// The requests of all gateways at one target.
     struct present_load {
-        std::uint32_t in_flight = 0;
-        std::uint32_t unread_tokens = 0;
+        double in_flight = 0;
+        double unread_tokens = 0;
     };
 
     struct estimate {
@@ -124,11 +128,12 @@
     static double expected_work_factor(const row& item, timestamp now);
     static double unread_tokens(const target_record& target, const row& item, const placement_request& request,
                                 timestamp now);
-    present_load all_loads(const target_record& target, const row& item, timestamp now) const;
+    present_load all_loads(const target_record& target, const row& item, double sampling, timestamp now) const;
     void learn_pace(std::string_view id, double ms, timestamp now);
 
     std::map<std::string, row, std::less<>> m_rows;
     peer_loads m_peers;
+    std::size_t m_sampled_fleet = 0;
     std::minstd_rand m_random;
 };
 
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -277,6 +277,53 @@
     std::vector<std::unique_ptr<document_gateway>> gateways;
 };
 
+/// Gateways of two failure domains before one store, which treat themselves as a large fleet.
+struct large_fleet {
+    struct gateway {
+        gateway(asio::io_context& loop, gateway_settings settings)
+            : board(loop.get_executor(), std::move(settings), speech), feed(board)
+        {
+            board.store.set_address({asio::ip::make_address(board.settings.store.ip), board.settings.store.port});
+            REQUIRE(board.fleet.start());
+        }
+
+        platform::dialect speech;
+        gateway_board board;
+        target_feed feed;
+    };
+
+    large_fleet() : store(loop.get_executor())
+    {
+        store.put(target_key("t1"), target_entry);
+        std::vector<listed_instance> all;
+        for (int n = 0; n < 6; ++n) {
+            gateway_settings settings = document_gateway::settings_with(n, store.address());
+            settings.largest_full_fleet = 1;
+            settings.failure_domain = n % 2 == 0 ? "a" : "b";
+            all.push_back({settings.id,
+                           member_role::entry,
+                           {settings.ip, settings.callers.port, datagram_port, 0},
+                           settings.failure_domain,
+                           false});
+            gateways.push_back(std::make_unique<gateway>(loop, settings));
+        }
+        for (const auto& item : gateways) {
+            item->board.fleet.add_members(all);
+            item->feed.start();
+        }
+    }
+
+    std::size_t knowing(const std::string& target) const
+    {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(gateways, [&](const auto& item) { return item->board.targets.listed(target); }));
+    }
+
+    asio::io_context loop{1};
+    soak::soak_store store;
+    std::vector<std::unique_ptr<gateway>> gateways;
+};
+
 bool holds(const test_gateway& gateway, const std::string& program, std::uint64_t used)
 {
     const budget_record* record = gateway.budgets.ledger().find(program);
@@ -424,3 +471,42 @@
         CHECK(fleet.store.has(std::string(platform::names::retire_status_prefix) + machine));
     }
 }
+
+// One gateway told each change to all of 300, 2.2 MB a second.
+TEST_CASE("in a large fleet changes of targets reach all gateways by way of relays")
+{
+    large_fleet fleet;
+    fleet.loop.run_for(milliseconds(2'500));
+    REQUIRE(fleet.knowing("t1") == 6);
+    for (const char* id : {"t2", "t3", "t4"}) {
+        fleet.store.put(target_key(id), target_entry);
+        fleet.loop.run_for(milliseconds(400)); // others than the first gateway ask the store after 800 ms
+        CHECK(fleet.knowing(id) == 6);
+    }
+}
+
+TEST_CASE("in a large fleet a lost relay does not keep a change from its failure domain")
+{
+    large_fleet fleet;
+    fleet.loop.run_for(milliseconds(1'000));
+    REQUIRE(fleet.knowing("t1") == 6);
+    // A gateway that does not run, and counts as usable for 2.2 s at least.
+    listed_instance lost{"", member_role::entry, {"127.9.0.99", 18'149, datagram_port, 0}, "a", false};
+    std::vector<member> members = fleet.gateways.front()->board.fleet.usable();
+    members.push_back({"", 0, member_state::alive, member_role::entry, lost.address, "a"});
+    do {
+        lost.id += "x";
+        members.back().id = lost.id;
+    } while (duty_holders(duty::relay_changes, members, 2).front() != lost.id);
+    for (const auto& item : fleet.gateways) {
+        item->board.fleet.add_members(std::vector{lost});
+    }
+    fleet.loop.run_for(milliseconds(50));
+    REQUIRE(fleet.gateways.front()->board.fleet.usable().size() == 7);
+    for (const char* id : {"t2", "t3", "t4"}) {
+        fleet.store.put(target_key(id), target_entry);
+        fleet.loop.run_for(milliseconds(300));
+    }
+    CHECK(fleet.knowing("t2") == 6);
+    CHECK(fleet.knowing("t3") == 6);
+}
--- a/tests/peer_loads_test.cpp
+++ b/tests/peer_loads_test.cpp
@@ -27,4 +27,6 @@
     loads.on_told("g1", {}, seconds(4));
     CHECK(loads.at("t2").empty());
     CHECK(loads.at("unknown").empty());
+    CHECK(loads.heard_since(seconds(2)) == 2);
+    CHECK(loads.heard_since(seconds(3)) == 1);
 }
--- a/tests/target_placement_test.cpp
+++ b/tests/target_placement_test.cpp
@@ -244,6 +244,27 @@
     CHECK(back > 0);
 }
 
+// Without the scale a target looks as if only the gateways that were heard had requests there.
+TEST_CASE("gateways that were heard stand for all of a fleet of which only a part is heard")
+{
+    const std::vector<target_record> records{make_target("a"), make_target("b")};
+    const std::array prompt{prompt_part{1, 100}};
+    const auto chosen = [&](std::size_t others) {
+        target_placement loads(1);
+        loads.set_sampled_fleet(others);
+        for (int n = 0; n < 30; ++n) {
+            loads.choose(pointers(records), turn_of(prompt), seconds(1));
+            loads.on_sent(records[1], 0);
+        }
+        for (const char* gateway : {"g1", "g2"}) {
+            loads.on_peer_shares(gateway, std::array{target_share{"a", 5, 0, 0}}, seconds(1));
+        }
+        return loads.choose(pointers(records), turn_of(prompt), seconds(1))->id;
+    };
+    CHECK(chosen(0) == "a");  // 10 requests, 30 at the other
+    CHECK(chosen(10) == "b"); // about 50
+}
+
 TEST_CASE("a target that refused gets a pause, and none is chosen when all refused")
 {
     const std::vector<target_record> records{make_target("a"), make_target("b")};
