Tell the size of a gateway in the store's list

A gateway known only from the store's list counted as the smallest size until its first heartbeat, so gateways told callers different shares for a second, and callers drop connections to addresses that are missing. Ruled out: the shorter time in which newcomers are told of others. Change: the entry in the store has the size of the machine. Test: gateway_fleet_test.cpp; without the change the size is 1.

--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -22,7 +22,8 @@
     return nlohmann::json{{"ip", settings.ip},
                           {"port", settings.callers.port},
                           {"datagram_port", settings.datagram_port},
-                          {"failure_domain", settings.failure_domain}}
+                          {"failure_domain", settings.failure_domain},
+                          {"capacity", settings.capacity}}
         .dump();
 }
 
@@ -37,6 +38,9 @@
         out.address.http_port = value.at("port").get<std::uint16_t>();
         out.address.datagram_port = value.at("datagram_port").get<std::uint16_t>();
         out.failure_domain = value.at("failure_domain").get<std::string>();
+        // Gateways that have not heard of each other yet must weigh each other alike, or they tell callers other shares
+        // of the fleet than a second later, and callers drop their connections.
+        out.capacity = std::clamp<std::uint32_t>(value.value("capacity", 1U), 1, 100);
         return out;
     }
     catch (const nlohmann::json::exception& error) {
--- a/src/membership/listed_instance.h
+++ b/src/membership/listed_instance.h
@@ -2,6 +2,7 @@
 
 #include "membership/member.h"
 
+#include <cstdint>
 #include <string>
 
 namespace lagoonferry {
@@ -13,6 +14,7 @@
     member_address address; ///< only the ports that the list knows
     std::string failure_domain;
     bool leaving = false;
+    std::uint32_t capacity = 1; ///< see `member`
 };
 
 } // namespace lagoonferry
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -501,6 +501,7 @@
     record* item = find_record(row.id);
     if (item == nullptr) {
         member about{row.id, 0, member_state::alive, row.role, row.address, row.failure_domain};
+        about.capacity = row.capacity;
         item = &m_records[row.id];
         start_incarnation(*item, {about, 0}, now);
     }
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/client_session.h"
 #include "gateway/document_feed.h"
 #include "gateway/gateway_board.h"
+#include "gateway/gateway_registry.h"
 #include "gateway/target_feed.h"
 #include "membership/duty.h"
 #include "net/spawn.h"
@@ -510,3 +511,24 @@
     CHECK(fleet.knowing("t2") == 6);
     CHECK(fleet.knowing("t3") == 6);
 }
+
+// After a restart of all, each gateway told callers another share of the fleet until it had heard of the others.
+TEST_CASE("the size of a gateway is known from the store's list before its first heartbeat")
+{
+    asio::io_context loop{1};
+    soak::soak_store store(loop.get_executor());
+    platform::dialect speech;
+    std::vector<std::unique_ptr<gateway_board>> boards;
+    for (int n = 0; n < 2; ++n) {
+        gateway_settings settings = document_gateway::settings_with(n, store.address());
+        settings.capacity = 40;
+        const auto port = settings.store.port;
+        boards.push_back(std::make_unique<gateway_board>(loop.get_executor(), std::move(settings), speech));
+        boards.back()->store.set_address({asio::ip::make_address("127.0.0.1"), port});
+        spawn(loop.get_executor(), register_gateway(*boards.back()), "registration");
+        loop.run_for(milliseconds(200));
+    }
+    const std::vector<member>& known = boards.back()->fleet.usable();
+    REQUIRE(known.size() == 2);
+    CHECK(known.front().capacity == 40);
+}
