Say which bounds hold only below the size of a large fleet

Cause: reading the change again. Two comments said that each gateway hears each other one within a second, which is no longer so above 100 gateways; there some gateways watch documents by themselves, because they hear few of those that do. No code differs; nothing measured.

--- a/src/gateway/document_feed.cpp
+++ b/src/gateway/document_feed.cpp
@@ -25,7 +25,8 @@
 
 /// A document must be in force 2 s after the store has taken it. Without a word of a gateway that watches, this one
 /// asks the store itself after the first time; the second is the pause until it looks again, which is also the longest
-/// delay after a pause of the process. A gateway tells each other one at least once in a second.
+/// delay after a pause of the process. A gateway tells each other one at least once in a second; above
+/// `largest_full_fleet` it hears fewer, and some watch by themselves for the time of a watch.
 constexpr milliseconds longest_silence{1'200};
 constexpr milliseconds listen_interval{200};
 
--- a/src/gateway/fleet_link.h
+++ b/src/gateway/fleet_link.h
@@ -24,7 +24,7 @@
 /// Times of the heartbeats between gateways.
 struct fleet_timing {
     timestamp heartbeat = std::chrono::milliseconds(400);
-    /// Each member is contacted at least once in this time, whatever the size of the fleet.
+    /// Each member is contacted at least once in this time, up to `largest_full_fleet`.
     timestamp contact_round = std::chrono::milliseconds(1'000);
     timestamp suspicion = std::chrono::milliseconds(1'400);
     timestamp presumed_down = std::chrono::milliseconds(2'200);
