Survive odd entries, deep nesting and numbers out of range

Cause: an entry of another writer was parsed at any depth (900 KB of brackets took over 60 MB, more than a small machine has), ports above 65,535 and slots above 32 bits were cut to other values, durations could overflow, and a task that follows the store ended for good with the first exception. Change: documents of other systems are parsed up to a depth of 32; entries with numbers or ports out of range name no target; settings out of range are refused; long-running tasks are started again.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "net/pause.h"
 #include "net/spawn.h"
+#include "util/bounded_json.h"
 #include "util/digest.h"
 #include "util/log.h"
 
@@ -65,7 +66,7 @@
 
 std::optional<stored_high_water_mark> parse_high_water_mark(const std::string& text)
 {
-    const nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json value = parse_bounded_json(text);
     if (!value.is_object() || !value.contains("level") || !value["level"].is_number_unsigned()) {
         return std::nullopt;
     }
@@ -90,7 +91,8 @@
     m_fleet.on(datagram_kind::record_request,
                [this](const auto& sender, const auto& body) { on_record_request(sender, body); });
     m_fleet.on(datagram_kind::record_copy, [this](const auto& /*sender*/, const auto& body) { on_record_copy(body); });
-    spawn(m_loop, run_upkeep(), "budget upkeep");
+    spawn_restarting(
+        m_loop, [this] { return run_upkeep(); }, "budget upkeep");
 }
 
 // Returns whether this gateway would have the program's record if there is one. A gateway that was partitioned from
--- a/src/gateway/call_metadata.h
+++ b/src/gateway/call_metadata.h
@@ -18,7 +18,8 @@
 struct call_metadata {
     std::string request_id;
     std::string program;
-    std::string session;                                        ///< a sequence of turns of the program
+    std::string previous_turn; ///< the request id of the turn that this one continues; empty for the first turn
+    std::string session;       ///< a sequence of turns of the program
     std::optional<std::chrono::milliseconds> deadline;          ///< time for which the caller waits
     std::optional<std::chrono::milliseconds> program_time_left; ///< time in which the program should finish
     std::optional<std::uint64_t> token_budget;                  ///< for all turns of the program together
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -120,8 +120,10 @@
     }
     on(datagram_kind::losses_request, [this](const auto& sender, const auto& /*body*/) { on_losses_request(sender); });
     on(datagram_kind::losses, [this](const auto& /*sender*/, const auto& body) { on_losses(body); });
-    spawn(m_loop, receive(), "datagrams");
-    spawn(m_loop, run_heartbeats(), "heartbeats");
+    spawn_restarting(
+        m_loop, [this] { return receive(); }, "datagrams");
+    spawn_restarting(
+        m_loop, [this] { return run_heartbeats(); }, "heartbeats");
     return true;
 }
 
--- a/src/gateway/gateway_registry.cpp
+++ b/src/gateway/gateway_registry.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_registry.h"
 
 #include "net/pause.h"
+#include "util/bounded_json.h"
 #include "util/log.h"
 
 #include <nlohmann/json.hpp>
@@ -29,7 +30,7 @@
 
 std::optional<listed_instance> parse_entry(const store_item& item)
 {
-    const nlohmann::json value = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json value = parse_bounded_json(item.value);
     try {
         listed_instance out;
         out.id = item.key.substr(registry_prefix.size());
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
     listen_address peers;     ///< requests of other gateways
     std::uint16_t datagram_port = 0;
     std::vector<std::string> seed_ips; ///< machines on which gateways may run
+    std::string data_folder;           ///< empty on machines without a disk
+    std::size_t tolerated_losses = 0;  ///< machines that may be lost at the same time
     bool first_start = false;          ///< first start of the whole system, so no program is running
     std::uint32_t max_descriptors = 1'024;
     std::uint32_t capacity = 25; ///< CPU capacity of this machine in percent of a core
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -37,7 +37,8 @@
 void load_exchange::start()
 {
     m_context.fleet.on(datagram_kind::loads, [this](const auto& sender, const auto& body) { on_loads(sender, body); });
-    spawn(m_context.loop, run(), "loads");
+    spawn_restarting(
+        m_context.loop, [this] { return run(); }, "loads");
 }
 
 asio::awaitable<void> load_exchange::run()
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -23,8 +23,9 @@
 struct forward_options {
     std::chrono::milliseconds time_left{0};
     std::string_view target_id;
-    std::optional<std::uint64_t> resume_after; ///< the last event that the caller has received
+    std::optional<std::uint64_t> resume_after; ///< the last event that was received
     std::optional<unsigned> priority;          ///< 0 to 9; 0 is the most urgent
+    bool from_start = false; ///< without `resume_after`: the target sends all events, whatever the caller asked for
 };
 
 /// Keys in the store: entries of the operator, of targets and of the gateway.
--- a/src/gateway/response_metadata.h
+++ b/src/gateway/response_metadata.h
@@ -20,6 +20,7 @@
     std::string request_id; ///< of the request that this responds to; empty if the response names none
     bool signed_by_target = false;
     bool not_executed = false; ///< the target did not and will not run the request
+    bool leaving = false;      ///< the target will stop and should get no further requests
     bool encoded = false;      ///< the body has a content encoding, which targets never apply themselves
     std::optional<reported_load> load;
     std::optional<std::chrono::seconds> keep_alive;
--- a/src/routing/routing_document.h
+++ b/src/routing/routing_document.h
@@ -34,6 +34,8 @@
     std::uint32_t max_targets = 2; ///< maximum number of targets that one request may be sent to
     bool affinity = false;         ///< targets are faster for sessions that they have served before
     bool resumable = false;        ///< a stream may be resumed after an event
+    bool keeps_history = false;    ///< requests carry only their new input and name the turn that they continue
+    std::chrono::milliseconds history_retention{0}; ///< how long a turn may be continued after its response
 
     bool retryable() const { return rule == retry_rule::idempotent || (rule == retry_rule::event_stream && resumable); }
 };
