--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -99,12 +99,12 @@
            loop_clock::now() - m_last_failure_at < unreachable_period;
 }
 
-asio::awaitable<store_reply> store_client::read_all(std::string_view prefix)
+asio::awaitable<store_reply> store_client::read_all(std::string_view prefix, bool may_be_stale)
 {
-    store_reply merged = co_await call("range", m_adapter.read_range(prefix, {}, false), call_timeout);
+    store_reply merged = co_await call("range", m_adapter.read_range(prefix, {}, may_be_stale), call_timeout);
     while (merged.status == store_status::ok && merged.found.more && !merged.found.items.empty()) {
         const std::string last = merged.found.items.back().key;
-        store_reply page = co_await call("range", m_adapter.read_range(prefix, last, false), call_timeout);
+        store_reply page = co_await call("range", m_adapter.read_range(prefix, last, may_be_stale), call_timeout);
         if (page.status != store_status::ok) {
             co_return page;
         }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -30,7 +30,8 @@
 
     /// Reads all items whose key begins with a prefix, page by page. The result has the revision of the first page, so
     /// that a watch from this revision misses no change.
-    asio::awaitable<store_reply> read_all(std::string_view prefix);
+    /// With `may_be_stale` the items may be seconds old; such a read is cheaper.
+    asio::awaitable<store_reply> read_all(std::string_view prefix, bool may_be_stale = false);
 
     asio::awaitable<store_reply> read(std::string_view key);
 
