--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -219,7 +219,7 @@
     http_fields fields;
     switch (m_context.adapter.local_endpoint_of(to_std(request.method_string()), target)) {
     case local_endpoint::readiness: {
-        const bool ready = !m_context.stopping && m_context.routes != nullptr;
+        const bool ready = !m_context.stop.stopping() && m_context.routes != nullptr;
         co_await send_response(ready ? 200 : 503, fields, "");
         break;
     }
@@ -292,7 +292,7 @@
 
 asio::awaitable<bool> client_session::send_response(unsigned status, http_fields fields, std::string_view body)
 {
-    m_keep_alive = m_keep_alive && !m_context.stopping;
+    m_keep_alive = m_keep_alive && !m_context.stop.stopping();
     std::string out = response_header(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
     if (!m_head_request) {
         out += body;
@@ -302,7 +302,7 @@
 
 asio::awaitable<bool> client_session::start_stream(unsigned status, http_fields fields, std::string_view first)
 {
-    m_keep_alive = m_keep_alive && m_chunked && !m_context.stopping;
+    m_keep_alive = m_keep_alive && m_chunked && !m_context.stop.stopping();
     std::string out = response_header(status, fields, m_chunked ? "Transfer-Encoding: chunked\r\n" : "");
     out += m_chunked ? chunk(first) : std::string(first);
     co_return co_await write(out);
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::string_view line_breaks = "\r\n";
+
 /// Returns the position after the first blank line at or after `from`, or npos. Lines end with LF or CRLF.
 std::size_t end_of_event(std::string_view text, std::size_t from)
 {
@@ -24,6 +26,28 @@
 
 } // namespace
 
+std::string event_data(std::string_view text)
+{
+    constexpr std::string_view name = "data:";
+    std::string data;
+    bool first = true;
+    while (!text.empty()) {
+        const std::size_t end = text.find('\n');
+        std::string_view line = text.substr(0, end);
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+        line.remove_suffix(line.ends_with('\r') ? 1 : 0);
+        if (!line.starts_with(name)) {
+            continue;
+        }
+        line.remove_prefix(name.size());
+        line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+        data += first ? "" : "\n";
+        data += line;
+        first = false;
+    }
+    return data;
+}
+
 std::optional<std::uint64_t> event_id(std::string_view text)
 {
     constexpr std::string_view name = "id:";
@@ -42,6 +66,16 @@
     return std::nullopt;
 }
 
+bool has_fields(const stream_event& event)
+{
+    return event.text.find_first_not_of(line_breaks) != std::string::npos;
+}
+
+bool event_splitter::inside_event() const
+{
+    return m_rest.find_first_not_of(line_breaks) != std::string::npos;
+}
+
 std::vector<stream_event> event_splitter::feed(std::string_view bytes)
 {
     m_rest += bytes;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -21,6 +21,9 @@
     /// Appends bytes and returns the events that they complete.
     std::vector<stream_event> feed(std::string_view bytes);
 
+    /// Returns whether an event has begun and not ended. Line breaks between events do not count.
+    bool inside_event() const;
+
     /// Returns the bytes after the last complete event.
     const std::string& rest() const { return m_rest; }
 
@@ -29,6 +32,12 @@
     std::size_t m_searched = 0; ///< no event ends before this position of `m_rest`
 };
 
+/// Returns whether an event has a field, and is not just line breaks. Thread-safe.
+bool has_fields(const stream_event& event);
+
+/// Returns the data of an event: the values of its `data` fields, joined by line feeds. Thread-safe.
+std::string event_data(std::string_view text);
+
 /// Returns the `id` field of an event, or nothing if it is missing or not a number.
 std::optional<std::uint64_t> event_id(std::string_view text);
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "settings/endpoint.h"
 #include "util/log.h"
 #include "util/rendezvous.h"
 
@@ -21,6 +22,9 @@
 /// Maximum attempts of one request, including those that targets refused.
 constexpr int max_attempts = 6;
 
+/// Status of a target that is not the one named in the request. It does not run the request.
+constexpr unsigned misdirected_status = 421;
+
 /// Maximum failed attempts of one request after which it may have run.
 constexpr int max_failures = 3;
 
@@ -36,6 +40,12 @@
 /// request can be retried when it breaks.
 constexpr std::size_t max_response_bytes = 4'194'304;
 
+/// Maximum size in bytes of one event of a stream.
+constexpr std::size_t max_event_bytes = 1'048'576;
+
+/// A stream is broken off when it has this many times the events that its maximum number of tokens allows.
+constexpr std::uint64_t max_event_excess = 2;
+
 /// Maximum late responses to earlier requests that are skipped on one connection.
 constexpr int max_late_responses = 3;
 
@@ -56,11 +66,10 @@
 
 std::optional<tcp::endpoint> endpoint_of(std::string_view address)
 {
-    const std::size_t colon = address.rfind(':');
+    const auto parsed = parse_endpoint(address);
     error_code ec;
-    const auto ip = asio::ip::make_address(std::string(address.substr(0, colon)), ec);
-    const int port = std::atoi(std::string(address.substr(colon + 1)).c_str());
-    return ec || port <= 0 ? std::nullopt : std::optional(tcp::endpoint(ip, static_cast<std::uint16_t>(port)));
+    const auto ip = asio::ip::make_address(parsed ? parsed->ip : std::string{}, ec);
+    return ec ? std::nullopt : std::optional(tcp::endpoint(ip, parsed->port));
 }
 
 long long ms_since(deadline from)
@@ -115,9 +124,16 @@
         co_return;
     }
     m_deadline = m_arrived + std::min(m_call.deadline.value_or(m_route->timeout), m_route->timeout);
+    if (!m_context.stop.accepts(time_left(m_deadline), steady_now())) {
+        co_await refuse(503, "the gateway stops before the request could end", refusal_cause::stopping);
+        co_return;
+    }
     const std::string& key = m_call.program.empty() ? m_call.request_id : m_call.program;
     m_service = choose_service(*m_route, stable_hash(key));
     const bool stream = m_route->rule == retry_rule::event_stream;
+    if (stream && m_route->keeps_history && !co_await load_history()) {
+        co_return;
+    }
     if (stream && m_call.token_budget && !m_call.program.empty()) {
         if (!co_await reserve_tokens()) {
             co_return;
@@ -137,6 +153,44 @@
     settle();
 }
 
+// Reads the turns before this one. A turn that could not be kept afterwards is not run.
+asio::awaitable<bool> exchange::load_history()
+{
+    if (!m_context.history.can_keep()) {
+        co_await refuse(503, "too few history nodes respond", refusal_cause::history_unavailable);
+        co_return false;
+    }
+    m_last_event_id.reset(); // the whole turn is kept, also if the caller has received a part of it
+    if (m_call.previous_turn.empty()) {
+        co_return true;
+    }
+    history_client::found_chain chain = co_await m_context.history.find(m_call.previous_turn);
+    switch (chain.result) {
+    case turn_lookup::found:
+        m_history = std::move(chain.text);
+        co_return true;
+    case turn_lookup::does_not_exist:
+        co_await refuse(404, "the previous turn does not exist");
+        co_return false;
+    case turn_lookup::uncertain:
+        break;
+    }
+    co_await refuse(503, "the history nodes that may have the previous turn do not respond",
+                    refusal_cause::history_unavailable);
+    co_return false;
+}
+
+asio::awaitable<bool> exchange::keep_turn()
+{
+    turn_record record;
+    record.id = m_call.request_id;
+    record.previous = m_call.previous_turn;
+    record.input = m_request.body();
+    record.output = m_output;
+    record.retention = m_route->history_retention;
+    co_return co_await m_context.history.keep(std::move(record));
+}
+
 asio::awaitable<bool> exchange::reserve_tokens()
 {
     budget_request request;
@@ -230,9 +284,18 @@
     return best;
 }
 
+bool exchange::is_still_usable(const target_record& target) const
+{
+    const target_record* present = m_context.targets.find_usable(target.id, steady_now());
+    return present != nullptr && present->start == target.start;
+}
+
 asio::awaitable<bool> exchange::connect(attempt& current)
 {
-    current.connection = m_context.pool.take(connection_key(current.target));
+    // A faulty target may write its refusal of this request again. On a new connection it cannot be taken for the
+    // response to the next attempt.
+    const bool tried_before = std::ranges::find(m_avoided_targets, current.target.id) != m_avoided_targets.end();
+    current.connection = tried_before ? nullptr : m_context.pool.take(connection_key(current.target));
     if (current.connection) {
         co_return true;
     }
@@ -264,10 +327,19 @@
         auto current = std::make_unique<attempt>();
         current->target = *target;
         start_attempt(*current);
-        if (co_await connect(*current)) {
+        const bool connected = co_await connect(*current);
+        if (connected && is_still_usable(current->target)) {
             co_return current;
         }
         record_started(*current);
+        if (connected) {
+            // It was removed, or has said that it leaves, while the connection was opened.
+            m_context.loads.on_end(current->target.id);
+            current->connection->close();
+            m_avoided_targets.push_back(current->target.id);
+            m_last_error = "the target left before the request was sent";
+            continue;
+        }
         m_context.loads.on_end(current->target.id);
         m_context.loads.on_failure(current->target.id, steady_now());
         m_context.metrics.on_attempt("unreachable");
@@ -310,16 +382,18 @@
     options.time_left = time_left(m_deadline);
     options.target_id = current.target.id;
     options.resume_after = m_last_event_id;
+    options.from_start = m_route->keeps_history;
     if (m_route->rule == retry_rule::event_stream) {
         options.priority = priority();
     }
     m_context.adapter.write_forward_fields(out, m_request, options);
-    out.body() = m_request.body();
+    out.body() = m_history + m_request.body();
     out.prepare_payload();
     return out;
 }
 
-// A reused connection may still deliver a response to an earlier request, which is skipped.
+// A reused connection may still deliver a response to an earlier request, or a refusal that was written twice. Such
+// responses are skipped. Without a request id a refusal is trusted only on a connection that carried no other request.
 asio::awaitable<bool> exchange::read_own_header(attempt& current, milliseconds timeout)
 {
     const deadline until = std::min(m_deadline, deadline_after(timeout));
@@ -332,10 +406,14 @@
         }
         current.metadata = m_context.adapter.read_response(current.reader->fields());
         const std::string& id = current.metadata.request_id;
-        const bool unnamed_refusal = id.empty() && (current.metadata.not_executed || current.reader->status() == 421);
-        if (id == m_call.request_id || unnamed_refusal) {
+        const bool refusal = current.metadata.not_executed || current.reader->status() == misdirected_status;
+        if (id == m_call.request_id || (id.empty() && refusal && !current.connection->is_reused())) {
             co_return true;
         }
+        current.skipped_responses = true;
+        log(log_part::dispatch, log_level::warning, "A response that belongs to another request is skipped.",
+            field("request", m_call.request_id), field("target", current.target.id), field("response_id", id),
+            field("status", current.reader->status()));
         std::string late;
         if (co_await current.reader->read_remaining(late, max_response_bytes, until)) {
             break;
@@ -362,22 +440,34 @@
     if (!answered) {
         co_return send_result::failed;
     }
+    const bool misdirected = current.reader->status() == misdirected_status;
+    if (current.metadata.leaving && !misdirected) {
+        mark_leaving(current.target);
+    }
     if (current.metadata.load) {
         m_context.loads.on_report(current.target.id, *current.metadata.load, steady_now());
     }
-    constexpr unsigned misdirected = 421;
-    if (current.metadata.not_executed || current.reader->status() == misdirected) {
+    if (current.metadata.not_executed || misdirected) {
         current.error = "not executed, status " + std::to_string(current.reader->status());
         co_return send_result::not_executed;
     }
     co_return send_result::answered;
 }
 
+void exchange::mark_leaving(const target_record& target)
+{
+    if (is_still_usable(target)) {
+        log(log_part::dispatch, log_level::info, "A target has said in a response that it leaves.",
+            field("target", target.id), field("request", m_call.request_id));
+    }
+    m_context.targets.mark_leaving(target.id, target.start);
+}
+
 void exchange::end_attempt(attempt& current, bool reusable)
 {
     record_started(current);
     m_context.loads.on_end(current.target.id);
-    if (reusable && current.reader && current.reader->allows_reuse()) {
+    if (reusable && !current.skipped_responses && current.reader && current.reader->allows_reuse()) {
         m_context.pool.put(connection_key(current.target), std::move(current.connection), current.metadata.keep_alive);
     }
     else if (current.connection) {
@@ -484,20 +574,31 @@
 {
     std::string out;
     for (stream_event& item : m_splitter.feed(bytes)) {
-        if (item.id && m_last_event_id && *item.id <= *m_last_event_id) {
-            continue; // the caller has this event
+        if (!has_fields(item) || (item.id && m_last_event_id && *item.id <= *m_last_event_id)) {
+            continue; // no event, or one that the caller has
         }
         if (item.id && m_last_event_id && *item.id > *m_last_event_id + 1) {
             current.error = "an event is missing";
             break;
         }
-        out += item.text;
+        if (m_route->keeps_history) {
+            m_output += event_data(item.text);
+            m_output += '\n';
+        }
+        const bool known_to_caller = item.id && m_call.last_event_id && *item.id <= *m_call.last_event_id;
+        out += known_to_caller ? std::string_view{} : item.text;
         ++m_events;
         m_last_event_id = item.id ? item.id : m_last_event_id;
         if (!m_first_event_at) {
             m_first_event_at = steady_now();
         }
     }
+    if (current.error.empty() && m_splitter.rest().size() > max_event_bytes) {
+        current.error = "an event is too large";
+    }
+    if (current.error.empty() && m_events > max_events()) {
+        current.error = "the stream has more events than its maximum number of tokens allows";
+    }
     bool sent = true;
     if (!out.empty() && !m_response_started) {
         http_fields fields;
@@ -514,19 +615,31 @@
     co_return sent&& current.error.empty();
 }
 
+// Without a maximum number of tokens, as many events as fit into the largest turn of any model.
+std::uint64_t exchange::max_events() const
+{
+    constexpr std::uint64_t max_turn_tokens = 1'000'000;
+    const std::uint64_t tokens = m_call.max_output_tokens > 0 ? m_call.max_output_tokens : max_turn_tokens;
+    return max_event_excess * (tokens / tokens_per_event() + 1);
+}
+
 // Returns whether the stream ended normally.
 asio::awaitable<bool> exchange::relay_events(attempt& current)
 {
     m_splitter = {};
     const std::uint64_t events_before = m_events;
     timestamp first{};
+    deadline event_due = deadline_after(first_event_timeout);
     while (!current.reader->done()) {
         std::string bytes;
-        const milliseconds timeout = m_events == events_before ? first_event_timeout : event_gap_timeout;
-        const error_code ec = co_await current.reader->read_some(bytes, std::min(m_deadline, deadline_after(timeout)));
+        const std::uint64_t events_so_far = m_events;
+        const error_code ec = co_await current.reader->read_some(bytes, std::min(m_deadline, event_due));
         if (!co_await forward_events(current, bytes)) {
             co_return false;
         }
+        if (m_events > events_so_far) {
+            event_due = deadline_after(event_gap_timeout);
+        }
         if (m_events > events_before && first == timestamp{}) {
             first = steady_now();
             record_started(current);
@@ -536,6 +649,10 @@
             co_return false;
         }
     }
+    if (m_splitter.inside_event()) {
+        current.error = "the stream ended inside an event";
+        co_return false;
+    }
     const auto output = static_cast<std::uint32_t>(m_events * tokens_per_event());
     m_context.loads.on_prompt(current.target.id, m_call.prompt, output, steady_now());
     const auto intervals = static_cast<double>(m_events - events_before) - 1;
@@ -556,7 +673,9 @@
         }
         if (result == send_result::answered && current->reader->status() >= 300) {
             std::string body;
+            m_active = current->connection.get();
             const error_code ec = co_await current->reader->read_remaining(body, max_response_bytes, m_deadline);
+            m_active = nullptr;
             if (!ec && !m_response_started) {
                 const unsigned status = current->reader->status();
                 http_fields fields;
@@ -581,9 +700,15 @@
             if (complete && m_response_started) {
                 m_context.loads.on_success(current->target.id);
                 m_context.metrics.on_attempt("answered");
-                const std::string rest = m_splitter.rest();
                 end_attempt(*current, true);
-                const bool sent = co_await m_writer.end_stream(rest);
+                if (m_route->keeps_history && !co_await keep_turn()) {
+                    // The caller may continue only from a turn whose response looks complete.
+                    m_writer.abort_stream();
+                    record_result("not_kept", "too few history nodes have confirmed the turn");
+                    co_return;
+                }
+                const std::string_view no_more_bytes;
+                const bool sent = co_await m_writer.end_stream(no_more_bytes);
                 record_result(sent ? "answered" : "caller_gone", "");
                 co_return;
             }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -45,10 +45,12 @@
         response_metadata metadata;
         timestamp sent{};
         std::uint32_t uncached_tokens = 0; ///< of the prompt at this target; 0 after the first event
-        milliseconds event_timeout{0};     ///< timeout for the first event
+        bool skipped_responses = false;    ///< the connection delivered responses to other requests
         std::string error;                 ///< why the attempt failed, for the log
     };
 
+    asio::awaitable<bool> load_history();
+    asio::awaitable<bool> keep_turn();
     asio::awaitable<bool> reserve_tokens();
     asio::awaitable<void> run_buffered();
     asio::awaitable<void> run_stream();
@@ -66,6 +68,9 @@
 
     const target_record* choose_target();
     placement_request placement() const;
+    bool is_still_usable(const target_record& target) const;
+    void mark_leaving(const target_record& target);
+    std::uint64_t max_events() const;
     void start_attempt(attempt& current);
     void record_started(attempt& current);
     std::vector<std::string> listed_ran_targets() const;
@@ -104,6 +109,8 @@
     std::uint64_t m_events = 0;
     std::optional<std::uint64_t> m_last_event_id; ///< the last event that was sent to the caller
     event_splitter m_splitter;
+    std::string m_history; ///< inputs and outputs of the turns before this one, if the route keeps them
+    std::string m_output;  ///< data of the events so far, each followed by a line feed, if the route keeps it
     std::optional<timestamp> m_first_event_at;
     std::string m_last_error;
 };
--- a/src/gateway/gateway_context.cpp
+++ b/src/gateway/gateway_context.cpp
@@ -14,8 +14,11 @@
                                            if (result == store_status::unavailable || result == store_status::unknown) {
                                                targets.note_store_failure(steady_now());
                                            }
+                                           else {
+                                               targets.note_store_success(steady_now());
+                                           }
                                        }),
-      budgets(executor, fleet, store)
+      budgets(executor, fleet, store), history(executor, {settings.failure_domain, settings.tolerated_losses}, store)
 {
 }
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "conversation/history_client.h"
 #include "gateway/budget_coordinator.h"
 #include "gateway/fleet_membership.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_adapter.h"
+#include "gateway/stop_schedule.h"
 #include "net/client_connection_pool.h"
 #include "routing/retry_after_policy.h"
 #include "routing/route_table.h"
@@ -38,12 +40,13 @@
     fleet_membership fleet;
     store_client store;
     budget_coordinator budgets;
+    history_client history;                    ///< started by routing_document_sync when a route needs it
     std::shared_ptr<const route_table> routes; ///< in force, or nullptr; written by routing_document_sync
     std::string document_text;                 ///< of `routes`, for other gateways; written by routing_document_sync
     /// Whether a newer document would arrive: the store answers, or a gateway that watches it announces versions.
     /// Written by routing_document_sync.
     bool routes_confirmed = false;
-    bool stopping = false;              ///< written by gateway_process
+    stop_schedule stop;                 ///< written by gateway_process
     std::size_t caller_connections = 0; ///< written by client_session
     std::size_t active_requests = 0;    ///< written by client_session
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -4,6 +4,7 @@
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_registry.h"
 #include "gateway/load_exchange.h"
+#include "gateway/role_settings.h"
 #include "gateway/routing_document_sync.h"
 #include "gateway/target_list_sync.h"
 #include "net/pause.h"
@@ -15,9 +16,7 @@
 
 #include <algorithm>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace lagoonferry {
 
@@ -52,49 +51,8 @@
 /// Interval at which expired idle connections are closed.
 constexpr milliseconds expiry_interval{1'000};
 
-/// Time reserved between the end of a graceful stop and the platform's SIGKILL.
-constexpr milliseconds kill_margin{500};
-
-/// A stopping gateway may exit after this time without requests, once callers no longer use its address.
-constexpr milliseconds idle_before_exit{600};
 constexpr milliseconds stop_poll_interval{100};
 
-/// Callers may use an address three times as long as its time to live of 2 s.
-constexpr milliseconds address_lifetime{6'000};
-
-std::optional<log_level> parse_log_level(std::string_view text)
-{
-    struct row {
-        std::string_view name;
-        log_level level;
-    };
-    constexpr std::array rows{row{"debug", log_level::debug}, row{"info", log_level::info},
-                              row{"warning", log_level::warning}, row{"error", log_level::error},
-                              row{"off", log_level::off}};
-    const auto* it = std::ranges::find(rows, text, &row::name);
-    return it == rows.end() ? std::nullopt : std::optional(it->level);
-}
-
-std::optional<gateway_settings> load_settings(const gateway_platform& platform, const std::string& path,
-                                              failure& reason)
-{
-    std::ifstream in(path);
-    if (!in) {
-        reason = {result_code::setting_invalid, "cannot open the settings file " + path};
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    return platform.read_settings(text.str(), reason);
-}
-
-std::optional<tcp::endpoint> store_endpoint(const gateway_settings& settings)
-{
-    error_code ec;
-    const auto ip = asio::ip::make_address(settings.store.ip, ec);
-    return ec ? std::nullopt : std::optional(tcp::endpoint(ip, settings.store.port));
-}
-
 /// A running gateway process.
 class gateway_process {
 public:
@@ -116,8 +74,10 @@
         m_document_sync.start();
         m_target_sync.start();
         m_load_exchange.start();
-        spawn(m_context.loop, register_gateway(m_context), "registration");
-        spawn(m_context.loop, close_expired_connections(), "connection sweep");
+        spawn_restarting(
+            m_context.loop, [this] { return register_gateway(m_context); }, "registration");
+        spawn_restarting(
+            m_context.loop, [this] { return close_expired_connections(); }, "connection sweep");
         spawn(m_context.loop, wait_for_stop(), "stop signal");
         spawn(m_context.loop, wait_for_reload(), "reload signal");
         const gateway_settings& settings = m_context.settings;
@@ -155,7 +115,7 @@
     void reload()
     {
         failure reason;
-        const auto settings = load_settings(m_platform, m_settings_path, reason);
+        const auto settings = load_role_settings(m_platform, m_settings_path, reason);
         if (!settings) {
             log(log_part::main, log_level::error, "The new settings cannot be used; the present ones stay in force.",
                 field("reason", reason.text));
@@ -172,22 +132,14 @@
     {
         asio::signal_set signals(m_context.loop, SIGTERM, SIGINT);
         co_await signals.async_wait(use_nothrow_awaitable);
-        const deadline started_at = loop_clock::now();
-        const milliseconds max_stop_time = m_context.settings.stop_grace - kill_margin;
         log(log_part::main, log_level::info, "Stopping.", field("requests", m_context.active_requests),
             field("connections", m_context.caller_connections));
-        m_context.stopping = true;
+        m_context.stop.begin(m_context.settings.stop_grace, steady_now());
         m_context.fleet.leave();
         m_context.budgets.hand_over();
-        deadline idle_since = started_at;
-        while (loop_clock::now() - started_at < max_stop_time) {
+        do {
             co_await pause(m_context.loop, stop_poll_interval);
-            const deadline now = loop_clock::now();
-            idle_since = m_context.active_requests > 0 ? now : idle_since;
-            if (now - started_at >= address_lifetime && now - idle_since >= idle_before_exit) {
-                break;
-            }
-        }
+        } while (!m_context.stop.may_exit(m_context.active_requests, steady_now()));
         log(log_part::main, log_level::info, "Stopped.", field("requests", m_context.active_requests));
         m_loop.stop();
     }
@@ -209,28 +161,16 @@
     if (!options.values) {
         return options.status;
     }
-    const auto level = parse_log_level(argument_value(*options.values, "--log-level").value_or("info"));
-    if (!level) {
-        std::cerr << "--log-level: allowed are debug, info, warning, error and off\n";
-        return exit_usage;
-    }
-    const std::string path = argument_value(*options.values, "--settings").value_or(platform.settings_path());
-    failure reason;
-    auto settings = load_settings(platform, path, reason);
-    if (!settings) {
-        std::cerr << "settings: " << reason.text << '\n';
-        return exit_refused;
-    }
-    if (has_flag(*options.values, "--check-settings")) {
-        std::cout << "settings of " << settings->id << " are valid\n";
-        return exit_done;
+    auto start = read_role_options(platform, *options.values, std::cout, std::cerr);
+    if (!start.settings) {
+        return start.status;
     }
-    configure_nonblocking_log(*level);
-    gateway_process process(platform, path, std::move(*settings));
+    configure_nonblocking_log(start.level);
+    gateway_process process(platform, start.settings_path, std::move(*start.settings));
     if (!process.start()) {
         return exit_refused;
     }
-    log(log_part::main, log_level::info, "Started.", field("settings", path));
+    log(log_part::main, log_level::info, "Started.", field("settings", start.settings_path));
     process.run();
     return exit_done;
 }
--- a/src/gateway/routing_document_sync.cpp
+++ b/src/gateway/routing_document_sync.cpp
@@ -15,6 +15,9 @@
 
 using std::chrono::milliseconds;
 
+/// A history node that cannot be emptied in this time does not respond. Its turns have copies at other nodes.
+constexpr milliseconds max_emptying_time{4'000};
+
 /// Backoff after failed calls to the store; it doubles with each further failure.
 constexpr milliseconds failure_backoff{250};
 constexpr milliseconds max_failure_backoff{1'000};
@@ -62,7 +65,8 @@
             spawn(m_context.loop, fetch_newer(version, sender), "newer document");
         }
     });
-    spawn(m_context.loop, run(), "routing document");
+    spawn_restarting(
+        m_context.loop, [this] { return run(); }, "routing document");
 }
 
 asio::awaitable<void> routing_document_sync::run()
@@ -78,7 +82,7 @@
         }
         const bool done = m_loaded ? co_await wait_for_changes() : co_await read_all();
         set_confirmed(done);
-        m_context.fleet.set_watches_document(done && !m_context.stopping && should_watch());
+        m_context.fleet.set_watches_document(done && !m_context.stop.stopping() && should_watch());
         if (done) {
             next_backoff = failure_backoff;
             continue;
@@ -261,6 +265,9 @@
         field("former", present), field("revision", revision), field("routes", document->routes.size()),
         field("source", source));
     m_context.fleet.set_document_version(document->version);
+    if (std::ranges::any_of(document->routes, &route::keeps_history)) {
+        m_context.history.start();
+    }
     m_context.routes = std::make_shared<const route_table>(std::move(*document));
     m_context.document_text = text;
     if (source == watch_source) {
@@ -283,7 +290,7 @@
     return m_context.fleet.own_rank(machine);
 }
 
-// Gateways store nothing on disk, so a machine can be retired at once.
+// The turns of a history node must be at other nodes first. Other machines store nothing.
 asio::awaitable<void> routing_document_sync::acknowledge_retirement(std::string machine, std::uint64_t order_revision)
 {
     const std::size_t rank = acknowledger_rank(machine);
@@ -292,6 +299,10 @@
         co_return;
     }
     co_await pause(m_context.loop, acknowledge_delay_step * rank);
+    const deadline until = deadline_after(max_emptying_time);
+    while (!co_await m_context.history.empty_node(machine) && loop_clock::now() < until) {
+        co_await pause(m_context.loop, failure_backoff);
+    }
     const std::string key = m_context.adapter.layout().retire_statuses + machine;
     store_condition present{key, 0};
     for (int attempt = 0; attempt < max_acknowledge_attempts && m_retire_orders[machine] == order_revision; ++attempt) {
--- a/src/gateway/target_list_sync.cpp
+++ b/src/gateway/target_list_sync.cpp
@@ -42,6 +42,9 @@
 nlohmann::json to_json(const target_change& change)
 {
     nlohmann::json out{{"i", change.id}, {"v", change.revision}, {"x", change.removed}, {"l", change.maybe_lapsed}};
+    if (change.maybe_lapsed && change.lapse_grace_left) {
+        out["g"] = std::chrono::duration_cast<milliseconds>(*change.lapse_grace_left).count();
+    }
     if (change.record) {
         const target_record& record = *change.record;
         out["r"] = {record.service,  record.address, record.failure_domain, record.start,
@@ -57,6 +60,9 @@
     change.revision = in.at("v").get<std::uint64_t>();
     change.removed = in.at("x").get<bool>();
     change.maybe_lapsed = in.at("l").get<bool>();
+    if (in.contains("g")) {
+        change.lapse_grace_left = milliseconds(in.at("g").get<std::int64_t>());
+    }
     if (in.contains("r")) {
         const nlohmann::json& fields = in.at("r");
         target_record record;
@@ -80,7 +86,8 @@
 void target_list_sync::start()
 {
     m_context.fleet.on(datagram_kind::targets, [this](const auto& /*sender*/, const auto& body) { on_changes(body); });
-    spawn(m_context.loop, run(), "target list");
+    spawn_restarting(
+        m_context.loop, [this] { return run(); }, "target list");
 }
 
 bool target_list_sync::is_leader() const
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 #include "client/commands.h"
+#include "conversation/history_role.h"
 #include "gateway/gateway_role.h"
 #include "platform/http_platform_adapter.h"
 #include "platform/settings_file.h"
@@ -11,11 +12,21 @@
 
 namespace {
 
-int run_gateway(const std::vector<std::string>& args)
+lagoonferry::gateway_platform users_platform()
 {
     using namespace lagoonferry;
     static const platform::http_platform_adapter adapter;
-    return run_gateway_role({&adapter, platform::settings_file_path, platform::read_settings}, args);
+    return {&adapter, platform::settings_file_path, platform::read_settings};
+}
+
+int run_gateway(const std::vector<std::string>& args)
+{
+    return lagoonferry::run_gateway_role(users_platform(), args);
+}
+
+int run_history(const std::vector<std::string>& args)
+{
+    return lagoonferry::run_history_role(users_platform(), args);
 }
 
 } // namespace
@@ -26,6 +37,7 @@
     std::vector<command> commands{
         {"entry", "serves callers and owns programs", run_entry_role},
         {"gateway", "serves callers on a platform that routes by host and path", run_gateway},
+        {"history", "keeps turns of conversations on a disk", run_history},
         {"standby", "does nothing until it is stopped", run_standby_role},
         {"dispatch", "grants capacity on targets", run_dispatch_role},
     };
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -23,6 +23,7 @@
 
 asio::awaitable<error_code> client_connection::send(const http_request& request, deadline until)
 {
+    ++m_sent_requests;
     m_stream.expires_at(until);
     const auto [ec, n] = co_await http::async_write(m_stream, request, use_nothrow_awaitable);
     co_return ec;
@@ -42,23 +43,27 @@
 asio::awaitable<error_code> response_reader::read_header(deadline until)
 {
     constexpr unsigned first_final_status = 200;
-    do {
+    for (int n = 0; n <= max_interim_responses; ++n) {
         m_parser = std::make_unique<http::response_parser<http::buffer_body>>();
         m_parser->header_limit(max_response_header_bytes);
         m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_connection.m_stream.expires_at(until);
-        const auto [ec, n] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer, *m_parser,
-                                                              use_nothrow_awaitable);
-        m_has_received_bytes = m_has_received_bytes || n > 0 || m_connection.m_buffer.size() > 0;
-        if (ec) {
+        const auto [ec, size] = co_await http::async_read_header(m_connection.m_stream, m_connection.m_buffer,
+                                                                 *m_parser, use_nothrow_awaitable);
+        m_has_received_bytes = m_has_received_bytes || size > 0 || m_connection.m_buffer.size() > 0;
+        if (ec || status() >= first_final_status) {
             co_return ec;
         }
-    } while (status() < first_final_status);
-    co_return error_code{};
+    }
+    co_return http::make_error_code(http::error::bad_status);
 }
 
 asio::awaitable<error_code> response_reader::read_some(std::string& out, deadline until)
 {
+    // The timer of the stream does not end an operation whose bytes are there already.
+    if (loop_clock::now() >= until) {
+        co_return beast::error::timeout;
+    }
     auto& body = m_parser->get().body();
     body.data = m_chunk.data();
     body.size = m_chunk.size();
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -29,6 +29,10 @@
 
     bool is_open() const { return m_stream.socket().is_open(); }
 
+    /// Returns whether more than one request was sent. A response without a request id may then belong to an earlier
+    /// one.
+    bool is_reused() const { return m_sent_requests > 1; }
+
     /// Returns whether the next request may be sent: no received bytes are unread, and the other side has not closed
     /// the connection.
     bool is_reusable();
@@ -38,8 +42,14 @@
 
 private:
     friend class response_reader;
+
+    /// Limit on received bytes that are not parsed yet. A chunk extension or a trailer without end would fill the
+    /// memory otherwise.
+    static constexpr std::size_t max_unparsed_bytes = 262'144;
+
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_unparsed_bytes};
+    std::size_t m_sent_requests = 0;
 };
 
 /// Reads one response from a connection, first its header and then its body in chunks.
@@ -47,7 +57,7 @@
 public:
     explicit response_reader(client_connection& connection) : m_connection(connection) {}
 
-    /// Reads the header. Interim (1xx) responses are skipped.
+    /// Reads the header. A few interim (1xx) responses are skipped; after more of them it fails.
     asio::awaitable<error_code> read_header(deadline until);
 
     /// Appends the next bytes of the body to `out`. Precondition: the header was read and `done()` is false.
@@ -69,6 +79,7 @@
 private:
     static constexpr std::size_t chunk_bytes = 8'192;
     static constexpr std::uint32_t max_response_header_bytes = 32'768;
+    static constexpr int max_interim_responses = 8;
 
     client_connection& m_connection;
     std::unique_ptr<http::response_parser<http::buffer_body>> m_parser;
--- a/src/routing/retry_after_policy.h
+++ b/src/routing/retry_after_policy.h
@@ -8,8 +8,10 @@
 
 /// Why a request is refused without being run.
 enum class refusal_cause {
-    busy,              ///< no target accepts the request now, or this gateway has just started
-    store_unavailable, ///< the decision on the budget needs the store, which is unavailable
+    busy,                ///< no target accepts the request now, or this gateway has just started
+    stopping,            ///< this gateway stops; others accept the request at once
+    history_unavailable, ///< the earlier turns are not readable, or a turn could not be kept, at the moment
+    store_unavailable,   ///< the decision on the budget needs the store, which is unavailable
 };
 
 /// Chooses the retry delay of a refused caller. The delays are random, so that callers that are refused together do not
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -10,14 +10,16 @@
 /// Removed entries are kept for this time, so that an outdated change cannot add them again.
 constexpr timestamp removed_entry_retention = std::chrono::seconds(60);
 
+/// The same for targets that have said themselves that they leave: the list may show such a start of a target again.
+constexpr timestamp leaving_entry_retention = std::chrono::minutes(10);
+
 } // namespace
 
 std::vector<target_change> target_directory::apply(std::span<const target_change> changes, timestamp now)
 {
     std::vector<target_change> applied;
     for (target_change item : changes) {
-        const bool changed =
-            item.record ? put(*item.record, item.revision) : remove(item, store_failed_recently(now), now);
+        const bool changed = item.record ? put(*item.record, item.revision) : remove(item, lapse_grace_left(now), now);
         if (changed) {
             applied.push_back(item);
         }
@@ -31,7 +33,7 @@
 {
     std::vector<target_change> applied;
     for (target_change item : changes) {
-        if (item.record ? put(*item.record, item.revision) : remove(item, false, now)) {
+        if (item.record ? put(*item.record, item.revision) : remove(item, timestamp{}, now)) {
             applied.push_back(item);
         }
         advance(item.revision);
@@ -52,7 +54,7 @@
     }
     for (target_change& item : applied) {
         if (item.removed) {
-            remove(item, store_failed_recently(now), now);
+            remove(item, lapse_grace_left(now), now);
         }
     }
     advance(revision);
@@ -80,16 +82,20 @@
     return relevant;
 }
 
-bool target_directory::remove(target_change& change, bool may_have_lapsed, timestamp now)
+bool target_directory::remove(target_change& change, timestamp lapse_grace_left, timestamp now)
 {
     const auto it = m_entries.find(change.id);
     if (it == m_entries.end() || it->second.removed || change.revision < it->second.revision) {
         return false;
     }
-    change.maybe_lapsed = change.maybe_lapsed || may_have_lapsed;
+    if (change.maybe_lapsed) { // classified by the gateway that has read the removal
+        lapse_grace_left = std::min(change.lapse_grace_left.value_or(m_timing.lapse_grace), m_timing.lapse_grace);
+    }
+    change.maybe_lapsed = lapse_grace_left > timestamp{};
+    change.lapse_grace_left = lapse_grace_left;
     it->second.removed = true;
-    it->second.maybe_lapsed = change.maybe_lapsed;
     it->second.removed_at = now;
+    it->second.usable_until = now + lapse_grace_left;
     it->second.revision = change.revision;
     return true;
 }
@@ -97,6 +103,16 @@
 void target_directory::note_store_failure(timestamp now)
 {
     m_last_store_failure = now;
+    m_failing_since = m_failing_since.value_or(now);
+}
+
+void target_directory::note_store_success(timestamp now)
+{
+    if (m_failing_since && now - *m_failing_since >= m_timing.min_outage) {
+        m_store_back_at = now;
+    }
+    m_failing_since.reset();
+    m_last_store_failure.reset();
 }
 
 void target_directory::mark_leaving(std::string_view id, std::uint64_t start)
@@ -107,19 +123,19 @@
     }
 }
 
-bool target_directory::store_failed_recently(timestamp now) const
+// After an outage the grace time starts at the return of the store, not at the removal: a target that is removed later
+// has left, and callers must not be sent there for the whole grace time.
+timestamp target_directory::lapse_grace_left(timestamp now) const
 {
-    return m_last_store_failure && now - *m_last_store_failure <= m_timing.store_failure_window;
-}
-
-bool target_directory::in_lapse_grace(const entry& item, timestamp now) const
-{
-    return item.maybe_lapsed && now - item.removed_at < m_timing.lapse_grace;
+    if (m_last_store_failure) {
+        return now - *m_last_store_failure <= m_timing.store_failure_window ? m_timing.lapse_grace : timestamp{};
+    }
+    return m_store_back_at ? std::max(*m_store_back_at + m_timing.lapse_grace - now, timestamp{}) : timestamp{};
 }
 
 bool target_directory::accepts_requests(const entry& item, timestamp now) const
 {
-    return !item.leaving && (!item.removed || in_lapse_grace(item, now));
+    return !item.leaving && (!item.removed || now < item.usable_until);
 }
 
 std::vector<const target_record*> target_directory::usable(std::string_view service, timestamp now) const
@@ -148,7 +164,8 @@
 void target_directory::purge_removed(timestamp now)
 {
     std::erase_if(m_entries, [&](const auto& pair) {
-        return pair.second.removed && now - pair.second.removed_at > removed_entry_retention;
+        const timestamp retention = pair.second.leaving ? leaving_entry_retention : removed_entry_retention;
+        return pair.second.removed && now - pair.second.removed_at > retention;
     });
 }
 
--- a/src/routing/target_directory.h
+++ b/src/routing/target_directory.h
@@ -20,15 +20,21 @@
     std::uint64_t revision = 0;
     std::optional<target_record> record; ///< empty: removed or not readable
     bool removed = false;
-    bool maybe_lapsed = false; ///< removed while store calls failed, so the entry may have expired on a live target
+    bool maybe_lapsed =
+        false; ///< removed around an outage of the store, so the entry may have expired on a live target
+    /// How much longer such a target stays in use; by default the whole grace time.
+    std::optional<timestamp> lapse_grace_left = std::nullopt;
 };
 
 struct directory_timing {
-    /// How long a target stays in use if its entry may merely have expired. Live targets write their entries again
-    /// within about two seconds after the store is back.
+    /// How long after the return of the store a target stays in use if its entry may merely have expired. Live targets
+    /// write their entries again within about two seconds after the store is back.
     timestamp lapse_grace = std::chrono::milliseconds(2'300);
-    /// How long after the last failed store call a removal may still be an expired entry of a live target.
+    /// How long after the last failed store call a removal may still be an expired entry of a live target, while no
+    /// call has succeeded since.
     timestamp store_failure_window = std::chrono::milliseconds(3'000);
+    /// Shorter interruptions of the store cannot make entries expire: targets renew them several times in that period.
+    timestamp min_outage = std::chrono::milliseconds(1'000);
 };
 
 /// The targets known from the target list in the store. No I/O. Not thread-safe.
@@ -52,6 +58,10 @@
     /// Records a failed call to the store, by this process or another one.
     void note_store_failure(timestamp now);
 
+    /// Records a successful call to the store by this process. The first one after an outage starts the time in which
+    /// live targets write their expired entries again.
+    void note_store_success(timestamp now);
+
     /// Records that a target has announced that it is leaving, which may arrive before the change of the list. Ignored
     /// if `start` is not the current start of the target.
     void mark_leaving(std::string_view id, std::uint64_t start);
@@ -75,21 +85,22 @@
         std::uint64_t revision = 0;
         bool removed = false;
         bool leaving = false; ///< stays set until the target restarts
-        bool maybe_lapsed = false;
         timestamp removed_at{};
+        timestamp usable_until{}; ///< of a removed target whose entry may have expired
     };
 
     bool put(const target_record& record, std::uint64_t revision);
-    bool remove(target_change& change, bool may_have_lapsed, timestamp now);
-    bool store_failed_recently(timestamp now) const;
-    bool in_lapse_grace(const entry& item, timestamp now) const;
+    bool remove(target_change& change, timestamp lapse_grace_left, timestamp now);
+    timestamp lapse_grace_left(timestamp now) const;
     bool accepts_requests(const entry& item, timestamp now) const;
     void purge_removed(timestamp now);
 
     directory_timing m_timing;
     std::map<std::string, entry, std::less<>> m_entries;
     std::uint64_t m_revision = 0;
+    std::optional<timestamp> m_failing_since; ///< first failed store call after the last successful one
     std::optional<timestamp> m_last_store_failure;
+    std::optional<timestamp> m_store_back_at; ///< end of the last outage of the store
 };
 
 } // namespace lagoonferry
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -319,7 +319,7 @@
     scripted_target target([&](auto& connection, int) { respond_to_all(connection, self); });
     self = &target;
     gateway_rig rig({target.address()});
-    rig.on_loop([](gateway_context& context) { context.stopping = true; });
+    rig.on_loop([](gateway_context& context) { context.stop.begin(std::chrono::seconds(8), steady_now()); });
     std::string request = gateway_rig::request("GET", "/safe/", "r1");
     request.replace(request.find("Connection: close\r\n"), 19, "");
     const std::string response = rig.call(request);
--- a/tests/gateway_rig.cpp
+++ b/tests/gateway_rig.cpp
@@ -51,9 +51,11 @@
 {
     routing_document document;
     document.version = 1;
-    document.routes = {make_route("/safe/", retry_rule::idempotent, 2),
-                       make_route("/unsafe/", retry_rule::non_idempotent, 2),
-                       make_route("/stream/", retry_rule::event_stream, 1)};
+    document.routes = {
+        make_route("/safe/", retry_rule::idempotent, 2), make_route("/unsafe/", retry_rule::non_idempotent, 2),
+        make_route("/stream/", retry_rule::event_stream, 1), make_route("/kept/", retry_rule::event_stream, 1)};
+    document.routes.back().keeps_history = true;
+    document.routes.back().history_retention = std::chrono::seconds(60);
     document.services = {{"s", 0, 3, 0}};
     return document;
 }
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -14,7 +14,8 @@
 namespace lagoonferry::test {
 
 /// A gateway in this process without a store and without other gateways. Its targets are set by the test. Its routes
-/// are /safe/ (idempotent, at most two targets), /unsafe/ (not idempotent) and /stream/ (resumable, one target).
+/// are /safe/ (idempotent, at most two targets), /unsafe/ (not idempotent), /stream/ (resumable, one target) and /kept/
+/// (like /stream/, with histories kept by the system).
 class gateway_rig {
 public:
     /// `targets` are addresses; their ids are "t0", "t1" and so on.
--- a/tests/invariant_checker_test.cpp
+++ b/tests/invariant_checker_test.cpp
@@ -65,3 +65,17 @@
     checks.on_tokens("p", 1, 100, 80);
     CHECK(checks.violations().size() == 1);
 }
+
+TEST_CASE("the soak reports a turn that runs without its history, and a served turn that is denied")
+{
+    invariant_checker checks;
+    checks.on_turn_started("a", "", "in-a", "in-a");
+    checks.on_turn_served("a", "", "in-a", "out-a\n");
+    checks.on_turn_started("b", "a", "in-b", "in-aout-a\nin-b");
+    checks.on_turn_unknown("c", "never");
+    CHECK(checks.violations().empty());
+    checks.on_turn_started("d", "a", "in-d", "in-d");
+    CHECK(checks.violations().size() == 1);
+    checks.on_turn_unknown("e", "a");
+    CHECK(checks.violations().size() == 2);
+}
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -39,11 +39,14 @@
 
 std::string document_text(std::uint64_t version)
 {
+    nlohmann::json kept = route_json("kept", "streaming", "models", true, 3);
+    kept["keepsHistory"] = true;
+    kept["retentionS"] = 60.0;
     return nlohmann::json{
         {"version", version},
         {"routes",
          {route_json("safe", "safe", "tools", false, 2), route_json("unsafe", "unsafe", "tools", false, 1),
-          route_json("stream", "streaming", "models", true, 3)}},
+          route_json("stream", "streaming", "models", true, 3), kept}},
         {"services",
          {{{"name", "tools"}, {"maxConns", 300}},
           {{"name", "models"}, {"maxConns", 300}, {"engine", {{"eventTokens", 8}, {"kvCapacity", 90'000}}}}}},
--- a/tests/soak/gateway_process.cpp
+++ b/tests/soak/gateway_process.cpp
@@ -12,9 +12,11 @@
 
 namespace lagoonferry::soak {
 
-gateway_process::gateway_process(std::string binary, const std::string& output_dir, nlohmann::json settings)
-    : m_binary(std::move(binary)), m_id(settings.at("nodeName")), m_settings_path(output_dir + "/" + m_id + ".json"),
-      m_log_path(output_dir + "/" + m_id + ".log"), m_settings(std::move(settings))
+gateway_process::gateway_process(std::string binary, const std::string& output_dir, nlohmann::json settings,
+                                 std::string role)
+    : m_binary(std::move(binary)), m_role(std::move(role)), m_id(settings.at("nodeName")),
+      m_settings_path(output_dir + "/" + m_id + ".json"), m_log_path(output_dir + "/" + m_id + ".log"),
+      m_settings(std::move(settings))
 {
 }
 
@@ -30,7 +32,7 @@
 {
     m_settings["bootstrap"] = bootstrap;
     std::ofstream(m_settings_path) << m_settings.dump();
-    std::array<std::string, 4> args{m_binary, "gateway", "--settings=" + m_settings_path, "--log-level=info"};
+    std::array<std::string, 4> args{m_binary, m_role, "--settings=" + m_settings_path, "--log-level=info"};
     std::array<char*, 5> arguments{args[0].data(), args[1].data(), args[2].data(), args[3].data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -8,11 +8,12 @@
 
 namespace lagoonferry::soak {
 
-/// One gateway process. Restarts append to the same log file. Not thread-safe.
+/// One process of the system: a gateway or a history node. Restarts append to the same log file. Not thread-safe.
 class gateway_process {
 public:
     /// `binary` is the path of the executable. Settings and log are written to `output_dir`.
-    gateway_process(std::string binary, const std::string& output_dir, nlohmann::json settings);
+    gateway_process(std::string binary, const std::string& output_dir, nlohmann::json settings,
+                    std::string role = "gateway");
 
     /// Kills the process and waits for its end.
     ~gateway_process();
@@ -33,6 +34,7 @@
 
 private:
     std::string m_binary;
+    std::string m_role;
     std::string m_id;
     std::string m_settings_path;
     std::string m_log_path;
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -67,4 +67,30 @@
     }
 }
 
+void invariant_checker::on_turn_served(const std::string& id, const std::string& previous, std::string_view input,
+                                       std::string_view output)
+{
+    std::string text = previous.empty() ? std::string{} : m_histories[previous];
+    text += input;
+    text += output;
+    m_histories[id] = std::move(text);
+}
+
+void invariant_checker::on_turn_started(const std::string& id, const std::string& previous, std::string_view input,
+                                        std::string_view body)
+{
+    const std::string expected = (previous.empty() ? std::string{} : m_histories[previous]) + std::string(input);
+    if (body != expected) {
+        add_violation("UNASKED: turn " + id + " runs with " + std::to_string(body.size()) + " bytes, not with the " +
+                      std::to_string(expected.size()) + " bytes of its history and input");
+    }
+}
+
+void invariant_checker::on_turn_unknown(const std::string& id, const std::string& previous)
+{
+    if (m_histories.contains(previous)) {
+        add_violation("LOST: request " + id + " is told that turn " + previous + " does not exist");
+    }
+}
+
 } // namespace lagoonferry::soak
--- a/tests/soak/invariant_checker.h
+++ b/tests/soak/invariant_checker.h
@@ -10,8 +10,8 @@
 namespace lagoonferry::soak {
 
 /// How often a request may run: `safe` any number of times, `unsafe` at most once, `stream` again after the last event
-/// that the caller received.
-enum class request_kind { safe, unsafe, stream };
+/// that the caller received, `kept_turn` like a stream whose history the system keeps.
+enum class request_kind { safe, unsafe, stream, kept_turn };
 
 /// Checks the documented guarantees of the system against the observations of callers and targets. Records one line per
 /// violation. Not thread-safe.
@@ -36,6 +36,17 @@
     void on_tokens(const std::string& program, std::uint64_t tokens, std::uint64_t budget,
                    std::uint64_t max_turn_tokens);
 
+    /// Records that a caller received the whole response to a turn whose history the system keeps.
+    void on_turn_served(const std::string& id, const std::string& previous, std::string_view input,
+                        std::string_view output);
+
+    /// Records the body that a target received for such a turn. `input` is what the caller sent.
+    void on_turn_started(const std::string& id, const std::string& previous, std::string_view input,
+                         std::string_view body);
+
+    /// Records a response which states that the previous turn does not exist.
+    void on_turn_unknown(const std::string& id, const std::string& previous);
+
     /// Records any other violation.
     void add_violation(std::string line);
 
@@ -51,7 +62,8 @@
 
     std::map<std::string, request_state> m_requests;
     std::set<std::string> m_runs;
-    std::map<std::string, std::uint64_t> m_tokens; ///< by program
+    std::map<std::string, std::uint64_t> m_tokens;  ///< by program
+    std::map<std::string, std::string> m_histories; ///< text of each served turn with those before it
     std::vector<std::string> m_violations;
 };
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -38,6 +38,8 @@
         return "/safe/x";
     case request_kind::unsafe:
         return "/unsafe/x";
+    case request_kind::kept_turn:
+        return "/kept/x";
     case request_kind::stream:
         break;
     }
@@ -78,13 +80,16 @@
     const std::string program = next_id();
     const std::uint64_t budget = std::uniform_int_distribution<std::uint64_t>(2, 12)(m_random) * max_turn_tokens;
     const bool loops = std::uniform_int_distribution<int>(0, 5)(m_random) == 0;
+    const bool kept = m_count % 2 == 0;
+    std::string previous;
     const int turns = loops ? 1'000 : std::uniform_int_distribution<int>(1, 4)(m_random);
     for (int n = 0; n < turns && !stop; ++n) {
-        request next{{}, request_kind::stream, program, budget};
+        request next{{}, kept ? request_kind::kept_turn : request_kind::stream, program, budget, previous};
         const result turn = co_await send_with_retries(next);
         if (turn == result::budget_exhausted) {
             co_return;
         }
+        previous = turn == result::served ? m_last_served : previous;
         const int calls = std::uniform_int_distribution<int>(0, 2)(m_random);
         for (int call = 0; call < calls && !stop; ++call) {
             const bool once = std::uniform_int_distribution<int>(0, 1)(m_random) == 1;
@@ -108,6 +113,7 @@
         last = co_await send_once(spec, time_left(until));
         if (last == result::served || last == result::budget_exhausted) {
             m_counts.served += 1;
+            m_last_served = spec.id;
             co_return last;
         }
         if (last == result::failed && spec.kind == request_kind::unsafe) {
@@ -173,7 +179,10 @@
     call.set(to_beast(wire_names::deadline_ms), std::to_string(time_left(until).count()));
     call.set(to_beast(wire_names::program_id), spec.program);
     call.set(to_beast(wire_names::session_id), spec.program);
-    if (spec.kind == request_kind::stream) {
+    if (!spec.previous.empty() && spec.kind == request_kind::kept_turn) {
+        call.set(to_beast(wire_names::previous_turn), spec.previous);
+    }
+    if (spec.kind == request_kind::stream || spec.kind == request_kind::kept_turn) {
         call.set(to_beast(wire_names::token_budget), std::to_string(spec.budget));
         call.set(to_beast(wire_names::token_count), "100," + std::to_string(max_turn_tokens));
     }
@@ -200,7 +209,7 @@
     }
     const unsigned status = reader.status();
     const bool signed_by_target = reader.fields().count(to_beast(wire_names::response_stamp)) > 0;
-    if (spec.kind == request_kind::stream && status == 200) {
+    if ((spec.kind == request_kind::stream || spec.kind == request_kind::kept_turn) && status == 200) {
         const result response = co_await read_stream(spec, reader, until);
         keep_alive = reader.allows_reuse();
         co_return response;
@@ -225,6 +234,10 @@
         co_return count_outcome(std::to_string(status), status == 402 ? result::budget_exhausted : result::refused);
     }
     constexpr unsigned first_server_error = 500;
+    constexpr unsigned not_found = 404;
+    if (status == not_found && spec.kind == request_kind::kept_turn) {
+        m_invariants.on_turn_unknown(spec.id, spec.previous);
+    }
     if (status < first_server_error) {
         m_invariants.add_violation("DENIED: request " + spec.id + " gets status " + std::to_string(status));
     }
@@ -235,6 +248,7 @@
                                                               deadline until)
 {
     std::string pending;
+    std::string output;
     std::uint64_t last = 0;
     while (!reader.done()) {
         if (co_await reader.read_some(pending, until)) {
@@ -242,6 +256,9 @@
         }
         for (std::size_t end = pending.find("\n\n"); end != std::string::npos; end = pending.find("\n\n")) {
             const std::uint64_t id = std::strtoull(pending.c_str() + std::string_view("id: ").size(), nullptr, 10);
+            constexpr std::string_view data_field = "\ndata: ";
+            const std::size_t data = pending.find(data_field) + data_field.size();
+            output += pending.substr(data, end - data) + "\n";
             pending.erase(0, end + 2);
             m_invariants.on_event(spec.id, id, last);
             m_invariants.on_tokens(spec.program, tokens_per_event, spec.budget, max_turn_tokens);
@@ -253,6 +270,10 @@
         m_invariants.add_violation("ORDER: stream " + spec.id + " ends as complete after event " +
                                    std::to_string(last));
     }
+    if (spec.kind == request_kind::kept_turn) {
+        m_invariants.on_turn_served(spec.id, spec.previous, "body of " + spec.id, output);
+        co_return count_outcome("kept 200", result::served);
+    }
     co_return count_outcome("200", result::served);
 }
 
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -36,6 +36,7 @@
         request_kind kind = request_kind::safe;
         std::string program; ///< empty: none
         std::uint64_t budget = 0;
+        std::string previous{}; ///< the turn that a kept turn continues; empty: the first one
     };
     enum class result { served, refused, budget_exhausted, failed };
 
@@ -55,6 +56,7 @@
     std::vector<std::string> m_directories;
     std::vector<std::string> m_addresses;
     deadline m_addresses_until{};
+    std::string m_last_served; ///< id of the last request that was served
     std::string m_name;
     std::uint64_t m_count = 0;
     std::chrono::milliseconds m_retry_after{0};
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds measurement_time{3'000};
 constexpr double min_served_share = 0.99;
 
+constexpr milliseconds poll_interval{20};
+
 /// Time from the start of the processes to the first request.
 constexpr milliseconds startup_time{1'500};
 
@@ -47,6 +49,7 @@
             {"seeds", nlohmann::json::array()},
             {"bootstrap", true},
             {"limits", {{"cpuShare", 0.25}, {"maxFds", 1'024}}},
+            {"faultTolerance", {{"machines", 1}}},
             {"bounds", {{"drainMs", 2'000}, {"graceS", 8}, {"ttl_max_s", 5}}},
             {"platform", {{"address", store}, {"ttlMinMs", 1'000}}}};
 }
@@ -74,6 +77,30 @@
                                                                settings_of(n, m_options, m_store_relay.address())));
     }
     m_fault_injector.set_gateway_count(m_gateways.size());
+    start_history_nodes();
+}
+
+void soak_run::start_history_nodes()
+{
+    constexpr int nodes = 3;
+    constexpr int first_number = 100; // of the loopback addresses, after those of the gateways
+    std::vector<std::string> folders;
+    for (int n = 0; n < nodes; ++n) {
+        nlohmann::json settings = settings_of(first_number + n, m_options, m_store_relay.address());
+        settings["nodeName"] = "h" + std::to_string(n);
+        folders.push_back(m_options.output_dir + "/disk-" + std::to_string(n));
+        settings["dataDir"] = folders.back();
+        m_history_nodes.push_back(
+            std::make_unique<gateway_process>(m_options.binary_path, m_options.output_dir, settings, "history"));
+    }
+    m_history_faults =
+        std::make_unique<history_faults>(m_loop.get_executor(), m_history_nodes, folders, m_options.seed);
+}
+
+asio::awaitable<void> soak_run::run_history_faults()
+{
+    co_await m_history_faults->run(m_options.fault_duration);
+    m_history_faults_ended = true;
 }
 
 bool soak_run::run()
@@ -99,10 +126,15 @@
 asio::awaitable<void> soak_run::run_scenario()
 {
     const auto loop = m_loop.get_executor();
+    std::ranges::for_each(m_history_nodes, [](auto& process) { process->start(true); });
     std::ranges::for_each(m_gateways, [](auto& process) { process->start(true); });
     co_await pause(loop, startup_time);
     start_callers();
+    spawn(loop, run_history_faults(), "faults of history nodes");
     co_await m_fault_injector.run(m_options.fault_duration);
+    while (!m_history_faults_ended) {
+        co_await pause(loop, poll_interval);
+    }
     co_await pause(loop, recovery_time);
     const caller_counts before = m_counts;
     co_await pause(loop, measurement_time);
@@ -130,6 +162,8 @@
     std::ofstream event_file(m_options.output_dir + "/faults.txt");
     std::ranges::for_each(m_fault_injector.events(),
                           [&event_file](const std::string& line) { event_file << line << '\n'; });
+    std::ranges::for_each(m_history_faults->events(),
+                          [&event_file](const std::string& line) { event_file << "history: " << line << '\n'; });
     std::cout << "seed " << m_options.seed << ": " << m_counts.sent << " requests, " << m_counts.served << " served, "
               << m_fault_injector.events().size() << " fault events, " << m_store.calls() << " store calls, "
               << m_invariants.violations().size() << " violations;";
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -2,6 +2,7 @@
 
 #include "fault_injector.h"
 #include "gateway_process.h"
+#include "history_faults.h"
 #include "invariant_checker.h"
 #include "soak_caller.h"
 #include "soak_store.h"
@@ -38,6 +39,8 @@
 
 private:
     asio::awaitable<void> run_scenario();
+    void start_history_nodes();
+    asio::awaitable<void> run_history_faults();
     void start_callers();
     void check_recovery(const caller_counts& before);
     void report() const;
@@ -50,8 +53,11 @@
     std::vector<std::unique_ptr<soak_target>> m_targets;
     standin::tcp_relay m_store_relay; ///< to the store, shared by all gateways
     std::vector<std::unique_ptr<gateway_process>> m_gateways;
+    std::vector<std::unique_ptr<gateway_process>> m_history_nodes;
     std::vector<std::unique_ptr<soak_caller>> m_callers;
     fault_injector m_fault_injector;
+    std::unique_ptr<history_faults> m_history_faults;
+    bool m_history_faults_ended = false;
     bool m_stop = false;
 };
 
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -94,7 +94,12 @@
         co_return co_await send_response(socket, 503, fields, "");
     }
     m_invariants.on_started(field(request, wire_names::request_id), m_id);
-    if (to_std(request.target()).starts_with("/stream/")) {
+    const std::string_view path = to_std(request.target());
+    if (path.starts_with("/kept/")) {
+        const std::string id = field(request, wire_names::request_id);
+        m_invariants.on_turn_started(id, field(request, wire_names::previous_turn), "body of " + id, request.body());
+    }
+    if (path.starts_with("/stream/") || path.starts_with("/kept/")) {
         co_return co_await respond_stream(socket, request);
     }
     co_return co_await respond_full(socket, request);
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -155,3 +155,63 @@
     CHECK(directory.apply(again, seconds(2)).empty());
     CHECK(directory.revision() == 2);
 }
+
+TEST_CASE("after an outage expired entries have a grace time that starts at the return of the store")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    apply(directory, entry("b", 2, 1), seconds(1));
+    apply(directory, entry("c", 3, 1), seconds(1));
+    directory.note_store_failure(seconds(10));
+    directory.note_store_failure(seconds(13));
+    directory.note_store_success(seconds(14));
+    apply(directory, removal("a", 4), seconds(14));
+    CHECK(usable(directory, "a", milliseconds(16'200)));
+    CHECK_FALSE(usable(directory, "a", milliseconds(16'300)));
+    // Removed within the grace time: it is not extended.
+    apply(directory, removal("b", 5), milliseconds(16'000));
+    CHECK(usable(directory, "b", milliseconds(16'200)));
+    CHECK_FALSE(usable(directory, "b", milliseconds(16'300)));
+    apply(directory, removal("c", 6), milliseconds(16'300));
+    CHECK_FALSE(usable(directory, "c", milliseconds(16'300)));
+}
+
+TEST_CASE("a single failed call to the store does not keep a target that has left in use")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    directory.note_store_failure(seconds(10));
+    directory.note_store_success(milliseconds(10'400));
+    apply(directory, removal("a", 2), milliseconds(10'500));
+    CHECK_FALSE(usable(directory, "a", milliseconds(10'500)));
+}
+
+TEST_CASE("other gateways use an expired entry no longer than the gateway that has read its removal")
+{
+    target_directory reader;
+    target_directory receiver;
+    apply(reader, entry("a", 1, 1), seconds(1));
+    apply(receiver, entry("a", 1, 1), seconds(1));
+    reader.note_store_failure(seconds(10));
+    reader.note_store_success(seconds(12));
+    const std::vector<target_change> removed{removal("a", 2)};
+    const auto news = reader.apply(removed, seconds(14));
+    receiver.apply_peer_changes(news, seconds(14));
+    for (const target_directory* directory : {&reader, &receiver}) {
+        CHECK(usable(*directory, "a", milliseconds(14'250)));
+        CHECK_FALSE(usable(*directory, "a", milliseconds(14'350)));
+    }
+}
+
+TEST_CASE("a target that has said that it leaves stays excluded when its entry expires and is written again")
+{
+    target_directory directory;
+    apply(directory, entry("a", 1, 1), seconds(1));
+    directory.mark_leaving("a", 100);
+    apply(directory, removal("a", 2), seconds(2));
+    apply(directory, entry("b", 3, 1), seconds(100)); // removes expired tombstones
+    apply(directory, entry("a", 4, 9), seconds(101));
+    CHECK_FALSE(usable(directory, "a", seconds(101)));
+    apply(directory, entry("a", 5, 1, false, 200), seconds(102));
+    CHECK(usable(directory, "a", seconds(102)));
+}
