--- a/src/client/log_explanation.cpp
+++ b/src/client/log_explanation.cpp
@@ -25,6 +25,13 @@
     std::string_view("A target cannot be reached."),
 };
 
+/// Log sentences of history nodes that decide whether turns are found and kept.
+constexpr std::array history_sentences{
+    std::string_view("A history node"),          std::string_view("The turns of another node"),
+    std::string_view("Turns were read"),         std::string_view("Turns cannot be written"),
+    std::string_view("This node has all turns"), std::string_view("This node is emptied"),
+};
+
 /// Returns the value of a field, or an empty string. A value with spaces is cut at the first one.
 std::string field_value(std::string_view line, std::string_view key)
 {
@@ -66,16 +73,22 @@
     return ((number(11, 2) * 60 + number(14, 2)) * 60 + number(17, 2)) * 1'000 + number(20, 3);
 }
 
-bool is_state_line(std::string_view line)
+bool has_any(std::string_view line, std::span<const std::string_view> sentences)
 {
     return std::ranges::any_of(
-        state_sentences, [line](std::string_view sentence) { return line.find(sentence) != std::string_view::npos; });
+        sentences, [line](std::string_view sentence) { return line.find(sentence) != std::string_view::npos; });
+}
+
+bool is_state_line(std::string_view line)
+{
+    return has_any(line, state_sentences);
 }
 
 /// The programs, targets and log sources that the lines of a request name, and their time range (time of day).
 struct request_context {
     std::set<std::string> programs;
     std::set<std::string> targets;
+    std::set<std::string> turns; ///< kept turns: the one that the request answers and the one that it continues
     std::set<std::string> sources;
     bool ended = false; ///< a gateway logged the end of the request
     long first_ms = 0;
@@ -94,6 +107,9 @@
         context.first_ms = found ? std::min(context.first_ms, ms) : ms;
         context.last_ms = found ? std::max(context.last_ms, ms) : ms;
         found = true;
+        if (const std::string previous = field_value(line.text, "previous"); !previous.empty()) {
+            context.turns.insert({previous, std::string(request)});
+        }
         context.programs.insert(field_value(line.text, "program"));
         context.targets.insert(field_value(line.text, "target"));
         context.sources.insert(line.source);
@@ -140,6 +156,9 @@
     if (field_value(line.text, "request") == request) {
         return true;
     }
+    if (context.turns.contains(field_value(line.text, "turn"))) {
+        return true;
+    }
     const long ms = time_of_day_ms(timestamp_of(line.text));
     if (ms > context.last_ms) {
         return false;
@@ -147,6 +166,9 @@
     if (context.programs.contains(field_value(line.text, "program"))) {
         return ms >= context.first_ms - program_window_ms;
     }
+    if (!context.turns.empty() && has_any(line.text, history_sentences)) {
+        return ms >= context.first_ms - program_window_ms;
+    }
     if (ms < context.first_ms - state_window_ms || !is_state_line(line.text)) {
         return false;
     }
--- a/src/conversation/history_client.h
+++ b/src/conversation/history_client.h
@@ -19,8 +19,12 @@
     uncertain,      ///< nodes that may have it do not respond
 };
 
+/// Returns "found", "does_not_exist" or "uncertain". Thread-safe.
+std::string_view to_string(turn_lookup result);
+
 /// Keeps turns at the history nodes and finds them there. A turn is kept once one node more than may be lost has it on
-/// its disk. Runs on one event loop; not thread-safe.
+/// its disk, or the platform's store has it, which is used while too few nodes respond. Runs on one event loop; not
+/// thread-safe.
 class history_client {
 public:
     struct settings {
@@ -35,7 +39,7 @@
     /// Starts to follow the registry of nodes, once. Without it the client makes no calls.
     void start();
 
-    /// Returns whether enough nodes seem reachable to keep a turn.
+    /// Returns whether enough nodes or the store seem reachable to keep a turn.
     bool can_keep() const;
 
     struct found_chain {
@@ -71,12 +75,19 @@
         deadline until;
         std::size_t pending = 0;
         std::size_t confirmed = 0;
+        bool store_asked = false;
+        bool in_store = false;
     };
     using peer_ptr = std::shared_ptr<history_peer>;
 
     asio::awaitable<void> follow_registry();
     asio::awaitable<void> ask(peer_ptr peer, std::string id, std::shared_ptr<lookup_state> state);
     asio::awaitable<void> put_at(peer_ptr peer, std::shared_ptr<put_state> state);
+    asio::awaitable<void> put_in_store(std::shared_ptr<put_state> state);
+    asio::awaitable<std::optional<std::uint64_t>> lease_for(std::chrono::milliseconds retention);
+    asio::awaitable<store_status> find_in_store(std::string id, std::vector<turn_record>& turns);
+    found_chain remember(std::vector<turn_record> turns);
+    bool enough_nodes() const;
     std::string encode_with_chain(const turn_record& record) const;
     std::vector<peer_ptr> by_preference() const;
     std::string text_of(std::string_view id) const;
@@ -84,8 +95,11 @@
 
     asio::any_io_executor m_loop;
     settings m_settings;
+    store_client& m_store;
     history_peers m_peers;
     turn_table m_cache;
+    std::uint64_t m_lease = 0;       ///< of turns in the store
+    deadline m_lease_usable_until{}; ///< turns that are written later would not be kept long enough
     bool m_started = false;
 };
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -165,6 +165,9 @@
         co_return true;
     }
     history_client::found_chain chain = co_await m_context.history.find(m_call.previous_turn);
+    log(log_part::journal, log_level::info, "A turn continues an earlier one.", field("request", m_call.request_id),
+        field("previous", m_call.previous_turn), field("result", to_string(chain.result)),
+        field("bytes", chain.text.size()), field("ms", ms_since(m_arrived)));
     switch (chain.result) {
     case turn_lookup::found:
         m_history = std::move(chain.text);
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -94,6 +94,8 @@
     virtual http_request write(std::span<const store_condition> conditions,
                                std::span<const store_item> items) const = 0;
 
+    virtual http_request open_lease(std::chrono::milliseconds ttl) const = 0;
+
     /// Parses the response of the store. The status of an invalid response is `unknown`.
     virtual store_reply read_reply(unsigned status, std::string_view body) const = 0;
 };
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -130,4 +130,9 @@
     co_return co_await call("write", m_adapter.write(conditions, items), call_timeout);
 }
 
+asio::awaitable<store_reply> store_client::open_lease(milliseconds ttl)
+{
+    co_return co_await call("lease", m_adapter.open_lease(ttl), call_timeout);
+}
+
 } // namespace lagoonferry
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -41,6 +41,9 @@
     /// Writes all items in one transaction if all conditions hold.
     asio::awaitable<store_reply> write(std::span<const store_condition> conditions, std::span<const store_item> items);
 
+    /// Opens a lease that ends by itself after `ttl`, counted from the arrival of the call.
+    asio::awaitable<store_reply> open_lease(std::chrono::milliseconds ttl);
+
     /// Returns whether several consecutive calls failed, the last of them recently. A caller that cannot wait for a
     /// timeout then proceeds without the store.
     bool is_unreachable() const;
--- a/src/store/store_types.h
+++ b/src/store/store_types.h
@@ -13,6 +13,7 @@
     std::string value;
     std::uint64_t revision = 0; ///< of the last change of the key
     bool removed = false;       ///< the key was deleted, or a write shall delete it
+    std::uint64_t lease = 0;    ///< the key is deleted when this lease ends; 0: never
 };
 
 /// One page of items, with the store's revision at the time of the response.
@@ -42,6 +43,7 @@
     store_status status = store_status::unknown;
     store_items found;
     std::uint64_t revision = 0; ///< the revision that a write created
+    std::uint64_t lease = 0;    ///< the lease that was opened
 };
 
 } // namespace lagoonferry
--- a/tests/log_explanation_test.cpp
+++ b/tests/log_explanation_test.cpp
@@ -78,3 +78,25 @@
     // Restarts are not part of the explanation if the end of the request was logged.
     CHECK(explain_request(lines, "045f15bc").back().text.find("Request ended.") != std::string::npos);
 }
+
+TEST_CASE("the explanation of a kept turn has where it and the turn before it were kept, and the state of nodes")
+{
+    constexpr std::string_view gateway =
+        R"(2026-09-17 00:02:43,100 INFO  [journal] A turn is kept. turn=a1 previous= confirmed=2 needed=2 nodes=3 in_store=0
+2026-09-17 00:02:43,200 INFO  [journal] A turn is kept. turn=zz previous= confirmed=2 needed=2 nodes=3 in_store=0
+2026-09-17 00:02:43,400 WARN  [journal] A history node does not respond. node=n2 call=/chain reason=timeout
+2026-09-17 00:02:43,460 INFO  [journal] A turn continues an earlier one. request=b2 previous=a1 result=found bytes=9 ms=3
+2026-09-17 00:02:43,900 WARN  [journal] A turn could not be kept. turn=b2 previous=a1 confirmed=1 needed=2 nodes=3 in_store=0
+2026-09-17 00:02:43,901 INFO  [entry] Request ended. request=b2 program=p outcome=not_kept
+)";
+    constexpr std::string_view node =
+        R"(2026-09-17 00:02:42,900 ERROR [journal] Turns cannot be written to the disk. segment=3 bytes=10 reason=full
+)";
+    auto lines = read_log_entries("g.log", gateway);
+    std::ranges::copy(read_log_entries("n1.log", node), std::back_inserter(lines));
+    const auto found = explain_request(lines, "b2");
+    REQUIRE(found.size() == 6);
+    CHECK(found[0].source == "n1.log");
+    CHECK(found[1].text.find("turn=a1") != std::string::npos);
+    CHECK(std::ranges::none_of(found, [](const auto& line) { return line.text.find("turn=zz") != std::string::npos; }));
+}
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -137,6 +137,9 @@
     else if (target.starts_with("/v1/kv-key")) {
         body = key_response(params, status);
     }
+    else if (target.starts_with("/v1/kv-lease")) {
+        body = R"({"lease":1,"ttlMs":1000})"; // leases of this stand-in do not end
+    }
     else if (target.starts_with("/v1/kv-txn")) {
         body = transaction(request.body(), status);
     }
