Relay the sign of a watching gateway in large fleets, and stagger calls to an unavailable store

Cause: above 100 gateways a heartbeat reaches four others, so at 171 gateways about a third received none of the 15 that watch documents within 1.2 s and watched the store themselves (worked out: e^-1.05); in an outage all gateways called the store about once a second, for documents and for the list of targets. Change: heartbeats carry the age of the newest announcement; without one, gateways begin to watch one after the other, and poll the list of targets at ages up to 1.2 s before the drain timeout, with a pause after failures that grows with the rank.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -23,6 +23,12 @@
 /// Second name with the same version, sent by gateways that watch the document in the store.
 constexpr std::string_view watched_document_name = "routing-watched";
 
+/// In a large fleet a gateway receives few heartbeats, so the others relay the newest sign of a watching gateway: the
+/// version that it announced, and the age of its announcement in ms.
+constexpr std::string_view relayed_version_name = "routing-watch-heard";
+constexpr std::string_view relayed_age_name = "routing-watch-age";
+constexpr milliseconds max_relayed_age{10'000};
+
 /// Minimum receivers of a heartbeat in a small fleet.
 constexpr std::size_t min_heartbeat_receivers = 3;
 
@@ -173,6 +179,11 @@
     if (m_watches_document) {
         versions.push_back({std::string(watched_document_name), m_document_version});
     }
+    else if (const timestamp age = steady_now() - m_document_watched_at; is_large() && age < max_relayed_age) {
+        versions.push_back({std::string(relayed_version_name), m_watched_version});
+        versions.push_back({std::string(relayed_age_name),
+                            static_cast<std::uint64_t>(std::max<std::int64_t>(age.count(), 0) / 1'000)});
+    }
     return versions;
 }
 
@@ -269,6 +280,12 @@
         m_document_watched_at = now;
         m_watched_version = std::max(m_watched_version, *watched);
     }
+    const auto relayed = version_of(relayed_version_name);
+    const auto age_ms = version_of(relayed_age_name);
+    if (relayed && age_ms && *age_ms <= static_cast<std::uint64_t>(max_relayed_age.count())) {
+        m_document_watched_at = std::max<timestamp>(m_document_watched_at, now - milliseconds(*age_ms));
+        m_watched_version = std::max(m_watched_version, *relayed);
+    }
     const auto known = version_of(document_name);
     if (known && *known > m_document_version && m_on_newer_document) {
         m_on_newer_document(*known, message.sender.subject.id);
--- a/src/gateway/poll_schedule.h
+++ b/src/gateway/poll_schedule.h
@@ -16,8 +16,18 @@
     timestamp max_age = std::chrono::milliseconds(1'300);
     /// Jitter step of the ranks at the upper bound, so that they do not all poll at once when the first falls silent.
     timestamp jitter_step = std::chrono::milliseconds(30);
+    /// Ranks from here on wait no longer than the one before them.
+    std::size_t jitter_slots = 8;
 };
 
+/// Returns the schedule of a large fleet, in which a target may get requests for `drain_timeout` after it has announced
+/// that it leaves. The gateways poll one after the other, because in an outage of the store all of them would call it
+/// at the same time. Thread-safe.
+poll_timing large_fleet_timing(timestamp drain_timeout);
+
+/// Returns the pause after a failed poll of the gateway of this rank. Thread-safe.
+timestamp poll_backoff(std::size_t rank, bool large_fleet);
+
 /// Returns the age of the target list at which the gateway of this rank polls the store. Thread-safe.
 timestamp poll_age(std::size_t rank, const poll_timing& timing = {});
 
--- a/src/gateway/routing_document_sync.cpp
+++ b/src/gateway/routing_document_sync.cpp
@@ -29,11 +29,15 @@
 /// A document must be in force 2 s after it was written to the store. When no gateway has announced for the first of
 /// these times that it watches the store, this one watches it itself. The second is the interval of this check, and
 /// also the maximum delay after a pause of the process. Each gateway sends a heartbeat to each other one at least once
-/// a second. In fleets above `max_full_mesh_gateways` fewer heartbeats arrive, and some gateways watch the store
-/// themselves for the time of one watch request.
+/// a second. In fleets above `max_full_mesh_gateways` the announcements are relayed, which takes a few heartbeats.
 constexpr milliseconds max_announcement_age{1'200};
+constexpr milliseconds max_relayed_announcement_age{2'600};
 constexpr milliseconds watch_check_interval{200};
 
+/// In a large fleet a gateway begins to watch this much later for each gateway that is ranked before it.
+constexpr milliseconds rank_step{100};
+constexpr std::string_view rank_key = "documents";
+
 /// Source of documents that other gateways may not know yet.
 constexpr std::string_view watch_source = "watch";
 
@@ -73,10 +77,11 @@
 {
     milliseconds next_backoff = failure_backoff;
     while (true) {
-        const bool watches = !m_context.routes || should_watch();
+        const bool watches = should_watch();
         set_watching(watches);
         if (!watches) {
-            set_confirmed(m_context.routes != nullptr);
+            const bool watched = m_context.fleet.document_watched_within(announcement_age_limit());
+            set_confirmed(m_context.routes != nullptr && watched);
             co_await pause(m_context.loop, watch_check_interval);
             continue;
         }
@@ -96,11 +101,28 @@
     }
 }
 
+timestamp routing_document_sync::announcement_age_limit() const
+{
+    return m_context.fleet.is_large() ? max_relayed_announcement_age : max_announcement_age;
+}
+
+// In a large fleet without an announcement the gateways begin to watch one after the other: in an outage of the store a
+// few of them notice its return as soon as all would.
 bool routing_document_sync::should_watch() const
+{
+    if (!m_context.routes || is_watcher()) {
+        return true;
+    }
+    const timestamp limit = announcement_age_limit();
+    const auto rank = static_cast<std::int64_t>(m_context.fleet.own_rank(rank_key));
+    const timestamp delay = m_context.fleet.is_large() ? timestamp(rank_step) * rank : timestamp{};
+    return !m_context.fleet.document_watched_within(limit + delay);
+}
+
+bool routing_document_sync::is_watcher() const
 {
     return is_delegate(delegated_task::watch_documents, m_context.fleet.usable(), m_context.settings.id,
-                       watchers_per_domain) ||
-           !m_context.fleet.document_watched_within(max_announcement_age);
+                       watchers_per_domain);
 }
 
 void routing_document_sync::set_watching(bool watches)
@@ -294,7 +316,7 @@
 asio::awaitable<void> routing_document_sync::acknowledge_retirement(std::string machine, std::uint64_t order_revision)
 {
     const std::size_t rank = acknowledger_rank(machine);
-    const bool others_watch = m_context.fleet.document_watched_within(max_announcement_age);
+    const bool others_watch = m_context.fleet.document_watched_within(announcement_age_limit());
     if (rank >= (others_watch ? max_acknowledgers : max_acknowledgers_without_watchers)) {
         co_return;
     }
--- a/src/gateway/routing_document_sync.h
+++ b/src/gateway/routing_document_sync.h
@@ -25,7 +25,9 @@
 
 private:
     asio::awaitable<void> run();
+    timestamp announcement_age_limit() const;
     bool should_watch() const;
+    bool is_watcher() const;
     void set_watching(bool watches);
     void set_confirmed(bool confirmed);
     asio::awaitable<bool> read_all();
--- a/src/gateway/target_list_sync.cpp
+++ b/src/gateway/target_list_sync.cpp
@@ -19,9 +19,6 @@
 /// Key for which gateways are ranked for polling the store.
 constexpr std::string_view rank_key = "targets";
 
-/// Backoff after a failed call to the store.
-constexpr milliseconds failure_backoff{400};
-
 /// Minimum time between two calls to the store of a gateway that has missed a datagram. In a large fleet many gateways
 /// miss the same datagrams, and all of them would call the store repeatedly at the same time.
 constexpr milliseconds catch_up_interval{400};
@@ -95,6 +92,13 @@
     return m_context.fleet.own_rank(rank_key) == 0;
 }
 
+timestamp target_list_sync::max_age() const
+{
+    const poll_timing timing =
+        m_context.fleet.is_large() ? large_fleet_timing(m_context.settings.drain_timeout) : poll_timing{};
+    return poll_age(m_context.fleet.own_rank(rank_key), timing);
+}
+
 timestamp target_list_sync::next_poll_at() const
 {
     if (!m_loaded) {
@@ -103,7 +107,7 @@
     if (is_leader()) {
         return m_last_call_at + min_call_interval;
     }
-    const timestamp by_age = m_fresh_at + poll_age(m_context.fleet.own_rank(rank_key));
+    const timestamp by_age = m_fresh_at + max_age();
     return m_behind ? std::min(by_age, m_last_call_at + catch_up_interval) : by_age;
 }
 
@@ -119,7 +123,7 @@
         // A gateway that only catches up does not forward what it reads: the others would have to catch up in turn.
         const timestamp age = steady_now() - m_fresh_at;
         const bool leader = is_leader();
-        const bool by_age = leader || age >= poll_age(m_context.fleet.own_rank(rank_key));
+        const bool by_age = leader || age >= max_age();
         // The leader long-polls and receives changes at once. Any other gateway polls only when it is already late, so
         // it does not wait.
         const bool long_poll = leader && age < poll_age(0);
@@ -127,7 +131,8 @@
         m_last_call_at = steady_now();
         const bool done = m_loaded ? co_await read_changes(by_age, timeout) : co_await read_all(by_age);
         if (!done) {
-            co_await pause(m_context.loop, failure_backoff);
+            const timestamp backoff = poll_backoff(m_context.fleet.own_rank(rank_key), m_context.fleet.is_large());
+            co_await pause(m_context.loop, std::chrono::duration_cast<milliseconds>(backoff));
         }
     }
 }
--- a/src/gateway/target_list_sync.h
+++ b/src/gateway/target_list_sync.h
@@ -36,6 +36,7 @@
     std::vector<std::string> relays() const;
     void on_changes(const nlohmann::json& body);
     void log_changes(std::span<const target_change> new_changes, std::string_view source);
+    timestamp max_age() const;
     timestamp next_poll_at() const;
 
     gateway_context& m_context;
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -223,18 +223,19 @@
 
 /// A gateway that reads documents from a stand-in of the store, and serves them to other gateways.
 struct document_gateway {
-    document_gateway(asio::io_context& loop, int number, const std::string& store_address)
-        : context(loop.get_executor(), settings_with(number, store_address), adapter), documents(context)
+    document_gateway(asio::io_context& loop, int number, const std::string& store_address, bool large)
+        : context(loop.get_executor(), settings_with(number, store_address, large), adapter), documents(context)
     {
         context.store.set_address({asio::ip::make_address(context.settings.store.ip), context.settings.store.port});
         REQUIRE(context.fleet.start());
         REQUIRE(listen_for_sessions(context, context.settings.peers, listener_kind::peers));
     }
 
-    static gateway_settings settings_with(int number, std::string_view address)
+    static gateway_settings settings_with(int number, std::string_view address, bool large = false)
     {
         gateway_settings settings = settings_of(number);
         settings.peers = {settings.ip, 18'150};
+        settings.max_full_mesh_gateways = large ? 1 : settings.max_full_mesh_gateways;
         settings.document_watch_timeout = milliseconds(300);
         settings.store = {"127.0.0.1",
                           static_cast<std::uint16_t>(std::stoi(std::string(address.substr(address.find(':') + 1))))};
@@ -248,14 +249,14 @@
     routing_document_sync documents;
 };
 
-/// Six gateways of one failure domain with one store.
+/// Gateways of one failure domain with one store. They act as a large fleet if `large` is set.
 struct document_fleet {
-    document_fleet() : store(loop.get_executor())
+    explicit document_fleet(int count = 6, bool large = false) : store(loop.get_executor())
     {
         store.put(std::string(platform::wire_names::config_key), document_text(3));
         std::vector<listed_instance> all;
-        for (int n = 0; n < 6; ++n) {
-            gateways.push_back(std::make_unique<document_gateway>(loop, n, store.address()));
+        for (int n = 0; n < count; ++n) {
+            gateways.push_back(std::make_unique<document_gateway>(loop, n, store.address(), large));
             const gateway_settings& settings = gateways.back()->context.settings;
             all.push_back({settings.id,
                            member_role::entry,
@@ -445,6 +446,36 @@
     CHECK(std::ranges::all_of(fleet.gateways, [](const auto& item) { return item->context.routes_confirmed; }));
 }
 
+// A gateway of a large fleet rarely receives a heartbeat of the few that watch. When it watched the store itself each
+// time, a third of the fleet did at any moment.
+TEST_CASE("in a large fleet the sign of a watching gateway is relayed, and the others leave the store alone")
+{
+    document_fleet fleet(40, true);
+    fleet.loop.run_for(milliseconds(4'000));
+    REQUIRE(fleet.all_have(3));
+    const std::uint64_t before = fleet.store.calls();
+    fleet.loop.run_for(milliseconds(3'000));
+    CHECK(fleet.store.calls() - before <= 3 * 11); // a watch request lasts 300 ms
+    fleet.store.put(std::string(platform::wire_names::config_key), document_text(5));
+    fleet.loop.run_for(milliseconds(500));
+    CHECK(fleet.all_have(5));
+}
+
+TEST_CASE("while the store is unavailable only some gateways of a large fleet call it, and all notice its return")
+{
+    document_fleet fleet(40, true);
+    fleet.loop.run_for(milliseconds(4'000));
+    REQUIRE(fleet.all_have(3));
+    fleet.store.set_mode(soak::soak_store::mode::refuse);
+    const std::uint64_t before = fleet.store.calls();
+    fleet.loop.run_for(milliseconds(5'000));
+    CHECK(fleet.store.calls() - before <= 100); // each of 40 gateways made about 4 calls
+    fleet.store.set_mode(soak::soak_store::mode::serve);
+    fleet.store.put(std::string(platform::wire_names::config_key), document_text(5));
+    fleet.loop.run_for(milliseconds(2'000));
+    CHECK(fleet.all_have(5));
+}
+
 // The 2 s at the end are the time in which a document must be in force.
 TEST_CASE("gateways watch documents themselves when the watching ones have lost the store")
 {
