Satisfy the linter and the formatter in the new code

No behaviour changes: parameters by reference, optional values checked where they are used, formatting.

--- a/src/conversation/history_client.cpp
+++ b/src/conversation/history_client.cpp
@@ -52,7 +52,7 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
-history_client::history_client(asio::any_io_executor loop, settings values, store_client& store)
+history_client::history_client(const asio::any_io_executor& loop, settings values, store_client& store)
     : m_loop(loop), m_settings(std::move(values)), m_store(store), m_peers(loop, store),
       m_cache(m_settings.cache_bytes, turn_table::overflow::evict_oldest)
 {
@@ -152,7 +152,7 @@
         }
     }
     if (!state->turns.empty()) {
-        co_return remember(std::move(state->turns));
+        co_return remember(state->turns);
     }
     // A turn that exists has a copy at one of any group of nodes that lacks no more than may be lost, or in the store.
     const bool not_at_nodes =
@@ -160,7 +160,7 @@
     std::vector<turn_record> stored;
     const store_status status = co_await find_in_store(id, stored);
     if (!stored.empty()) {
-        co_return remember(std::move(stored));
+        co_return remember(stored);
     }
     const bool proved = not_at_nodes && status == store_status::not_found;
     log(log_part::journal, log_level::info, "A turn was not found.", field("turn", id), field("nodes", order.size()),
@@ -169,7 +169,7 @@
     co_return found_chain{proved ? turn_lookup::does_not_exist : turn_lookup::uncertain, {}};
 }
 
-history_client::found_chain history_client::remember(std::vector<turn_record> turns)
+history_client::found_chain history_client::remember(std::span<const turn_record> turns)
 {
     found_chain found{turn_lookup::found, {}};
     for (const turn_record& turn : turns) {
--- a/src/conversation/history_client.h
+++ b/src/conversation/history_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,7 +35,7 @@
     };
 
     /// `store` must outlive this object.
-    history_client(asio::any_io_executor loop, settings values, store_client& store);
+    history_client(const asio::any_io_executor& loop, settings values, store_client& store);
 
     /// Starts to follow the registry of nodes, once. Without it the client makes no calls.
     void start();
@@ -86,7 +87,7 @@
     asio::awaitable<void> put_in_store(std::shared_ptr<put_state> state);
     asio::awaitable<std::optional<std::uint64_t>> lease_for(std::chrono::milliseconds retention);
     asio::awaitable<store_status> find_in_store(std::string id, std::vector<turn_record>& turns);
-    found_chain remember(std::vector<turn_record> turns);
+    found_chain remember(std::span<const turn_record> turns);
     bool enough_nodes() const;
     std::string encode_with_chain(const turn_record& record) const;
     std::vector<peer_ptr> by_preference() const;
--- a/src/conversation/history_node.cpp
+++ b/src/conversation/history_node.cpp
@@ -47,7 +47,7 @@
     std::size_t loaded = 0;
     std::size_t orphans = 0;
     // The time of day may have changed since, so the retention of each turn starts again.
-    const std::size_t damaged = m_log.load([&](std::uint64_t segment, turn_record record) {
+    const std::size_t damaged = m_log.load([&](std::uint64_t segment, const turn_record& record) {
         const turn_put_result result = m_table.put(record, segment, steady_now());
         loaded += result == turn_put_result::stored ? 1 : 0;
         orphans += result == turn_put_result::previous_missing ? 1 : 0;
--- a/src/conversation/history_role.cpp
+++ b/src/conversation/history_role.cpp
@@ -32,11 +32,11 @@
 /// A running history node process.
 class history_process {
 public:
-    history_process(const gateway_platform& platform, const gateway_settings& settings)
+    history_process(const gateway_platform& platform, const gateway_settings& settings, const tcp::endpoint& store)
         : m_store(m_loop.get_executor(), *platform.adapter, [](std::string_view /*call*/, store_status /*result*/) {}),
           m_peers(m_loop.get_executor(), m_store), m_node(m_loop.get_executor(), node_settings(settings), m_peers)
     {
-        m_store.set_address(*store_endpoint(settings));
+        m_store.set_address(store);
     }
 
     bool run()
@@ -84,12 +84,13 @@
     if (!start.settings) {
         return start.status;
     }
-    if (start.settings->data_folder.empty() || !store_endpoint(*start.settings)) {
+    const auto store = store_endpoint(*start.settings);
+    if (start.settings->data_folder.empty() || !store) {
         std::cerr << "settings: a history node needs a folder for its data and the address of the store\n";
         return exit_refused;
     }
     configure_nonblocking_log(start.level);
-    history_process process(platform, *start.settings);
+    history_process process(platform, *start.settings, *store);
     log(log_part::main, log_level::info, "Started.", field("node", start.settings->id));
     return process.run() ? exit_done : exit_refused;
 }
--- a/src/conversation/turn_log.cpp
+++ b/src/conversation/turn_log.cpp
@@ -143,7 +143,7 @@
                     field("segment", segment), field("ignored_bytes", rest.size()));
                 break;
             }
-            visit(segment, std::move(*record));
+            visit(segment, *record);
         }
     }
     return damaged;
--- a/src/conversation/turn_log.h
+++ b/src/conversation/turn_log.h
@@ -15,7 +15,7 @@
 class turn_log {
 public:
     /// Called for each readable record of an earlier run with the number of its segment.
-    using visitor = std::function<void(std::uint64_t segment, turn_record record)>;
+    using visitor = std::function<void(std::uint64_t segment, const turn_record& record)>;
 
     /// `folder` is created if it does not exist.
     explicit turn_log(std::filesystem::path folder);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -66,10 +66,10 @@
 
 std::optional<tcp::endpoint> endpoint_of(std::string_view address)
 {
-    const auto parsed = parse_endpoint(address);
+    const endpoint parsed = parse_endpoint(address).value_or(endpoint{});
     error_code ec;
-    const auto ip = asio::ip::make_address(parsed ? parsed->ip : std::string{}, ec);
-    return ec ? std::nullopt : std::optional(tcp::endpoint(ip, parsed->port));
+    const auto ip = asio::ip::make_address(parsed.ip, ec);
+    return ec ? std::nullopt : std::optional(tcp::endpoint(ip, parsed.port));
 }
 
 long long ms_since(deadline from)
--- a/src/gateway/stop_schedule.cpp
+++ b/src/gateway/stop_schedule.cpp
@@ -39,7 +39,8 @@
 bool stop_schedule::may_exit(std::size_t active_requests, timestamp now)
 {
     m_idle_since = active_requests > 0 ? now : m_idle_since;
-    return now >= m_end || (now - *m_began_at >= address_lifetime && now - m_idle_since >= idle_before_exit);
+    return now >= m_end ||
+           (now - m_began_at.value_or(now) >= address_lifetime && now - m_idle_since >= idle_before_exit);
 }
 
 } // namespace lagoonferry
