Refuse datagrams that claim lists longer than any memory

Change: decode_cbor returns nothing and logs it. One function opens listeners; history_peer has its own header. Test: "a datagram that claims a list longer than any memory is refused".

--- a/src/conversation/history_peers.h
+++ b/src/conversation/history_peers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/client_connection.h"
+#include "conversation/history_peer.h"
 #include "store/store_client.h"
 
 #include <map>
@@ -18,18 +18,6 @@
     std::string body;
 };
 
-/// A history node as another process knows it.
-struct history_peer {
-    std::string id;
-    std::string failure_domain;
-    tcp::endpoint address;
-    std::optional<deadline> failed_at; ///< when a call failed; empty after a successful one
-    std::vector<std::unique_ptr<client_connection>> idle;
-
-    /// Returns whether no call failed recently.
-    bool seems_reachable() const;
-};
-
 /// The history nodes that are registered in the platform's store, and calls to them. Runs on one event loop; not
 /// thread-safe.
 class history_peers {
--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange.h"
 #include "membership/address_lookup.h"
+#include "net/listener.h"
 #include "net/pause.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -362,26 +363,11 @@
 
 bool listen_for_sessions(gateway_context& context, const listen_address& address, listener_kind kind)
 {
-    error_code ec;
-    const auto ip = asio::ip::make_address(address.ip, ec);
-    tcp::acceptor acceptor(context.loop);
-    const tcp::endpoint endpoint(ip, address.port);
-    if (!ec) {
-        acceptor.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-        acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        acceptor.listen(accept_backlog, ec);
-    }
-    if (ec) {
-        log(log_part::entry, log_level::error, "Cannot listen on an address.", field("ip", address.ip),
-            field("port", address.port), field("reason", ec.message()));
+    auto acceptor = open_listener(context.loop, address.ip, address.port, accept_backlog);
+    if (!acceptor) {
         return false;
     }
-    spawn(context.loop, accept_sessions(context, std::move(acceptor), kind), "listener");
+    spawn(context.loop, accept_sessions(context, std::move(*acceptor), kind), "listener");
     return true;
 }
 
--- a/src/net/request_server.cpp
+++ b/src/net/request_server.cpp
@@ -1,5 +1,6 @@
 #include "net/request_server.h"
 
+#include "net/listener.h"
 #include "net/pause.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -35,26 +36,12 @@
 
 bool request_server::listen(const std::string& ip, std::uint16_t port)
 {
-    error_code ec;
-    const tcp::endpoint endpoint(asio::ip::make_address(ip, ec), port);
-    tcp::acceptor acceptor(m_loop);
-    if (!ec) {
-        acceptor.open(endpoint.protocol(), ec);
-    }
-    if (!ec) {
-        acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-        acceptor.bind(endpoint, ec);
-    }
-    if (!ec) {
-        acceptor.listen(accept_backlog, ec);
-    }
-    if (ec) {
-        log(log_part::peer, log_level::error, "Cannot listen on an address.", field("ip", ip), field("port", port),
-            field("reason", ec.message()));
+    auto acceptor = open_listener(m_loop, ip, port, accept_backlog);
+    if (!acceptor) {
         return false;
     }
-    m_port = acceptor.local_endpoint().port();
-    spawn(m_loop, accept(std::move(acceptor)), "listener");
+    m_port = acceptor->local_endpoint().port();
+    spawn(m_loop, accept(std::move(*acceptor)), "listener");
     return true;
 }
 
--- a/src/peer/datagram_codec.cpp
+++ b/src/peer/datagram_codec.cpp
@@ -1,6 +1,7 @@
 #include "peer/datagram_codec.h"
 
 #include "peer/cluster_key.h"
+#include "util/log.h"
 
 #include <nlohmann/json.hpp>
 
@@ -74,11 +75,16 @@
 
 std::optional<nlohmann::json> decode_cbor(const std::string& body)
 {
-    nlohmann::json message = nlohmann::json::from_cbor(body, true, false);
-    if (message.is_discarded()) {
+    try {
+        nlohmann::json message = nlohmann::json::from_cbor(body, true, false);
+        return message.is_discarded() ? std::nullopt : std::optional(std::move(message));
+    }
+    catch (const nlohmann::json::exception& error) {
+        // A list or map that claims to be longer than any memory throws although exceptions are switched off.
+        log(log_part::peer, log_level::warning, "A datagram is malformed.",
+            field("reason", std::string_view(error.what())));
         return std::nullopt;
     }
-    return message;
 }
 
 } // namespace lagoonferry
--- a/tests/faulty_target_test.cpp
+++ b/tests/faulty_target_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway_rig.h"
+#include "resident_memory.h"
 #include "scripted_target.h"
 
 #include <boost/asio/post.hpp>
@@ -8,7 +9,6 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <fstream>
 #include <thread>
 
 using namespace lagoonferry;
@@ -80,17 +80,6 @@
     scripted_target m_target;
 };
 
-std::size_t resident_kb()
-{
-    std::ifstream in("/proc/self/status");
-    for (std::string line; std::getline(in, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::stoul(line.substr(6));
-        }
-    }
-    return 0;
-}
-
 /// Sends `piece` again and again until the gateway closes the connection or `max_bytes` are sent. Returns the number of
 /// bytes sent.
 std::size_t send_endlessly(target_connection& connection, const std::string& piece, std::size_t max_bytes)
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -10,6 +10,7 @@
 #include "platform/store_entries.h"
 #include "platform/store_requests.h"
 #include "platform/wire_names.h"
+#include "resident_memory.h"
 #include "soak/soak_store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -17,12 +18,12 @@
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
-#include <fstream>
 #include <functional>
 #include <random>
 #include <thread>
 
 using namespace lagoonferry;
+using lagoonferry::test::resident_kb;
 using std::chrono::milliseconds;
 
 namespace {
@@ -88,17 +89,6 @@
             "null"};
 }
 
-std::size_t resident_kb()
-{
-    std::ifstream in("/proc/self/status");
-    for (std::string line; std::getline(in, line);) {
-        if (line.starts_with("VmRSS:")) {
-            return std::stoul(line.substr(6));
-        }
-    }
-    return 0;
-}
-
 /// Returns `text` with a few bytes changed, inserted, doubled or removed.
 std::string mutated(std::string text, std::minstd_rand& random)
 {
@@ -279,6 +269,14 @@
     fuzz({reply}, [](const std::string& text) { platform::read_store_response(200, text); });
 }
 
+// Found by the fuzz test with seed 7: the decoder threw, and the task that receives datagrams ended.
+TEST_CASE("a datagram that claims a list longer than any memory is refused")
+{
+    for (const char kind : {'\x9b', '\xbb'}) { // a list and a map with a length of eight bytes
+        CHECK_FALSE(decode_cbor(std::string(1, kind) + "abcdefgh"));
+    }
+}
+
 TEST_CASE("fuzz: header fields and datagrams")
 {
     fuzz({"5c1e07a2:800,91bd3f06:410", "1840,135", "3,0,8,100", "timeout=5, max=7", "5000.7", "12"},
