Keep no turn in the store without the turns before it

Cause, found by reading: if the gateway's cache had dropped the earlier turns, the turn alone was written to the store, and the next turn would have run without its history. Test: "a turn is not kept in the store without the turns before it" (failed before).

--- a/src/conversation/history_client.cpp
+++ b/src/conversation/history_client.cpp
@@ -212,9 +212,11 @@
 asio::awaitable<void> history_client::put_in_store(std::shared_ptr<put_state> state)
 {
     const auto lease = co_await lease_for(state->record.retention);
+    // Without the turns before it, which the cache may have dropped, the turn could not be continued from the store.
+    const bool whole = state->record.previous.empty() || !m_cache.chain(state->record.previous).empty();
     std::string value = encode_with_chain(state->record);
     const std::string key = std::string(turn_prefix) + state->record.id;
-    if (lease && value.size() <= max_stored_bytes) {
+    if (lease && whole && value.size() <= max_stored_bytes) {
         const std::array items{store_item{key, std::move(value), 0, false, *lease}};
         const std::span<const store_condition> no_conditions;
         const store_reply reply = co_await m_store.write(no_conditions, items);
--- a/tests/history_nodes_test.cpp
+++ b/tests/history_nodes_test.cpp
@@ -228,6 +228,18 @@
     CHECK(system.find("b", 1).result == turn_lookup::found);
 }
 
+TEST_CASE("a turn is not kept in the store without the turns before it")
+{
+    test_system system(3);
+    REQUIRE(system.keep("a", ""));
+    for (int number = 0; number < 3; ++number) {
+        system.stop_node(number);
+    }
+    system.restart_client(1); // its cache lacks the first turn
+    CHECK_FALSE(system.keep("b", "a", 1));
+    CHECK(system.find("b").result == turn_lookup::uncertain);
+}
+
 TEST_CASE("a turn that only the store has is found there, and continued at the nodes once they are back")
 {
     test_system system(3);
