Take no program for a new one where a replica before this one is undecided

That had become a replica just then, had no record, and took the program for a new one that has spent nothing. Ruled out: a lost record (the backup had it, used=320), kept turns (the program has none).

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -227,7 +227,9 @@
 
 asio::awaitable<void> budget_coordinator::find_record(const budget_request& request)
 {
-    if (would_have_record(request.program)) {
+    // A gateway that became a replica just now, because another one stops, may not have the record yet. If the request
+    // was undecided at a replica before this one, the program may be known there.
+    if (would_have_record(request.program) && !request.owner_unresponsive) {
         m_ledger.start_record(request, true, steady_now());
         co_return;
     }
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -367,6 +367,28 @@
 
 // With one datagram per change, a gateway that lost it stopped using a draining target only after 2,024 ms; the limit
 // is 2,000 ms.
+// Found by soak seed 21: the new replica granted turns as if nothing was spent, while the owner refused them.
+TEST_CASE("a gateway that becomes a replica when another one stops does not take a program for a new one")
+{
+    test_fleet fleet;
+    const auto order = fleet.replica_order("p");
+    int granted = 0;
+    for (int n = 0; n < 6; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "before-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? 1 : 0;
+    }
+    REQUIRE(granted == 4); // 0.3 of the budget and one turn
+    order[0]->fleet.leave();
+    order[0]->budgets.hand_over();
+    REQUIRE(fleet.run_until([&] {
+        return order[1]->fleet.usable().size() == 3 && order[2]->fleet.usable().size() == 3 &&
+               order[3]->fleet.usable().size() == 3;
+    }));
+    for (int n = 0; n < 3; ++n) {
+        CHECK(fleet.request_turn(*order[3], "p", "after-" + std::to_string(n)) != budget_verdict::granted);
+    }
+}
+
 TEST_CASE("each change of the target list is sent to the other gateways twice")
 {
     sync_pair pair;
