Review case 1: a gateway that froze grants spent budgets again

Cause: after a freeze the former owner of a budget merges the record of its successor instead of adopting it. Only usage that was granted while requests were marked as sent around a silent owner is added; the rest is lost. No code of the project changes.

--- /dev/null
+++ b/review/standins/scenarios.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace lagoonferry::review {
+
+struct scenario {
+    std::string name;
+    int (*run)(const std::string& folder, bool with_trouble);
+};
+
+const std::vector<scenario>& all_scenarios();
+
+/// A gateway freezes while it owns the budgets of some programs, and wakes again.
+int run_frozen_owner(const std::string& folder, bool with_trouble);
+
+} // namespace lagoonferry::review
