Review case 2: maxAttempts is not kept while entries of engines have lapsed

Cause: the limit on targets counts only those that are listed; after an outage of the store the entries of running engines are missing for a while, though the gateways still use these engines. Change: a script case. No code of the project changes.

--- a/review/standins/lab.cpp
+++ b/review/standins/lab.cpp
@@ -180,13 +180,13 @@
                                     std::string(wire_names::request_id) + ": " + call.id + "\r\n";
         co_return co_await soak::send_response(socket, 421, headers, "");
     }
+    m_lab.runs[call.id].push_back(m_id);
+    m_lab.record.line("engine " + m_id + " runs " + call.id);
     if (before) {
         if (const auto taken = co_await before(socket, call)) {
             co_return *taken;
         }
     }
-    ++m_lab.runs[call.id];
-    m_lab.record.line("engine " + m_id + " runs " + call.id);
     co_await pause(m_lab.loop(), service_time);
     if (m_service != service_streams) {
         const std::string headers = own_headers(call);
@@ -328,8 +328,8 @@
     const auto beat = [](lab& self) -> asio::awaitable<void> {
         while (true) {
             co_await pause(self.loop(), milliseconds(1'200));
-            for (const auto& item : self.engines) {
-                item->announce();
+            for (std::size_t n = 0; self.beats_reach_store && n < self.engines.size(); ++n) {
+                self.engines[n]->announce();
             }
         }
     };
--- a/review/standins/lab.h
+++ b/review/standins/lab.h
@@ -140,7 +140,8 @@
     record_file record;
     std::vector<std::unique_ptr<gateway>> gateways;
     std::vector<std::unique_ptr<engine>> engines;
-    std::map<std::string, int> runs; ///< by request id: how often an engine began to work on it
+    std::map<std::string, std::vector<std::string>> runs; ///< by request id: the engines that began to work on it
+    bool beats_reach_store = true;                        ///< engines renew their entries
     soak::soak_store& store() { return *m_store; }
 
 private:
--- a/review/standins/scenarios.cpp
+++ b/review/standins/scenarios.cpp
@@ -4,7 +4,7 @@
 
 const std::vector<scenario>& all_scenarios()
 {
-    static const std::vector<scenario> all{{"frozen-owner", run_frozen_owner}};
+    static const std::vector<scenario> all{{"frozen-owner", run_frozen_owner}, {"lapsed-entries", run_lapsed_entries}};
     return all;
 }
 
