--- a/review/standins/lapsed_entries.cpp
+++ b/review/standins/lapsed_entries.cpp
@@ -21,7 +21,7 @@
 constexpr double loss_rate = 0.055;  ///< of the answers of these engines
 constexpr milliseconds outage{4'500};
 constexpr milliseconds lapse_after{3'600}; ///< three beat intervals
-constexpr int outages = 3;
+constexpr int outages = 4;
 constexpr milliseconds between_requests{14};
 constexpr std::size_t allowed = 3; ///< requests that may run on more engines than `maxAttempts`
 
--- a/review/standins/rolling_stop.cpp
+++ b/review/standins/rolling_stop.cpp
@@ -15,7 +15,7 @@
 constexpr int program_count = 64;
 constexpr std::size_t stopped_gateways = 4; ///< of 8, so 0.5; the largest share in the site file is 0.511
 constexpr int early_turns = 2;              ///< turns before the restarts of programs that go on later
-constexpr milliseconds gap{1'300};          ///< between the stops of two machines
+constexpr milliseconds gap{1'450};          ///< between the stops of two machines
 constexpr milliseconds stop_grace{8'000};   ///< from SIGTERM to SIGKILL
 constexpr milliseconds restart_delay{300};  ///< from the end of a process to its next start
 
