--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,10 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
-PACKAGES := $(shell cat scripts/packages.txt)
 
-.PHONY: demo test soak bench spec build deps check-builds format format-check lint clean
+.PHONY: demo test soak bench spec build deps check-builds cross-compile format format-check lint clean
 
 deps:
-	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || (apt-get update -qq && apt-get install -y --no-install-recommends $(PACKAGES))
+	@scripts/install-packages
 
 build: deps
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_COMPILE_WARNING_AS_ERROR=ON >/dev/null
@@ -14,6 +13,9 @@
 check-builds: build
 	@scripts/check-builds $(BUILD)
 
+cross-compile: build
+	@scripts/cross-compile $(BUILD)
+
 demo: build
 	@scripts/demo $(BUILD)
 
