Score rendezvous hashing without the C library's logarithm

Cause: rendezvous_score uses std::log, and all processes must order members alike by its result (owners of partitions, addresses for callers, delegated tasks). The C library chooses its log by the processor; results differ in the last bit.

Evidence, one x86-64 machine, glibc 2.36: with the variant for processors without FMA (GLIBC_TUNABLES=glibc.cpu.hwcaps=-FMA,-FMA4,-AVX2) 2,107 of 20,000,000 inputs of rendezvous_score have another logarithm. arm64 always has the fused variant. An order changes only where two members' scores differ by the last bit, so this is not known to have caused a failure.

Change: portable_log uses additions, multiplications and divisions only, which IEEE 754 rounds in one way. Scores differ from the earlier ones by rounding only, so processes of both versions agree as well as those on two kinds of machine did.

--- a/src/util/rendezvous.cpp
+++ b/src/util/rendezvous.cpp
@@ -1,9 +1,10 @@
 #include "util/rendezvous.h"
 
+#include "util/portable_log.h"
+
 #include <sodium.h>
 
 #include <array>
-#include <cmath>
 
 namespace lagoonferry {
 
@@ -36,7 +37,7 @@
     constexpr double steps = 9007199254740992.0; // 2^53, the precision of a double
     const std::uint64_t hash = mix(key_hash ^ mix(member_hash));
     const double uniform = (static_cast<double>(hash >> 11U) + 0.5) / steps;
-    return -weight / std::log(uniform);
+    return -weight / portable_log(uniform);
 }
 
 std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate)
