--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: demo test soak bench spec build deps check-builds cross-compile format format-check lint clean
+.PHONY: demo test soak bench spec build deps check-builds cross-compile test-other-char format format-check lint clean
 
 deps:
 	@scripts/install-packages
@@ -22,6 +22,9 @@
 test: build
 	@scripts/run-tests $(BUILD)
 
+test-other-char: deps
+	@scripts/test-other-char $(BUILD)
+
 soak: build
 	@scripts/soak $(BUILD)
 
