Serve client accounts: keys, names for targets, ranks

Cause: the routing document's accounts were ignored.

Change: accounts are read and checked (a key held twice, an empty name, a wrong type name their place; the old document stays), keys are looked up by keyed hashes, an unknown key gets 401, or 503 while a newer document may have it. The target gets the account's name in place of the key. The rank of an account goes before that of the route; kept turns belong to an account. exchange.cpp is split by what its parts do; the budget's reply says whether a turn is a program's first, and placement tells how long a request is expected to take, both for the parts that follow (docs/design).

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -204,6 +204,7 @@
             reply.verdict = budget_verdict::granted;
             log_decision(request, "granted");
             reply.location = m_ledger.location_of(request.program, request.session);
+            reply.first_turn = m_ledger.is_first_turn(request.program);
             m_owned.insert(request.program);
             send_backup(request.program);
             co_return reply;
--- a/src/gateway/call_metadata.h
+++ b/src/gateway/call_metadata.h
@@ -17,6 +17,7 @@
 /// Metadata that a caller sends in the header of a request.
 struct call_metadata {
     std::string request_id;
+    std::string api_key; ///< of the client account; never logged or forwarded
     std::string program;
     std::string previous_turn; ///< the request id of the turn that this one continues; empty for the first turn
     std::string session;       ///< a sequence of turns of the program
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -31,6 +31,10 @@
 private:
     using milliseconds = std::chrono::milliseconds;
 
+    /// Maximum size in bytes of a plain service's response. It is buffered completely before it is relayed, so that the
+    /// request can be retried when it breaks.
+    static constexpr std::size_t max_response_bytes = 4'194'304;
+
     enum class send_result {
         answered,     ///< the header of the target's response was read
         not_executed, ///< the target did not run the request
@@ -50,9 +54,12 @@
         std::string error;                 ///< why the attempt failed, for the log
     };
 
+    asio::awaitable<bool> identify_account();
     asio::awaitable<bool> load_history();
     asio::awaitable<bool> keep_turn();
     asio::awaitable<bool> reserve_tokens();
+    asio::awaitable<bool> check_request_limit();
+    asio::awaitable<bool> admit();
     asio::awaitable<void> run_buffered();
     asio::awaitable<void> run_stream();
     asio::awaitable<bool> relay_events(attempt& current);
@@ -86,6 +93,7 @@
     std::uint32_t tokens_per_event() const;
     std::uint32_t prompt_tokens() const;
     unsigned priority() const;
+    std::string kept_turn_id(std::string_view request_id) const;
 
     gateway_context& m_context;
     const http_request& m_request;
@@ -93,12 +101,14 @@
     call_metadata m_call;
     std::shared_ptr<const route_table> m_routes;
     const route* m_route = nullptr;
+    const client_account* m_account = nullptr; ///< nullptr: the document has none, or the route is public
     std::string m_service;
     deadline m_arrived;
     deadline m_deadline;
     client_connection* m_active = nullptr; ///< connection of the present attempt while it is in use
     bool m_aborted = false;
     bool m_granted = false;                     ///< the turn's tokens are reserved
+    bool m_first_turn = false;                  ///< the program has used no tokens before this turn
     session_location m_session;                 ///< target whose prefix cache has the session's prompt
     std::string m_last_target;                  ///< the last one that ran the request
     std::vector<std::string> m_ran_targets;     ///< targets at which the request may have run
--- a/src/gateway/platform_adapter.h
+++ b/src/gateway/platform_adapter.h
@@ -25,6 +25,9 @@
     std::string_view target_id;
     std::optional<std::uint64_t> resume_after; ///< the last event that was received
     std::optional<unsigned> priority;          ///< 0 to 9; 0 is the most urgent
+    /// Name of the client account; empty on a public route without one. If set, the caller's credentials and the name
+    /// that it claims are not forwarded.
+    std::optional<std::string_view> account = std::nullopt;
     bool from_start = false; ///< without `resume_after`: the target sends all events, whatever the caller asked for
 };
 
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -186,6 +186,12 @@
     return it == m_records.end() ? nullptr : &it->second;
 }
 
+bool budget_ledger::is_first_turn(std::string_view program) const
+{
+    const budget_record* record = find(program);
+    return record != nullptr && record->used == 0 && record->reserved.size() == 1;
+}
+
 session_location budget_ledger::location_of(std::string_view program, std::string_view session) const
 {
     const budget_record* record = find(program);
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -87,6 +87,9 @@
     /// Returns the location of a session or, if unknown, of the program's first session, whose id is the program id.
     session_location location_of(std::string_view program, std::string_view session) const;
 
+    /// Returns whether the only turn of a program so far is the one that is reserved.
+    bool is_first_turn(std::string_view program) const;
+
     /// Counts reservations in full whose turn did not report its end in time, and deletes old records.
     void expire(timestamp now);
 
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -66,7 +66,10 @@
 
 json to_json(const budget_reply& message)
 {
-    return {{"q", message.request}, {"v", static_cast<int>(message.verdict)}, {"s", to_json(message.location)}};
+    return {{"q", message.request},
+            {"v", static_cast<int>(message.verdict)},
+            {"s", to_json(message.location)},
+            {"f", message.first_turn}};
 }
 
 json to_json(const budget_settlement& message)
@@ -118,7 +121,7 @@
                             verdict == static_cast<int>(budget_verdict::granted)     ? budget_verdict::granted
                             : verdict == static_cast<int>(budget_verdict::exhausted) ? budget_verdict::exhausted
                                                                                      : budget_verdict::undecided,
-                            location_from(message.at("s"))};
+                            location_from(message.at("s")), message.value("f", false)};
     });
 }
 
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -30,6 +30,7 @@
     std::string request;
     budget_verdict verdict = budget_verdict::undecided;
     session_location location; ///< of the session or, if unknown, of the program's first session
+    bool first_turn = false;   ///< the program has used no tokens before this turn
 };
 
 /// Reports the end of a turn to the owner.
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -17,8 +17,11 @@
 
 } // namespace
 
-route_table::route_table(routing_document document) : m_document(std::move(document))
+route_table::route_table(routing_document document) : m_document(std::move(document)), m_accounts(m_document.accounts)
 {
+    for (client_account& item : m_document.accounts) {
+        item.keys = {}; // only their hashes are needed from now on
+    }
     for (std::size_t n = 0; n < m_document.routes.size(); ++n) {
         m_by_host.emplace(lower(m_document.routes[n].host), n);
     }
@@ -39,6 +42,12 @@
     return best;
 }
 
+const client_account* route_table::account_of(std::string_view key) const
+{
+    const std::size_t position = m_accounts.find(key);
+    return position == account_table::npos ? nullptr : &m_document.accounts[position];
+}
+
 const target_service* route_table::service(std::string_view name) const
 {
     const auto it = std::ranges::find(m_document.services, name, &target_service::name);
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/account_table.h"
 #include "routing/routing_document.h"
 
 #include <cstdint>
@@ -21,10 +22,15 @@
     /// Returns the service with this name, or nullptr.
     const target_service* service(std::string_view name) const;
 
+    /// Returns the client account that holds an API key, or nullptr.
+    const client_account* account_of(std::string_view key) const;
+
+    /// Returns the document, without the API keys of its accounts.
     const routing_document& document() const { return m_document; }
 
 private:
     routing_document m_document;
+    account_table m_accounts;
     std::multimap<std::string, std::size_t, std::less<>> m_by_host;
 };
 
--- a/src/routing/routing_document.h
+++ b/src/routing/routing_document.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "accounts/client_account.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -32,6 +34,7 @@
     std::uint32_t rank = 0;                            ///< 0 is the most urgent
     std::vector<service_share> services;
     std::uint32_t max_targets = 2; ///< maximum number of targets that one request may be sent to
+    bool is_public = false;        ///< requests need no API key
     bool affinity = false;         ///< targets are faster for sessions that they have served before
     bool resumable = false;        ///< a stream may be resumed after an event
     bool keeps_history = false;    ///< requests carry only their new input and name the turn that they continue
@@ -61,6 +64,7 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<target_service> services;
+    std::vector<client_account> accounts; ///< if there are any, requests carry an API key
     caller_limits limits;
 };
 
--- a/src/routing/target_placement.cpp
+++ b/src/routing/target_placement.cpp
@@ -83,6 +83,11 @@
     return value * std::exp2(-std::max(0.0, elapsed) / half_life);
 }
 
+double default_ms_per_unit(const placement_request& request)
+{
+    return request.prompt.empty() ? default_service_ms : default_ms_per_token;
+}
+
 } // namespace
 
 target_placement::target_entry& target_placement::entry_for(const target_record& target)
@@ -243,11 +248,11 @@
     return worst;
 }
 
-const target_record* target_placement::choose(std::span<const target_record* const> candidates,
-                                              const placement_request& request, timestamp now)
+std::vector<target_placement::estimate> target_placement::estimates_of(std::span<const target_record* const> candidates,
+                                                                       const placement_request& request,
+                                                                       const candidate_averages& averages,
+                                                                       timestamp now)
 {
-    const double default_ms_per_unit = request.prompt.empty() ? default_service_ms : default_ms_per_token;
-    const candidate_averages averages = averages_of(candidates, default_ms_per_unit, now);
     std::vector<estimate> estimates;
     for (const target_record* item : candidates) {
         const target_entry& known = entry_for(*item);
@@ -256,6 +261,32 @@
             estimates.push_back({item, estimate_ms(*item, known, request, averages, now)});
         }
     }
+    return estimates;
+}
+
+std::optional<expected_duration> target_placement::expect(std::span<const target_record* const> candidates,
+                                                          const placement_request& request, timestamp now)
+{
+    const candidate_averages averages = averages_of(candidates, default_ms_per_unit(request), now);
+    const std::vector<estimate> estimates = estimates_of(candidates, request, averages, now);
+    if (estimates.empty()) {
+        return std::nullopt;
+    }
+    const estimate best = std::ranges::min(estimates, {}, &estimate::ms);
+    expected_duration result{best.ms, averages.ms_per_unit};
+    if (!request.prompt.empty()) {
+        const double ms_per_uncached = prompt_ms_per_token * averages.ms_per_unit / default_ms_per_token;
+        result.idle_ms = uncached_tokens(*best.target, entry_for(*best.target), request, now) * ms_per_uncached +
+                         request.output_tokens * averages.ms_per_unit;
+    }
+    return result;
+}
+
+const target_record* target_placement::choose(std::span<const target_record* const> candidates,
+                                              const placement_request& request, timestamp now)
+{
+    const candidate_averages averages = averages_of(candidates, default_ms_per_unit(request), now);
+    std::vector<estimate> estimates = estimates_of(candidates, request, averages, now);
     if (estimates.empty()) {
         return nullptr;
     }
--- a/src/routing/target_placement.h
+++ b/src/routing/target_placement.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <string>
@@ -27,6 +28,12 @@
     std::span<const std::string> excluded_targets; ///< targets that have failed this request
 };
 
+/// How long a request is expected to take.
+struct expected_duration {
+    double now_ms = 0;  ///< on the best target, with its present load
+    double idle_ms = 0; ///< without load
+};
+
 /// Selects the target of a request by estimating how long the request would take on each candidate. The estimate covers
 /// targets of different speeds, temporary slowness of single machines and prefix caches. No I/O. Not thread-safe.
 class target_placement {
@@ -38,6 +45,12 @@
     const target_record* choose(std::span<const target_record* const> candidates, const placement_request& request,
                                 timestamp now);
 
+    /// Returns the shortest expected duration of a request on `candidates` now, and on an idle target of mean speed
+    /// that has the same part of the prompt cached. Nothing if `choose` would return nullptr. Precondition: as for
+    /// `choose`.
+    std::optional<expected_duration> expect(std::span<const target_record* const> candidates,
+                                            const placement_request& request, timestamp now);
+
     /// Records that a request is sent to a target, which has to compute `uncached` prompt tokens for it. Each call must
     /// be followed by one call of `on_end`, and before that by one of `on_first_event` if a first event of the response
     /// arrives.
@@ -121,6 +134,10 @@
         double ms = 0;
     };
 
+    std::vector<estimate> estimates_of(std::span<const target_record* const> candidates,
+                                       const placement_request& request, const candidate_averages& averages,
+                                       timestamp now);
+
     target_entry& entry_for(const target_record& target);
     target_entry* find(std::string_view id);
     candidate_averages averages_of(std::span<const target_record* const> candidates, double default_ms_per_unit,
--- a/tests/gateway_rig.cpp
+++ b/tests/gateway_rig.cpp
@@ -103,6 +103,15 @@
     m_thread.join();
 }
 
+void gateway_rig::set_document(const std::function<void(routing_document&)>& change)
+{
+    routing_document document = make_document();
+    change(document);
+    on_loop([&document](gateway_context& context) {
+        context.routes = std::make_shared<const route_table>(std::move(document));
+    });
+}
+
 void gateway_rig::on_loop(const std::function<void(gateway_context&)>& task)
 {
     std::promise<void> done;
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -6,6 +6,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -35,6 +36,9 @@
     static std::string request(std::string_view method, std::string_view path, std::string_view id,
                                std::string_view more_fields = {}, std::string_view body = {});
 
+    /// Puts the initial routing document in force after `change` was applied to it.
+    void set_document(const std::function<void(routing_document&)>& change);
+
     /// Runs `task` on the gateway's event loop and waits until it is done.
     void on_loop(const std::function<void(gateway_context&)>& task);
 
--- a/tests/kept_turns_test.cpp
+++ b/tests/kept_turns_test.cpp
@@ -126,6 +126,32 @@
 
 } // namespace
 
+TEST_CASE("a turn of another client account does not exist, and the owning account continues it")
+{
+    history_rig nodes;
+    scripted_target* self = nullptr;
+    scripted_target target([&](auto& connection, int) {
+        for (std::string request = connection.read_request(); !request.empty(); request = connection.read_request()) {
+            self->record_request(request);
+            connection.send(stream_header(request) + event_chunk(1) + std::string(last_chunk));
+        }
+    });
+    self = &target;
+    gateway_rig gateway({target.address()});
+    gateway.set_document([](routing_document& document) {
+        document.accounts = {{"club-a", {"key-a"}, std::nullopt, {}}, {"club-b", {"key-b"}, std::nullopt, {}}};
+    });
+    nodes.connect(gateway);
+    constexpr std::string_view of_a = "Authorization: Bearer key-a\r\n";
+    constexpr std::string_view of_b = "Authorization: Bearer key-b\r\n";
+    CHECK(status_of(gateway.call(kept_request("a1", "", "first", of_a))) == "HTTP/1.1 200");
+    CHECK(status_of(gateway.call(kept_request("b1", "a1", "foreign", of_b))) == "HTTP/1.1 404");
+    CHECK(status_of(gateway.call(kept_request("a2", "a1", "second", of_a))) == "HTTP/1.1 200");
+    REQUIRE(target.requests().size() == 2);
+    CHECK(body_of(target.requests().back()).ends_with("second"));
+    CHECK(body_of(target.requests().back()).starts_with("first"));
+}
+
 TEST_CASE("a target gets the inputs and outputs of all turns before the new input, byte for byte")
 {
     history_rig nodes;
