Keep the turns of client accounts under ids that explain can follow

The account was separated from the request id by a space, so a log line's field ended there and 'lagoonferry explain' would miss the turn before (read from field_value; the test was not run against the former code). Now a slash, escaped in the name.

--- a/src/client/log_explanation.cpp
+++ b/src/client/log_explanation.cpp
@@ -1,5 +1,7 @@
 #include "client/log_explanation.h"
 
+#include "accounts/account_turn_id.h"
+
 #include <algorithm>
 #include <array>
 #include <map>
@@ -156,7 +158,7 @@
     if (field_value(line.text, "request") == request) {
         return true;
     }
-    if (context.turns.contains(field_value(line.text, "turn"))) {
+    if (context.turns.contains(std::string(request_id_of(field_value(line.text, "turn"))))) {
         return true;
     }
     const long ms = time_of_day_ms(timestamp_of(line.text));
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "accounts/account_turn_id.h"
 #include "util/log.h"
 #include "util/rendezvous.h"
 
@@ -122,11 +123,10 @@
     co_return false;
 }
 
-// Turns of different accounts never meet, so a turn of another account does not exist for this one. Names of accounts
-// have no spaces.
+// Turns of different accounts never meet, so a turn of another account does not exist for this one.
 std::string exchange::kept_turn_id(std::string_view request_id) const
 {
-    return (m_account == nullptr ? std::string{} : m_account->name + ' ').append(request_id);
+    return m_account == nullptr ? std::string(request_id) : account_turn_id(m_account->name, request_id);
 }
 
 // Reads the turns before this one. A turn that could not be kept afterwards is not run.
--- a/tests/client_account_test.cpp
+++ b/tests/client_account_test.cpp
@@ -1,4 +1,5 @@
 #include "accounts/account_table.h"
+#include "accounts/account_turn_id.h"
 #include "gateway_rig.h"
 #include "platform/store_entries.h"
 #include "routing/route_table.h"
@@ -104,6 +105,14 @@
     CHECK(table.document().accounts[0].keys.empty());
 }
 
+TEST_CASE("kept turns of different accounts never have the same id")
+{
+    CHECK(account_turn_id("a", "b/c") != account_turn_id("a/b", "c"));
+    CHECK(account_turn_id("a/b", "c") != account_turn_id("a%2Fb", "c"));
+    CHECK(request_id_of(account_turn_id("a/b", "c/d")) == "c/d");
+    CHECK(request_id_of("c1") == "c1");
+}
+
 TEST_CASE("a target gets the account that holds the key, never the key or what the caller claims")
 {
     scripted_target* self = nullptr;
--- a/tests/log_explanation_test.cpp
+++ b/tests/log_explanation_test.cpp
@@ -100,3 +100,16 @@
     CHECK(found[1].text.find("turn=a1") != std::string::npos);
     CHECK(std::ranges::none_of(found, [](const auto& line) { return line.text.find("turn=zz") != std::string::npos; }));
 }
+
+TEST_CASE("the explanation of a kept turn of a client account has the turn before it")
+{
+    constexpr std::string_view text =
+        R"(2026-09-17 00:02:43,100 INFO  [journal] A turn is kept. turn=club/a1 previous= confirmed=2 needed=2 nodes=3 in_store=0
+2026-09-17 00:02:43,200 INFO  [journal] A turn is kept. turn=club/zz previous= confirmed=2 needed=2 nodes=3 in_store=0
+2026-09-17 00:02:43,460 INFO  [journal] A turn continues an earlier one. request=b2 previous=a1 result=found bytes=9 ms=3
+2026-09-17 00:02:43,901 INFO  [entry] Request ended. request=b2 program=p outcome=answered
+)";
+    const auto found = explain_request(read_log_entries("g.log", text), "b2");
+    REQUIRE(found.size() == 3);
+    CHECK(found.front().text.find("turn=club/a1") != std::string::npos);
+}
