--- a/review/standins-2/budget_after_freeze.cpp
+++ b/review/standins-2/budget_after_freeze.cpp
@@ -1,4 +1,4 @@
-// Case 7: the owner of a program's budget freezes for 4 s while the program pauses. After its return the tokens that
+// Case 8: the owner of a program's budget freezes for 4 s while the program pauses. After its return the tokens that
 // the successor granted are forgotten, and the program gets them a second time.
 #include "programs.h"
 
--- a/review/standins-2/budget_after_stops.cpp
+++ b/review/standins-2/budget_after_stops.cpp
@@ -1,4 +1,4 @@
-// Case 6: two gateways are stopped in turn, 1.3 s apart, while programs pause. The first one hands the records of their
+// Case 7: two gateways are stopped in turn, 1.3 s apart, while programs pause. The first one hands the records of their
 // budgets to the second one only; the second one ends without handing them on, and a third takes the programs for new
 // ones.
 #include "programs.h"
--- a/review/standins-2/programs.h
+++ b/review/standins-2/programs.h
@@ -9,12 +9,12 @@
 
 namespace rig {
 
-constexpr int budget = 1'000;
 constexpr int turn_tokens = 100; ///< the most of one turn
 constexpr int tokens_per_event = 10;
 
 struct program {
     std::string id;
+    int budget = 1'000;
     int tokens = 0; ///< handed to the client, by the events that it has read
     int turns = 0;
     int refused = 0; ///< answers 402
@@ -44,7 +44,7 @@
         const std::string request =
             "POST /plan/x HTTP/1.1\r\nHost: club.example\r\nLagoonferry-Request-Id: " + id +
             "\r\nLagoonferry-Program-Id: " + item.id + "\r\nLagoonferry-Session-Id: " + item.id +
-            "\r\nLagoonferry-Finish-Ms: 20000\r\nLagoonferry-Token-Budget: " + std::to_string(budget) +
+            "\r\nLagoonferry-Finish-Ms: 20000\r\nLagoonferry-Token-Budget: " + std::to_string(item.budget) +
             "\r\nLagoonferry-Token-Count: 400," + std::to_string(turn_tokens) +
             "\r\nLagoonferry-Prompt-Prefix: 5c1e07a2:300," + item.id + ":100\r\nLagoonferry-Model: m" +
             "\r\nLagoonferry-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi";
@@ -144,14 +144,14 @@
     int over = 0;
     int most = 0;
     for (const program& item : all) {
-        const bool broken = item.tokens > budget + turn_tokens;
+        const bool broken = item.tokens > item.budget + turn_tokens;
         most = std::max(most, item.tokens);
         over += broken ? 1 : 0;
-        out.line("program=" + item.id + " budget=" + std::to_string(budget) + " tokens=" + std::to_string(item.tokens) +
-                 (broken ? " BUDGET broken" : "") + " statuses:" + item.statuses);
+        out.line("program=" + item.id + " budget=" + std::to_string(item.budget) + " tokens=" +
+                 std::to_string(item.tokens) + (broken ? " BUDGET broken" : "") + " statuses:" + item.statuses);
     }
     result = std::to_string(over) + " of " + std::to_string(all.size()) +
-             " programs got more than their budget and one turn (" + std::to_string(budget + turn_tokens) +
+             " programs got more than their budget and one turn (" + std::to_string(all.front().budget + turn_tokens) +
              " tokens); the most: " + std::to_string(most);
     out.line(result);
     return over;
