--- a/review/standins-2/budget_after_kill.cpp
+++ b/review/standins-2/budget_after_kill.cpp
@@ -29,13 +29,14 @@
     }
     process& killed = *system.nodes[0];
     std::vector<program> all = make_programs(programs);
-    // Clients keep their connections: each program sends all its turns to one gateway, which is up all the time.
+    // Each program sends all its turns on one kept connection, to a gateway that is up all the time.
     const auto node_of = [&](const program& item) -> process& {
         return *system.nodes[1 + static_cast<std::size_t>(&item - all.data()) % (gateways - 1)];
     };
 
     for (program& item : all) {
         item.budget = 2'000;
+        item.keeps_connection = true;
     }
     for_each_program(all, [&](program& item) {
         for (int n = 0; n < turns_before; ++n) {
--- a/review/standins-2/programs.h
+++ b/review/standins-2/programs.h
@@ -19,6 +19,8 @@
     int turns = 0;
     int refused = 0; ///< answers 402
     std::string statuses;
+    bool keeps_connection = false;
+    std::shared_ptr<connection> kept = {};
 };
 
 inline std::string document()
@@ -48,7 +50,9 @@
             "\r\nLagoonferry-Token-Count: 400," + std::to_string(turn_tokens) +
             "\r\nLagoonferry-Prompt-Prefix: 5c1e07a2:300," + item.id + ":100\r\nLagoonferry-Model: m" +
             "\r\nLagoonferry-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi";
-        const answer got = call(node.ip(), node.port("front"), request, 5'500);
+        const int port = node.port("front");
+        const answer got = item.keeps_connection ? call_kept(item.kept, node.ip(), port, request, 5'500)
+                                                 : call(node.ip(), port, request, 5'500);
         status = got.status;
         const int events = static_cast<int>(std::count(got.body.begin(), got.body.end(), '\n') /
                                             3); // "id: n", "data: en" and a blank line
--- a/review/standins-2/refused_after_run.cpp
+++ b/review/standins-2/refused_after_run.cpp
@@ -1,4 +1,4 @@
-// Case 9: one engine of a plain service fails a part of the requests that it has run, with status 503 of its own and
+// Case 7: one engine of a plain service fails a part of the requests that it has run, with status 503 of its own and
 // without Lagoonferry-Not-Executed. The client gets this status, which promises that the request has not run.
 #include "rig.h"
 
--- a/review/standins-2/rig.cpp
+++ b/review/standins-2/rig.cpp
@@ -559,6 +559,13 @@
         }
         sleep_ms(m_options.work_ms);
         const std::string body = "done by " + m_options.id + " for " + request.field("lagoonferry-request-id");
+        if (const std::string bytes = m_options.answer_bytes ? m_options.answer_bytes(request) : std::string{};
+            !bytes.empty()) {
+            if (!peer.write(bytes)) {
+                return;
+            }
+            continue;
+        }
         const int status = m_options.status_of_run ? m_options.status_of_run() : 200;
         if (!peer.write(head(request, status) + "Lagoonferry-Response-Stamp: s." + m_options.id +
                         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
@@ -758,22 +765,35 @@
     return false;
 }
 
-answer call(const std::string& ip, int port, const std::string& request, int timeout_ms)
+answer call_kept(std::shared_ptr<connection>& kept, const std::string& ip, int port, const std::string& request,
+                 int timeout_ms)
 {
     answer out;
-    const auto peer = connection::open(ip, port, std::min(timeout_ms, 1'000));
+    if (!kept || kept->peer_closed()) {
+        kept = connection::open(ip, port, std::min(timeout_ms, 1'000));
+    }
     message head;
-    if (!peer || !peer->write(request) || !peer->read_head(head, timeout_ms)) {
+    if (!kept || !kept->write(request) || !kept->read_head(head, timeout_ms)) {
+        kept.reset();
         return out;
     }
     out.status = head.status;
     out.fields = head.fields;
-    peer->read_body(head, timeout_ms);
+    kept->read_body(head, timeout_ms);
     out.body = head.body;
     out.complete = head.complete;
+    if (!out.complete || lower(head.field("connection")) == "close") {
+        kept.reset();
+    }
     return out;
 }
 
+answer call(const std::string& ip, int port, const std::string& request, int timeout_ms)
+{
+    std::shared_ptr<connection> once;
+    return call_kept(once, ip, port, request, timeout_ms);
+}
+
 std::string new_id()
 {
     static std::atomic<unsigned> last{0};
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -151,6 +151,8 @@
         int slots = 48;
         /// Returns the status of a plain request that has run; 200 if it is not set.
         std::function<int()> status_of_run = {};
+        /// Returns the bytes of the answer to a plain request that has run; the usual ones if it is not set or empty.
+        std::function<std::string(const message& request)> answer_bytes = {};
     };
     /// Called at the start of each request's run.
     using observer = std::function<void(const run&)>;
@@ -223,6 +225,10 @@
 /// Sends one request on a new connection and reads its answer.
 answer call(const std::string& ip, int port, const std::string& request, int timeout_ms);
 
+/// The same on a connection that is kept from one call to the next, as long as the other side leaves it open.
+answer call_kept(std::shared_ptr<connection>& kept, const std::string& ip, int port, const std::string& request,
+                 int timeout_ms);
+
 /// A new request id, unique in this run.
 std::string new_id();
 
--- a/review/standins-2/smuggled.cpp
+++ b/review/standins-2/smuggled.cpp
@@ -1,4 +1,4 @@
-// Case 10: a request whose body has a transfer coding other than chunked. The gateway takes it for a request without a
+// Case 8: a request whose body has a transfer coding other than chunked. The gateway takes it for a request without a
 // body, and the bytes of the body for the next request, which an engine runs.
 #include "rig.h"
 
