Show that a woken gateway takes a known program for a new one

Cause: a gateway that was frozen counts itself as a complete replica 3 s after its return, though it has not received the records of programs that started meanwhile. When their owner is lost, it starts them as unspent.

Change: review/10, a script with one freeze of 4 s, and a kill of another gateway 8 s after its end.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the transfer codings out.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the freeze and the kill out.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-2/smuggled
+program=target/review-2/budget_after_loss
 [ -x target/lagoonferry ] && [ -x "$program" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
