Keep review/9 inside the dose of plain garble

Cause: the script used share 0.6 and x 0.03, which the site file names for the variant "extra late" only.

--- a/review/standins-2/status_000.cpp
+++ b/review/standins-2/status_000.cpp
@@ -37,9 +37,9 @@
         return 2;
     }
     constexpr int gateways = 3;
-    constexpr int engine_count = 5;
-    constexpr int spoiling_engines = 3; // a share of 0.6
-    constexpr int bookings = 400;
+    constexpr int engine_count = 7;
+    constexpr int spoiling_engines = 2; // a share of 0.286
+    constexpr int bookings = 1'200;
     const char* text = std::getenv("TROUBLE");
     const bool trouble = text == nullptr || std::string(text) != "0";
     record out(args[2]);
@@ -55,7 +55,7 @@
     // answer of the application behind it stands as it came.
     const auto spoiled = [&](const message& request) {
         const std::lock_guard lock(mutex);
-        constexpr double spoiled_share = 0.03;
+        constexpr double spoiled_share = 0.02;
         if (!std::bernoulli_distribution(spoiled_share)(random)) {
             return std::string{};
         }
