Count a gateway as lost itself after a pause or a cut

Programs that began while a gateway was frozen got 1,400 of 1,000 tokens when their owner was killed 8 s after its return.

Cause: the others count a gateway that fell silent as lost for 75 s, but it counted itself as incomplete for 3 s only. It then took programs without a record for new ones. A gateway without a record also asked one other gateway at most.

Change: after a pause, and after a cut from most others, a gateway counts itself as lost and takes the list of losses from the others, as after a restart; its own pause does not count as their silence. A gateway without a record asks the first three others.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -33,7 +33,11 @@
 /// Time for which an owner that did not reply is skipped.
 constexpr milliseconds unresponsive_retention{2'000};
 
-/// Timeouts of the successive sends of a request for a backup.
+/// Gateways that are asked for a record that is missing here. While gateways return after a failure, its copies are not
+/// only at its present replicas.
+constexpr std::size_t record_holder_count = 3;
+
+/// Timeouts of the successive sends of a request for a record.
 constexpr std::array copy_request_timeouts{milliseconds(50), milliseconds(150)};
 
 /// Polling interval and timeout of a turn that waits for another decision on its program.
@@ -90,7 +94,8 @@
                [this](const auto& /*sender*/, const auto& body) { on_settlement(body); });
     m_fleet.on(datagram_kind::record_request,
                [this](const auto& sender, const auto& body) { on_record_request(sender, body); });
-    m_fleet.on(datagram_kind::record_copy, [this](const auto& /*sender*/, const auto& body) { on_record_copy(body); });
+    m_fleet.on(datagram_kind::record_copy,
+               [this](const auto& sender, const auto& body) { on_record_copy(sender, body); });
     spawn_restarting(
         m_loop, [this] { return run_upkeep(); }, "budget upkeep");
 }
@@ -234,30 +239,39 @@
         m_ledger.start_record(request, true, steady_now());
         co_return;
     }
-    const std::string other = m_fleet.other_replica_of(request.program, record_replica_count);
-    bool other_certain = false;
-    if (!other.empty() && !is_unresponsive(other)) {
-        const auto pending = std::make_shared<pending_copy>(m_loop);
-        m_pending_copies[request.program] = pending;
-        for (const milliseconds timeout : copy_request_timeouts) {
-            m_fleet.send(other, datagram_kind::record_request, to_json(budget_record_request{request.program}));
-            pending->wake.expires_after(timeout);
-            co_await pending->wake.async_wait(use_nothrow_awaitable);
-            if (pending->reply) {
-                break;
-            }
-        }
-        m_pending_copies.erase(request.program);
-        other_certain = pending->reply && pending->reply->sender_authoritative;
-    }
+    const bool others_certain = co_await request_copies(request.program);
     if (m_ledger.find(request.program) == nullptr) {
-        const bool known_unspent = other_certain && !request.owner_unresponsive;
+        const bool known_unspent = others_certain && !request.owner_unresponsive;
         log(log_part::program, log_level::info, "No budget record exists for a program; creating one.",
             field("program", request.program), field("request", request.request), field("certain", known_unspent));
         m_ledger.start_record(request, known_unspent, steady_now());
     }
 }
 
+// Requests the record of a program from the gateways that may have it. Returns whether one of them would have it if the
+// program had used any tokens.
+asio::awaitable<bool> budget_coordinator::request_copies(std::string program)
+{
+    const auto pending = std::make_shared<pending_copies>(m_loop);
+    std::ranges::copy_if(m_fleet.others_ranked(program, record_holder_count),
+                         std::inserter(pending->awaited, pending->awaited.end()),
+                         [this](const std::string& id) { return !is_unresponsive(id); });
+    m_pending_copies[program] = pending;
+    const nlohmann::json body = to_json(budget_record_request{program});
+    for (const milliseconds timeout : copy_request_timeouts) {
+        if (pending->awaited.empty() || pending->found || pending->certain) {
+            break;
+        }
+        for (const std::string& id : pending->awaited) {
+            m_fleet.send(id, datagram_kind::record_request, body);
+        }
+        pending->wake.expires_after(timeout);
+        co_await pending->wake.async_wait(use_nothrow_awaitable);
+    }
+    m_pending_copies.erase(program);
+    co_return pending->certain;
+}
+
 // After a lost response the same value is written again, so that a late write and its retry are equivalent.
 asio::awaitable<bool> budget_coordinator::write_high_water_mark(const budget_request& request)
 {
@@ -386,7 +400,7 @@
     m_fleet.send(sender, datagram_kind::record_copy, to_json(record_copy));
 }
 
-void budget_coordinator::on_record_copy(const nlohmann::json& body)
+void budget_coordinator::on_record_copy(const std::string& sender, const nlohmann::json& body)
 {
     const auto record_copy = budget_record_copy_from(body);
     if (!record_copy) {
@@ -401,10 +415,13 @@
             m_handed_over.insert(record_copy->program);
         }
     }
-    if (const auto it = m_pending_copies.find(record_copy->program);
-        it != m_pending_copies.end() && record_copy->transfers_ownership) {
-        it->second->reply = *record_copy;
-        it->second->wake.cancel();
+    const auto it = m_pending_copies.find(record_copy->program);
+    if (it != m_pending_copies.end() && record_copy->transfers_ownership && it->second->awaited.erase(sender) > 0) {
+        it->second->found = it->second->found || record_copy->record;
+        it->second->certain = it->second->certain || record_copy->sender_authoritative;
+        if (it->second->awaited.empty()) {
+            it->second->wake.cancel();
+        }
     }
 }
 
--- a/src/gateway/budget_coordinator.h
+++ b/src/gateway/budget_coordinator.h
@@ -43,10 +43,12 @@
         asio::steady_timer wake;
         std::optional<budget_reply> reply;
     };
-    struct pending_copy {
-        explicit pending_copy(const asio::any_io_executor& loop) : wake(loop) {}
+    struct pending_copies {
+        explicit pending_copies(const asio::any_io_executor& loop) : wake(loop) {}
         asio::steady_timer wake;
-        std::optional<budget_record_copy> reply;
+        std::set<std::string, std::less<>> awaited; ///< gateways that have not replied
+        bool found = false;                         ///< one of them had a record
+        bool certain = false;                       ///< one of them would have a record if any tokens were used
     };
 
     asio::awaitable<budget_reply> decide_in_turn(budget_request request);
@@ -54,6 +56,7 @@
     asio::awaitable<std::optional<budget_reply>> request_from_owner(const std::string& owner,
                                                                     const budget_request& request);
     asio::awaitable<void> find_record(const budget_request& request);
+    asio::awaitable<bool> request_copies(std::string program);
     asio::awaitable<bool> write_high_water_mark(const budget_request& request);
     asio::awaitable<void> reply_to_request(std::string sender, budget_request request);
     asio::awaitable<void> run_upkeep();
@@ -61,7 +64,7 @@
     void on_budget_reply(const nlohmann::json& body);
     void on_settlement(const nlohmann::json& body);
     void on_record_request(const std::string& sender, const nlohmann::json& body);
-    void on_record_copy(const nlohmann::json& body);
+    void on_record_copy(const std::string& sender, const nlohmann::json& body);
     void apply_settlement(const budget_settlement& message);
     void send_backup(const std::string& program);
     void hand_over_to_owners();
@@ -74,7 +77,7 @@
     store_client& m_store;
     budget_ledger m_ledger;
     std::map<std::string, std::shared_ptr<pending_query>, std::less<>> m_pending_queries; ///< by request id
-    std::map<std::string, std::shared_ptr<pending_copy>, std::less<>> m_pending_copies;   ///< by program
+    std::map<std::string, std::shared_ptr<pending_copies>, std::less<>> m_pending_copies; ///< by program
     std::set<std::string, std::less<>> m_deciding;                                        ///< programs being decided on
     std::set<std::string, std::less<>> m_replying;                      ///< requests of others being decided on
     std::map<std::string, timestamp, std::less<>> m_unresponsive_until; ///< owners that did not reply
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace lagoonferry {
 
@@ -35,7 +36,7 @@
 /// Receivers of a heartbeat in a large fleet. It carries gossip on all gateways.
 constexpr std::size_t gossip_receivers = 4;
 
-/// After a pause of this process its own records count as incomplete for this time: others need it to hand theirs back.
+/// After a pause of this process others may act in its place for this time.
 constexpr milliseconds recovery_after_pause{3'000};
 
 /// If the clock was set back, a new process gets a lower incarnation than its predecessor. Each renewal of the
@@ -85,12 +86,12 @@
       // The platform provides no secret. The store's address separates the gateways of different systems.
       m_key(settings.store.ip + ":" + std::to_string(settings.store.port)), m_socket(loop),
       m_seed_ips(settings.seed_ips), m_random(static_cast<std::minstd_rand::result_type>(stable_hash(settings.id))),
-      m_started(steady_now())
+      m_present_since(steady_now())
 {
-    const timestamp now = m_started;
+    const timestamp now = m_present_since;
     m_table = std::make_unique<member_table>(own_member(first_incarnation(wall_clock_ms())), make_member_timing(timing),
                                              settings.datagram_port, stable_hash(settings.id), now);
-    m_last_heartbeat_at = boot_clock();
+    m_last_active_at = boot_clock();
     if (settings.first_start) {
         m_losses_known_at = now;
     }
@@ -137,7 +138,7 @@
 {
     while (true) {
         const timestamp now = steady_now();
-        detect_pause(boot_clock());
+        detect_pause();
         renew_if_superseded(now);
         send_heartbeats(now);
         refresh_usable(now);
@@ -148,14 +149,57 @@
     }
 }
 
-void fleet_membership::detect_pause(timestamp now)
+void fleet_membership::detect_pause()
 {
-    if (now - m_last_heartbeat_at > m_timing.pause_threshold) {
-        m_paused_until = now + recovery_after_pause;
-        log(log_part::membership, log_level::warning, "This process was paused.",
-            field("ms", (now - m_last_heartbeat_at).count() / 1'000));
+    const timestamp pause = boot_clock() - m_last_active_at;
+    m_last_active_at += pause;
+    if (pause <= m_timing.pause_threshold) {
+        return;
     }
-    m_last_heartbeat_at = now;
+    m_paused_until = m_last_active_at + recovery_after_pause;
+    log(log_part::membership, log_level::warning, "This process was paused.", field("ms", pause.count() / 1'000));
+    m_table->exclude_pause(pause, steady_now());
+    rejoin(steady_now());
+}
+
+// While this gateway was paused or cut off, records changed at others. They count it as lost, so it has to do the same:
+// that it has no record of a program does not mean that the program is new.
+void fleet_membership::rejoin(timestamp now)
+{
+    m_present_since = now;
+    m_lost_until[m_settings.id] = now + m_timing.loss_retention;
+    m_losses_known_at.reset();
+    request_losses();
+}
+
+// When most others fell silent and are back without a restart, this gateway was cut off. It took them for lost
+// meanwhile.
+void fleet_membership::detect_cut(timestamp now)
+{
+    const bool was_connected = std::exchange(m_connected, reaches_majority());
+    std::size_t returned = 0;
+    std::size_t restarted = 0;
+    for (const member& item : m_usable) {
+        const auto it = m_silent.find(item.id);
+        if (it != m_silent.end()) {
+            ++(it->second == process_start(item.incarnation) ? returned : restarted);
+        }
+    }
+    if (!was_connected && m_connected && returned > restarted) {
+        log(log_part::membership, log_level::warning, "This gateway was cut off from the others.",
+            field("returned", returned), field("restarted", restarted));
+        std::erase_if(m_lost_until, [this](const auto& pair) { return m_silent.contains(pair.first); });
+        m_silent.clear();
+        rejoin(now);
+    }
+    if (m_connected) {
+        std::ranges::for_each(m_usable, [this](const member& item) { m_silent.erase(item.id); });
+    }
+}
+
+bool fleet_membership::reaches_majority() const
+{
+    return m_usable.size() * 2 >= m_table->members(member_role::entry).size();
 }
 
 // The incarnation of a process is derived from the wall clock, which may have been set back since the former start.
@@ -242,6 +286,7 @@
     if (!body || message.sender == m_settings.id) {
         return;
     }
+    detect_pause();
     const timestamp now = steady_now();
     m_table->update_last_seen(message.sender, now);
     m_last_seen[message.sender] = now;
@@ -327,6 +372,7 @@
     m_refreshed_at = now;
     m_changes_seen = m_table->change_count();
     record_losses(before, now);
+    detect_cut(now);
 }
 
 // A gateway that stops in order hands its records over. One that falls silent, or is back after a restart, has lost
@@ -342,10 +388,13 @@
         if (!present || restarted || silent || present->state == member_state::gone) {
             m_lost_until[item.id] = now + m_timing.loss_retention;
         }
+        if (silent && item.incarnation != 0) {
+            m_silent[item.id] = process_start(item.incarnation);
+        }
     }
     std::erase_if(m_lost_until, [now](const auto& pair) { return pair.second < now; });
-    // Losses from before the start of this process have expired by now.
-    if (!m_losses_known_at && now - m_started > m_timing.loss_retention) {
+    // Losses that this gateway has not seen have expired by now.
+    if (!m_losses_known_at && now - m_present_since > m_timing.loss_retention) {
         m_losses_known_at = now;
     }
 }
@@ -384,14 +433,15 @@
     return knows_losses(steady_now()) && std::ranges::find(list, m_settings.id) != list.end();
 }
 
-std::string fleet_membership::other_replica_of(std::string_view key, std::size_t replica_count) const
+std::vector<std::string> fleet_membership::others_ranked(std::string_view key, std::size_t count) const
 {
-    const auto list = knows_losses(steady_now()) ? live_replicas(key, replica_count) : ranked(key);
-    const auto it = std::ranges::find_if(list, [this](const std::string& id) { return id != m_settings.id; });
-    return it == list.end() ? std::string{} : *it;
+    std::vector<std::string> ids = ranked(key);
+    std::erase(ids, m_settings.id);
+    ids.resize(std::min(ids.size(), count));
+    return ids;
 }
 
-// A restarted gateway does not know which others were lost before its start, and whether it counts as lost itself.
+// A gateway that was restarted, paused or cut off does not know which others were lost meanwhile.
 void fleet_membership::request_losses()
 {
     constexpr std::size_t max_requests = 3;
@@ -410,7 +460,7 @@
     if (!knows_losses(now)) {
         return;
     }
-    // Only a restarted gateway sends this request. Heartbeats of its present incarnation may not have arrived here yet.
+    // Only a gateway that may lack records sends this request. Nothing else that shows this may have arrived here yet.
     m_lost_until[sender] = now + m_timing.loss_retention;
     nlohmann::json lost = nlohmann::json::object();
     for (const auto& [id, until] : m_lost_until) {
@@ -460,8 +510,7 @@
 
 bool fleet_membership::well_connected() const
 {
-    const std::size_t known = m_table->members(member_role::entry).size();
-    return m_usable.size() * 2 >= known && boot_clock() >= m_paused_until;
+    return reaches_majority() && boot_clock() >= m_paused_until;
 }
 
 bool fleet_membership::seen_within(std::string_view id, timestamp span) const
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -98,8 +98,9 @@
     /// counts as a replica too.
     bool is_last_replica_of(std::string_view key, std::size_t replica_count) const;
 
-    /// Returns another live gateway that would have such a record, or an empty string.
-    std::string other_replica_of(std::string_view key, std::size_t replica_count) const;
+    /// Returns the ids of the first `count` other live gateways, ranked for `key`. They may have its record even if
+    /// they are not among its replicas now.
+    std::vector<std::string> others_ranked(std::string_view key, std::size_t count) const;
 
     /// Returns whether at least half of the known gateways are usable, and this process was not paused recently.
     /// Otherwise others may act in place of this gateway.
@@ -129,7 +130,10 @@
     asio::awaitable<void> run_heartbeats();
     asio::awaitable<void> receive();
     void send_heartbeats(timestamp now);
-    void detect_pause(timestamp now);
+    void detect_pause();
+    void detect_cut(timestamp now);
+    void rejoin(timestamp now);
+    bool reaches_majority() const;
     void renew_if_superseded(timestamp now);
     void on_datagram(const datagram& message, const udp::endpoint& from);
     void on_heartbeat(const heartbeat& message, const udp::endpoint& from);
@@ -158,7 +162,7 @@
     std::unique_ptr<member_table> m_table;
     std::vector<std::string> m_seed_ips;
     std::minstd_rand m_random;
-    timestamp m_started;
+    timestamp m_present_since; ///< start of this process, or the end of its last pause or cut
     std::map<datagram_kind, handler> m_handlers;
     std::function<void(std::uint64_t, const std::string&)> m_on_newer_document;
     std::uint64_t m_document_version = 0;
@@ -167,10 +171,12 @@
     std::uint64_t m_watched_version = 0; ///< the newest version that such a gateway announced
     std::uint64_t m_renewals = 0;
     std::map<std::string, timestamp, std::less<>> m_last_seen;
-    timestamp m_last_heartbeat_at{};
+    timestamp m_last_active_at{}; ///< of the boot clock, when this process last sent a heartbeat or received a datagram
     timestamp m_paused_until{};
     std::map<std::string, timestamp, std::less<>> m_lost_until; ///< gateways that ended without a handover
     std::optional<timestamp> m_losses_known_at;                 ///< when `m_lost_until` becomes complete
+    std::map<std::string, std::uint64_t, std::less<>> m_silent; ///< process starts of gateways that fell silent
+    bool m_connected = true;                                    ///< at least half of the known gateways are usable
     std::vector<member> m_usable;                               ///< by id, as of `m_refreshed_at`
     timestamp m_refreshed_at{};
     std::uint64_t m_changes_seen = 0; ///< change counter of the member table at `m_refreshed_at`
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -6,6 +6,7 @@
 #include <bit>
 #include <functional>
 #include <limits>
+#include <ranges>
 #include <utility>
 
 namespace lagoonferry {
@@ -115,6 +116,13 @@
     return message.wants_reply;
 }
 
+void member_table::exclude_pause(timestamp duration, timestamp now)
+{
+    for (record& item : m_records | std::views::values) {
+        item.last_seen = std::min(item.last_seen + duration, now);
+    }
+}
+
 void member_table::update_last_seen(std::string_view id, timestamp now)
 {
     record* item = find_record(id);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -44,6 +44,9 @@
     /// Updates the last-seen time of a member that has sent any other authenticated message.
     void update_last_seen(std::string_view id, timestamp now);
 
+    /// Excludes a pause of this process, which has just ended, from the silence of other members.
+    void exclude_pause(timestamp duration, timestamp now);
+
     /// Merges one response of the instance list. This adds members and marks members as leaving or gone, but never sets
     /// a leaving incarnation back to alive. A process that is absent from the list becomes gone when it is also not
     /// reachable; a target when it is absent twice in a row. A gone target that is listed again gets a new incarnation.
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -90,6 +90,13 @@
         return done();
     }
 
+    /// Polls the running gateways for `time`.
+    void run_for(milliseconds time)
+    {
+        const auto end = std::chrono::steady_clock::now() + time;
+        run_until([end] { return std::chrono::steady_clock::now() >= end; });
+    }
+
     /// Returns the gateways in their order as replicas of a program's record: the owner first.
     std::vector<test_gateway*> replica_order(const std::string& program)
     {
@@ -268,6 +275,57 @@
     CHECK(fleet.request_turn(*order[2], program, "r3") == budget_verdict::undecided);
 }
 
+// Guards against review case 10: a gateway that was frozen missed the copies of new programs. When their owner was lost
+// later, it granted their budgets again.
+TEST_CASE("a gateway that was frozen does not take programs that began meanwhile for new ones")
+{
+    test_fleet fleet;
+    const auto order = fleet.replica_order("p");
+    order[1]->running = false;
+    const auto sees_others = [&](const test_gateway& gateway, std::size_t count) {
+        return fleet.run_until([&] { return gateway.fleet.usable().size() == count; });
+    };
+    REQUIRE(sees_others(*order[0], 3));
+    REQUIRE(sees_others(*order[3], 3));
+    std::uint64_t granted = 0;
+    for (int n = 0; n < 6; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "before-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    REQUIRE(granted > 0);
+    order[1]->running = true;
+    REQUIRE(sees_others(*order[3], 4));
+    fleet.run_for(milliseconds(4'000));
+    order[0]->running = false;
+    REQUIRE(sees_others(*order[3], 3));
+    for (int n = 0; n < 6; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "after-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    // Without the store a program gets 0.3 of its budget and one turn, and may get one turn more after a loss.
+    CHECK(granted <= budget * 3 / 10 + 2 * turn);
+}
+
+// A gateway that was cut off cannot tell which records the others changed meanwhile. It took itself for their replica
+// as soon as it was in touch again, like the frozen one of review case 10.
+TEST_CASE("a gateway that was cut off from all others does not count as a replica of records when it is back")
+{
+    test_fleet fleet;
+    const auto order = fleet.replica_order("p");
+    test_gateway& cut_off = *order[0];
+    fleet.run_for(milliseconds(1'500)); // until it has got a heartbeat of each other gateway
+    REQUIRE(cut_off.fleet.is_replica_of("p", 2));
+    const auto set_others_running = [&](bool running) {
+        std::ranges::for_each(order.begin() + 1, order.end(), [running](auto* item) { item->running = running; });
+    };
+    set_others_running(false);
+    REQUIRE(fleet.run_until([&] { return cut_off.fleet.usable().size() == 1; }));
+    set_others_running(true);
+    REQUIRE(fleet.run_until([&] { return cut_off.fleet.usable().size() == 4; }));
+    fleet.run_for(milliseconds(4'000));
+    CHECK_FALSE(cut_off.fleet.is_replica_of("p", 2));
+}
+
 // With one datagram per change, a gateway that lost it stopped using a draining target only after 2,024 ms; the limit
 // is 2,000 ms.
 // Found by soak seed 21: the new replica granted turns as if nothing was spent, while the owner refused them.
