Do not relay a status that promises that a request did not run, if it may have run

An engine's own 503 after a run reached the client, which repeated its non-idempotent request.

Cause: each complete response with a status of 300 or more was relayed, also 408, 429 and 503 without the statement that the request did not run.

Change: without that statement such a response is a failed attempt: 502 for a non-idempotent request, a retry for an idempotent one.

--- a/src/gateway/exchange_attempts.cpp
+++ b/src/gateway/exchange_attempts.cpp
@@ -4,6 +4,7 @@
 #include "util/log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace lagoonferry {
 
@@ -21,6 +22,9 @@
 /// Status of a target that is not the one named in the request. It does not run the request.
 constexpr unsigned misdirected_status = 421;
 
+/// Statuses that promise a caller that its request has not run and will not run. `misdirected_status` does so too.
+constexpr std::array refusal_statuses{408U, 429U, 503U};
+
 /// Maximum late responses to earlier requests that are skipped on one connection.
 constexpr int max_late_responses = 3;
 
@@ -260,6 +264,13 @@
         current.error = "not executed, status " + std::to_string(current.reader->status());
         co_return send_result::not_executed;
     }
+    // The target may have run the request, so its status must not reach the caller: a non-idempotent request would be
+    // repeated.
+    if (std::ranges::find(refusal_statuses, current.reader->status()) != refusal_statuses.end()) {
+        current.error =
+            "status " + std::to_string(current.reader->status()) + " does not state that the request did not run";
+        co_return send_result::failed;
+    }
     co_return send_result::answered;
 }
 
--- a/tests/faulty_target_test.cpp
+++ b/tests/faulty_target_test.cpp
@@ -281,6 +281,53 @@
     CHECK(requests == 0);
 }
 
+// Guards against review case 7: a target fails a request that it has run with a status that promises the opposite. The
+// caller repeated its non-idempotent request, and it ran twice.
+TEST_CASE("a status that promises that a request did not run is not relayed if the target does not state so")
+{
+    for (const std::string status : {"408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable"}) {
+        for (const std::string path : {"/unsafe/", "/safe/", "/stream/"}) {
+            CAPTURE(status);
+            CAPTURE(path);
+            std::atomic<int> runs = 0;
+            scripted_target target([&](auto& connection, int) {
+                const std::string request = connection.read_request();
+                if (!request.empty()) {
+                    ++runs;
+                    connection.send("HTTP/1.1 " + status + "\r\nLagoonferry-Request-Id: " + id_of(request) +
+                                    "\r\nLagoonferry-Response-Stamp: signed\r\nContent-Length: 4\r\n\r\nbusy");
+                }
+            });
+            const gateway_rig rig({target.address()});
+            const std::string response = rig.call(gateway_rig::request("POST", path, "r1"));
+            CHECK(status_of(response) == "HTTP/1.1 502");
+            CHECK(header_value(response, "Lagoonferry-Response-Stamp").empty());
+            CHECK(header_value(response, "Retry-After").empty());
+            CHECK((path != "/unsafe/" || runs == 1));
+        }
+    }
+}
+
+TEST_CASE("an idempotent request is retried after a status that promises that it did not run")
+{
+    scripted_target failing([](auto& connection, int) {
+        const std::string request = connection.read_request();
+        connection.send("HTTP/1.1 503 Service Unavailable\r\nLagoonferry-Request-Id: " + id_of(request) +
+                        "\r\nLagoonferry-Response-Stamp: signed\r\nContent-Length: 0\r\n\r\n");
+    });
+    scripted_target sound([](auto& connection, int) {
+        const std::string request = connection.read_request();
+        connection.send(target_response(request, id_of(request)));
+    });
+    const gateway_rig rig({failing.address(), sound.address()});
+    for (int n = 0; n < 6; ++n) {
+        const std::string id = "r" + std::to_string(n);
+        const std::string response = rig.call(gateway_rig::request("POST", "/safe/", id));
+        CHECK(status_of(response) == "HTTP/1.1 200");
+        CHECK(body_of(response) == id);
+    }
+}
+
 TEST_CASE("a response without end is given up, and memory stays bounded")
 {
     struct row {
