Join budget records turn by turn instead of comparing their totals

Programs whose owner was killed and back 0.7 s later got 2,600 of 2,000 tokens.

Cause: copies of a record carried totals, and the larger total was taken for the newer one. After the owner had ended the first turn that its backup had granted, it ignored all later copies of the backup, and the ends of the turns that they named.

Change: a record consists of series of turns, one for each granting gateway, and two records are joined turn by turn. A turn's end is reported to the gateway that granted it as well. A second grant of one request is released.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <span>
+#include <tuple>
 
 namespace lagoonferry {
 
@@ -89,7 +90,7 @@
     m_fleet.on(datagram_kind::budget_request,
                [this](const auto& sender, const auto& body) { on_budget_request(sender, body); });
     m_fleet.on(datagram_kind::budget_reply,
-               [this](const auto& /*sender*/, const auto& body) { on_budget_reply(body); });
+               [this](const auto& sender, const auto& body) { on_budget_reply(sender, body); });
     m_fleet.on(datagram_kind::budget_settlement,
                [this](const auto& /*sender*/, const auto& body) { on_settlement(body); });
     m_fleet.on(datagram_kind::record_request,
@@ -122,17 +123,23 @@
     budget_reply reply;
     reply.request = request.request;
     for (const std::string& owner : owners) {
+        std::string decided_by = owner;
         if (owner == m_fleet.own_id()) {
             reply = co_await decide_in_turn(request);
         }
         else if (!is_unresponsive(owner)) {
-            const auto owner_reply = co_await request_from_owner(owner, request);
-            if (!owner_reply) {
+            const auto received = co_await request_from_owner(owner, request);
+            if (received) {
+                std::tie(decided_by, reply) = std::tie(received->sender, received->reply);
+            }
+            else {
                 m_unresponsive_until[owner] = steady_now() + unresponsive_retention;
                 log(log_part::program, log_level::warning, "The owner of a budget does not answer.",
                     field("owner", owner), field("program", request.program), field("request", request.request));
             }
-            reply = owner_reply.value_or(reply);
+        }
+        if (reply.verdict == budget_verdict::granted) {
+            m_grants[request.request] = {decided_by, request.program, reply.series};
         }
         if (reply.verdict != budget_verdict::undecided) {
             break;
@@ -142,8 +149,8 @@
     co_return reply;
 }
 
-asio::awaitable<std::optional<budget_reply>> budget_coordinator::request_from_owner(const std::string& owner,
-                                                                                    const budget_request& request)
+asio::awaitable<std::optional<budget_coordinator::received_reply>>
+budget_coordinator::request_from_owner(const std::string& owner, const budget_request& request)
 {
     const auto pending = std::make_shared<pending_query>(m_loop);
     m_pending_queries[request.request] = pending;
@@ -185,18 +192,16 @@
     const budget_record known = record == nullptr ? budget_record{} : *record;
     log(log_part::program, log_level::info, "A turn is weighed against its budget.", field("request", request.request),
         field("program", request.program), field("verdict", verdict), field("tokens", request.tokens),
-        field("budget", request.budget), field("used", known.used), field("reserved", known.committed() - known.used),
-        field("unmarked", known.unpersisted_limit), field("marked", known.high_water_mark),
-        field("mark", known.high_water_mark_revision), field("for_silent_owner", request.owner_unresponsive));
+        field("budget", request.budget), field("used", known.used()),
+        field("reserved", known.committed() - known.used()), field("unmarked", known.unpersisted_limit),
+        field("marked", known.high_water_mark), field("mark", known.high_water_mark_revision),
+        field("for_silent_owner", request.owner_unresponsive));
 }
 
 asio::awaitable<budget_reply> budget_coordinator::decide(const budget_request& request)
 {
     budget_reply reply;
     reply.request = request.request;
-    if (request.owner_unresponsive) {
-        m_ledger.act_for_owner(request.program);
-    }
     // The former owner may be alive and also grant turns: it did not hand the record over, or this gateway is
     // partitioned.
     const bool taken_over = !m_owned.contains(request.program) && !m_handed_over.contains(request.program);
@@ -210,6 +215,7 @@
             log_decision(request, "granted");
             reply.location = m_ledger.location_of(request.program, request.session);
             reply.first_turn = m_ledger.is_first_turn(request.program);
+            reply.series = m_ledger.find(request.program)->open_series(request.request);
             m_owned.insert(request.program);
             send_backup(request.program);
             co_return reply;
@@ -330,32 +336,48 @@
     m_fleet.send(sender, datagram_kind::budget_reply, to_json(reply));
 }
 
-void budget_coordinator::on_budget_reply(const nlohmann::json& body)
+void budget_coordinator::on_budget_reply(const std::string& sender, const nlohmann::json& body)
 {
     const auto reply = budget_reply_from(body);
     if (!reply) {
         return;
     }
     if (const auto it = m_pending_queries.find(reply->request); it != m_pending_queries.end()) {
-        it->second->reply = *reply;
+        it->second->reply = {sender, *reply};
         it->second->wake.cancel();
+        return;
+    }
+    // Another gateway has granted this turn meanwhile.
+    const auto it = m_grants.find(reply->request);
+    if (it != m_grants.end() && reply->verdict == budget_verdict::granted && reply->series != it->second.series) {
+        send_settlement(sender, {reply->request, it->second.program, {}, 0, {}, reply->series});
     }
 }
 
-void budget_coordinator::settle(const budget_settlement& message)
+// The gateway that granted a turn is certain to know it. The owner has a copy, unless that was lost.
+void budget_coordinator::settle(budget_settlement message)
 {
-    const auto owners = m_fleet.ranked(message.program);
-    if (owners.empty() || owners.front() == m_fleet.own_id()) {
+    const auto it = m_grants.extract(message.request);
+    if (it.empty()) {
+        return;
+    }
+    message.series = it.mapped().series;
+    send_settlement(it.mapped().gateway, message);
+    const std::vector<std::string> owners = m_fleet.ranked(message.program);
+    if (!owners.empty() && owners.front() != it.mapped().gateway) {
+        send_settlement(owners.front(), message);
+    }
+}
+
+void budget_coordinator::send_settlement(const std::string& receiver, const budget_settlement& message)
+{
+    if (receiver == m_fleet.own_id()) {
         apply_settlement(message);
         return;
     }
     const nlohmann::json body = to_json(message);
     for (int n = 0; n < settlement_sends; ++n) {
-        m_fleet.send(owners.front(), datagram_kind::budget_settlement, body);
-    }
-    // The owner may have been skipped when the turn was granted, and the record may be here.
-    if (m_owned.contains(message.program)) {
-        m_ledger.settle(message, steady_now());
+        m_fleet.send(receiver, datagram_kind::budget_settlement, body);
     }
 }
 
@@ -368,9 +390,7 @@
 
 void budget_coordinator::apply_settlement(const budget_settlement& message)
 {
-    const budget_record* record = m_ledger.find(message.program);
-    const bool open = record != nullptr && record->reserved.contains(message.request);
-    if (m_ledger.settle(message, steady_now()) && open) {
+    if (m_ledger.settle(message, steady_now())) {
         send_backup(message.program);
     }
 }
@@ -406,11 +426,8 @@
     if (!record_copy) {
         return;
     }
-    if (record_copy->record && m_owned.contains(record_copy->program)) {
-        m_ledger.merge(record_copy->program, *record_copy->record, steady_now());
-    }
-    else if (record_copy->record) {
-        m_ledger.adopt(record_copy->program, *record_copy->record, steady_now());
+    if (record_copy->record) {
+        m_ledger.join(record_copy->program, *record_copy->record, steady_now());
         if (record_copy->transfers_ownership) {
             m_handed_over.insert(record_copy->program);
         }
--- a/src/gateway/budget_coordinator.h
+++ b/src/gateway/budget_coordinator.h
@@ -27,8 +27,8 @@
     /// Requests the tokens of a turn from the owner of the program's record, which may be this gateway.
     asio::awaitable<budget_reply> reserve(budget_request request);
 
-    /// Reports the end of a granted turn to the owner.
-    void settle(const budget_settlement& message);
+    /// Reports the end of a granted turn to the gateway that granted it and to the owner. The series need not be set.
+    void settle(budget_settlement message);
 
     /// Sends the records that this gateway owns to their next owners, and the records of which it has the only backup
     /// to their next replicas. Called when the process stops.
@@ -38,10 +38,19 @@
     const budget_ledger& ledger() const { return m_ledger; }
 
 private:
+    struct grant {
+        std::string gateway; ///< that granted the turn
+        std::string program;
+        std::uint64_t series = 0;
+    };
+    struct received_reply {
+        std::string sender;
+        budget_reply reply;
+    };
     struct pending_query {
         explicit pending_query(const asio::any_io_executor& loop) : wake(loop) {}
         asio::steady_timer wake;
-        std::optional<budget_reply> reply;
+        std::optional<received_reply> reply;
     };
     struct pending_copies {
         explicit pending_copies(const asio::any_io_executor& loop) : wake(loop) {}
@@ -53,15 +62,16 @@
 
     asio::awaitable<budget_reply> decide_in_turn(budget_request request);
     asio::awaitable<budget_reply> decide(const budget_request& request);
-    asio::awaitable<std::optional<budget_reply>> request_from_owner(const std::string& owner,
-                                                                    const budget_request& request);
+    asio::awaitable<std::optional<received_reply>> request_from_owner(const std::string& owner,
+                                                                      const budget_request& request);
     asio::awaitable<void> find_record(const budget_request& request);
     asio::awaitable<bool> request_copies(std::string program);
     asio::awaitable<bool> write_high_water_mark(const budget_request& request);
     asio::awaitable<void> reply_to_request(std::string sender, budget_request request);
     asio::awaitable<void> run_upkeep();
     void on_budget_request(const std::string& sender, const nlohmann::json& body);
-    void on_budget_reply(const nlohmann::json& body);
+    void on_budget_reply(const std::string& sender, const nlohmann::json& body);
+    void send_settlement(const std::string& receiver, const budget_settlement& message);
     void on_settlement(const nlohmann::json& body);
     void on_record_request(const std::string& sender, const nlohmann::json& body);
     void on_record_copy(const std::string& sender, const nlohmann::json& body);
@@ -81,6 +91,7 @@
     std::set<std::string, std::less<>> m_deciding;                                        ///< programs being decided on
     std::set<std::string, std::less<>> m_replying;                      ///< requests of others being decided on
     std::map<std::string, timestamp, std::less<>> m_unresponsive_until; ///< owners that did not reply
+    std::map<std::string, grant, std::less<>> m_grants;                 ///< open turns of this gateway, by request id
     std::set<std::string, std::less<>> m_owned;                         ///< programs that this gateway decides on
     std::set<std::string, std::less<>> m_handed_over; ///< programs that their former owner handed to this gateway
 };
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -3,6 +3,7 @@
 #include "util/ensure.h"
 
 #include <algorithm>
+#include <random>
 #include <ranges>
 
 namespace lagoonferry {
@@ -18,17 +19,16 @@
     return static_cast<std::uint64_t>(static_cast<double>(budget) * share);
 }
 
-/// Received reservations carry no timestamp, because the clocks of machines differ. Their timeout starts on receipt.
-void start_reservations(budget_record& record, timestamp now)
+std::uint64_t random_series_id()
 {
-    for (auto& item : record.reserved | std::views::values) {
-        item.since = item.since == timestamp{} ? now : item.since;
-    }
-    record.last_use = now;
+    std::random_device device;
+    return std::uniform_int_distribution<std::uint64_t>(1)(device);
 }
 
 } // namespace
 
+budget_ledger::budget_ledger(budget_rules rules) : m_rules(rules), m_next_series(random_series_id()) {}
+
 std::uint64_t budget_ledger::unpersisted_allowance(std::uint64_t budget) const
 {
     return share_of(budget, m_rules.unpersisted_share);
@@ -42,7 +42,7 @@
     }
     budget_record& record = it->second;
     record.last_use = now;
-    if (record.reserved.contains(request.request)) {
+    if (record.open_series(request.request) != 0) {
         return ledger_decision::granted;
     }
     const std::uint64_t total = record.committed() + request.tokens;
@@ -52,7 +52,12 @@
     if (total > std::max(record.unpersisted_limit, record.high_water_mark)) {
         return ledger_decision::needs_high_water_mark;
     }
-    record.reserved[request.request] = {request.tokens, now};
+    if (record.own_series == 0) {
+        record.own_series = m_next_series++;
+    }
+    budget_record::turn_series& own = record.series[record.own_series];
+    const std::uint64_t last = own.turns.empty() ? own.folded_turns : own.turns.rbegin()->first;
+    own.turns[last + 1] = {request.request, request.tokens, false, now};
     return ledger_decision::granted;
 }
 
@@ -70,49 +75,18 @@
         record.unpersisted_limit = std::min(request.budget, unpersisted_allowance(request.budget) + request.tokens);
     }
     else {
-        record.used = unpersisted_allowance(request.budget);
+        record.presumed = unpersisted_allowance(request.budget);
     }
 }
 
-void budget_ledger::adopt(std::string_view program, const budget_record& other, timestamp now)
+void budget_ledger::join(std::string_view program, const budget_record& other, timestamp now)
 {
-    const auto [it, added] = m_records.try_emplace(std::string(program), other);
+    const auto [it, added] = m_records.try_emplace(std::string(program));
     budget_record& record = it->second;
-    if (!added) {
-        if (other.used < record.used) {
-            return; // datagrams may arrive out of order
-        }
-        m_acting_for_owner.erase(it->first);
-        const std::uint64_t revision = record.high_water_mark_revision;
-        const std::uint64_t high_water_mark = std::max(record.high_water_mark, other.high_water_mark);
-        record = other;
-        record.high_water_mark = high_water_mark;
-        record.high_water_mark_revision = revision;
+    if (added) {
+        record.unpersisted_limit = other.unpersisted_limit;
     }
-    start_reservations(record, now);
-}
-
-void budget_ledger::merge(std::string_view program, const budget_record& other, timestamp now)
-{
-    const auto [it, added] = m_records.try_emplace(std::string(program), other);
-    budget_record& record = it->second;
-    if (!added) {
-        record.used += other.granted_for_owner;
-        record.high_water_mark = std::max(record.high_water_mark, other.high_water_mark);
-        record.unpersisted_limit = std::min(record.unpersisted_limit, other.unpersisted_limit);
-        for (const auto& [id, item] : other.reserved) {
-            record.reserved.try_emplace(id, item);
-        }
-        for (const auto& [session, location] : other.sessions) {
-            record.sessions[session] = location;
-        }
-    }
-    start_reservations(record, now);
-}
-
-void budget_ledger::act_for_owner(std::string_view program)
-{
-    m_acting_for_owner.emplace(program);
+    lagoonferry::join(record, other, now);
 }
 
 void budget_ledger::restrict_unpersisted(const budget_request& request)
@@ -146,8 +120,8 @@
     budget_record& record = it->second;
     // A higher mark that was written neither here nor by the sender of this copy may already be used up by its writer.
     if (high_water_mark > record.high_water_mark && !written_here) {
-        const std::uint64_t reserved = record.committed() - record.used;
-        record.used = std::max(record.used, high_water_mark > reserved ? high_water_mark - reserved : 0);
+        const std::uint64_t committed = record.committed();
+        record.presumed += high_water_mark > committed ? high_water_mark - committed : 0;
         record.unpersisted_limit = 0;
     }
     record.high_water_mark = std::max(record.high_water_mark, high_water_mark);
@@ -162,13 +136,7 @@
     }
     budget_record& record = it->second;
     record.last_use = now;
-    const auto turn = record.reserved.find(message.request);
-    if (turn != record.reserved.end()) {
-        const std::uint64_t tokens = std::min(message.tokens, turn->second.tokens);
-        record.used += tokens;
-        record.granted_for_owner += m_acting_for_owner.contains(it->first) ? tokens : 0;
-        record.reserved.erase(turn);
-    }
+    const bool ended = record.end_turn(message.request, message.series, message.tokens);
     if (!message.session.empty() && !message.location.target.empty()) {
         if (record.sessions.size() >= max_sessions && !record.sessions.contains(message.session)) {
             const auto other =
@@ -177,7 +145,7 @@
         }
         record.sessions[message.session] = message.location;
     }
-    return true;
+    return ended;
 }
 
 const budget_record* budget_ledger::find(std::string_view program) const
@@ -189,7 +157,7 @@
 bool budget_ledger::is_first_turn(std::string_view program) const
 {
     const budget_record* record = find(program);
-    return record != nullptr && record->used == 0 && record->reserved.size() == 1;
+    return record != nullptr && record->used() == 0 && record->open_turn_count() == 1;
 }
 
 session_location budget_ledger::location_of(std::string_view program, std::string_view session) const
@@ -208,17 +176,17 @@
 void budget_ledger::expire(timestamp now)
 {
     for (budget_record& record : m_records | std::views::values) {
-        std::erase_if(record.reserved, [&](const auto& pair) {
-            const bool timed_out = now - pair.second.since > m_rules.reservation_timeout;
-            record.used += timed_out ? pair.second.tokens : 0;
-            return timed_out;
-        });
+        for (budget_record::turn_series& item : record.series | std::views::values) {
+            for (budget_record::turn& each : item.turns | std::views::values) {
+                each.ended = each.ended || now - each.since > m_rules.reservation_timeout;
+            }
+            item.fold();
+        }
     }
     const auto deleted = [this](const std::string& id) { return !m_records.contains(id); };
-    std::erase_if(m_acting_for_owner, deleted);
     std::erase_if(m_restricted, deleted);
     std::erase_if(m_records, [&](const auto& pair) {
-        return pair.second.reserved.empty() && now - pair.second.last_use > m_rules.record_retention;
+        return pair.second.open_turn_count() == 0 && now - pair.second.last_use > m_rules.record_retention;
     });
 }
 
@@ -232,7 +200,6 @@
 {
     const auto it = m_records.find(program);
     if (it != m_records.end()) {
-        m_acting_for_owner.erase(it->first);
         m_restricted.erase(it->first);
         m_records.erase(it);
     }
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -31,7 +31,7 @@
 enum class ledger_decision {
     granted,
     exhausted,
-    needs_record,          ///< another gateway may have the record: request it, then call `adopt` or `start_record`
+    needs_record,          ///< another gateway may have the record: request it, then call `join` or `start_record`
     needs_high_water_mark, ///< write the mark to the store, then call `set_high_water_mark` with the stored one
 };
 
@@ -46,7 +46,7 @@
 /// before the tokens are granted. Performs no I/O. Not thread-safe.
 class budget_ledger {
 public:
-    explicit budget_ledger(budget_rules rules = {}) : m_rules(rules) {}
+    explicit budget_ledger(budget_rules rules = {});
 
     /// Decides on a turn. `granted` reserves the turn's tokens. Repeating a granted request reserves nothing more.
     ledger_decision reserve(const budget_request& request, timestamp now);
@@ -55,15 +55,8 @@
     /// Otherwise the unpersisted share of its budget counts as used.
     void start_record(const budget_request& request, bool known_unspent, timestamp now);
 
-    /// Replaces the own copy of a record by the copy of another gateway. An older copy is ignored.
-    void adopt(std::string_view program, const budget_record& other, timestamp now);
-
-    /// Merges the record of a gateway that decided on behalf of this one: adds the usage that it granted.
-    void merge(std::string_view program, const budget_record& other, timestamp now);
-
-    /// Marks a program: turns granted from now on are decided on behalf of an owner that does not reply. Ends when its
-    /// record is adopted again.
-    void act_for_owner(std::string_view program);
+    /// Joins the record of another gateway with the own one. Records may arrive late, in any order and repeatedly.
+    void join(std::string_view program, const budget_record& other, timestamp now);
 
     /// Limits the usage without a stored high-water mark to one more turn like `request`; only the first call for a
     /// program has an effect. Used when another gateway may also be granting turns of the program, because a budget may
@@ -79,7 +72,7 @@
     void set_high_water_mark(std::string_view program, std::uint64_t high_water_mark, std::uint64_t revision,
                              bool written_here);
 
-    /// Ends a turn: replaces its reservation by the tokens it used. Returns false if the program has no record.
+    /// Ends a turn: replaces its reservation by the tokens it used. Returns false if no such turn is open.
     bool settle(const budget_settlement& message, timestamp now);
 
     const budget_record* find(std::string_view program) const;
@@ -100,9 +93,9 @@
     std::uint64_t unpersisted_allowance(std::uint64_t budget) const;
 
     budget_rules m_rules;
+    std::uint64_t m_next_series; ///< random at first, so that the series of all processes differ
     std::map<std::string, budget_record, std::less<>> m_records;
-    std::set<std::string, std::less<>> m_acting_for_owner; ///< programs for which `act_for_owner` was called
-    std::set<std::string, std::less<>> m_restricted;       ///< programs for which `restrict_unpersisted` was called
+    std::set<std::string, std::less<>> m_restricted; ///< programs for which `restrict_unpersisted` was called
 };
 
 } // namespace lagoonferry
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -30,25 +30,40 @@
     return {message.at(0).get<std::string>(), message.at(1).get<std::uint32_t>()};
 }
 
-json reservations_json(const budget_record& record)
+json series_json(const budget_record& record)
 {
     json list = json::array();
-    for (const auto& [id, item] : record.reserved) {
-        list.push_back({id, item.tokens});
+    for (const auto& [id, series] : record.series) {
+        json turns = json::array();
+        for (const auto& [number, turn] : series.turns) {
+            turns.push_back({number, turn.request, turn.tokens, turn.ended});
+        }
+        list.push_back({id, series.folded_turns, series.folded_tokens, std::move(turns)});
     }
     return list;
 }
 
+budget_record::turn_series series_from(const json& message)
+{
+    budget_record::turn_series series;
+    series.folded_turns = message.at(1).get<std::uint64_t>();
+    series.folded_tokens = message.at(2).get<std::uint64_t>();
+    for (const json& item : message.at(3)) {
+        series.turns[item.at(0).get<std::uint64_t>()] = {item.at(1).get<std::string>(), item.at(2).get<std::uint64_t>(),
+                                                         item.at(3).get<bool>(), timestamp{}};
+    }
+    return series;
+}
+
 budget_record record_from(const json& message)
 {
     budget_record record;
     record.budget = message.at("b").get<std::uint64_t>();
-    record.used = message.at("u").get<std::uint64_t>();
-    record.granted_for_owner = message.at("d").get<std::uint64_t>();
+    record.presumed = message.at("e").get<std::uint64_t>();
     record.high_water_mark = message.at("m").get<std::uint64_t>();
     record.unpersisted_limit = message.at("f").get<std::uint64_t>();
     for (const json& item : message.at("r")) {
-        record.reserved[item.at(0).get<std::string>()] = {item.at(1).get<std::uint64_t>(), timestamp{}};
+        record.series[item.at(0).get<std::uint64_t>()] = series_from(item);
     }
     for (const auto& [session, location] : message.at("s").items()) {
         record.sessions[session] = location_from(location);
@@ -69,16 +84,14 @@
     return {{"q", message.request},
             {"v", static_cast<int>(message.verdict)},
             {"s", to_json(message.location)},
-            {"f", message.first_turn}};
+            {"f", message.first_turn},
+            {"g", message.series}};
 }
 
 json to_json(const budget_settlement& message)
 {
-    return {{"q", message.request},
-            {"p", message.program},
-            {"s", message.session},
-            {"t", message.tokens},
-            {"a", to_json(message.location)}};
+    return {{"q", message.request}, {"p", message.program},           {"s", message.session},
+            {"t", message.tokens},  {"a", to_json(message.location)}, {"g", message.series}};
 }
 
 json to_json(const budget_record_request& message)
@@ -91,11 +104,10 @@
     json out{{"p", message.program}, {"c", message.sender_authoritative}, {"h", message.transfers_ownership}};
     if (message.record) {
         out["b"] = message.record->budget;
-        out["u"] = message.record->used;
-        out["d"] = message.record->granted_for_owner;
+        out["e"] = message.record->presumed;
         out["m"] = message.record->high_water_mark;
         out["f"] = message.record->unpersisted_limit;
-        out["r"] = reservations_json(*message.record);
+        out["r"] = series_json(*message.record);
         out["s"] = json::object();
         for (const auto& [session, location] : message.record->sessions) {
             out["s"][session] = to_json(location);
@@ -121,7 +133,8 @@
                             verdict == static_cast<int>(budget_verdict::granted)     ? budget_verdict::granted
                             : verdict == static_cast<int>(budget_verdict::exhausted) ? budget_verdict::exhausted
                                                                                      : budget_verdict::undecided,
-                            location_from(message.at("s")), message.value("f", false)};
+                            location_from(message.at("s")), message.value("f", false),
+                            message.at("g").get<std::uint64_t>()};
     });
 }
 
@@ -130,7 +143,7 @@
     return read_or_nothing([&] {
         return budget_settlement{message.at("q").get<std::string>(), message.at("p").get<std::string>(),
                                  message.at("s").get<std::string>(), message.at("t").get<std::uint64_t>(),
-                                 location_from(message.at("a"))};
+                                 location_from(message.at("a")),     message.at("g").get<std::uint64_t>()};
     });
 }
 
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -31,6 +31,7 @@
     budget_verdict verdict = budget_verdict::undecided;
     session_location location; ///< of the session or, if unknown, of the program's first session
     bool first_turn = false;   ///< the program has used no tokens before this turn
+    std::uint64_t series = 0;  ///< series of the granted turn; see `budget_record`
 };
 
 /// Reports the end of a turn to the owner.
@@ -40,6 +41,7 @@
     std::string session;
     std::uint64_t tokens = 0;  ///< tokens that the caller received
     session_location location; ///< target that ran the turn
+    std::uint64_t series = 0;  ///< series of the turn; see `budget_record`
 };
 
 /// Requests the record of a program from the gateway that has the copy.
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -4,7 +4,11 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <map>
 #include <random>
+#include <ranges>
+#include <vector>
 
 using namespace lagoonferry;
 using std::chrono::seconds;
@@ -25,6 +29,13 @@
     return {std::move(id), "p", std::move(session), tokens, {std::move(target), 500}};
 }
 
+/// Ends a turn in the series in which it is open.
+void settle(budget_ledger& ledger, budget_settlement message, timestamp now)
+{
+    message.series = ledger.find("p")->open_series(message.request);
+    ledger.settle(message, now);
+}
+
 /// The high-water mark of one program in the store.
 struct high_water_mark_store {
     std::uint64_t high_water_mark = 0;
@@ -70,11 +81,11 @@
     budget_ledger ledger;
     high_water_mark_store store;
     CHECK(decide(ledger, request_of("1"), store, true, seconds(1)));
-    ledger.settle(settlement_of("1", 60), seconds(2));
+    settle(ledger, settlement_of("1", 60), seconds(2));
     CHECK(decide(ledger, request_of("2"), store, true, seconds(3)));
-    ledger.settle(settlement_of("2", 60), seconds(4));
+    settle(ledger, settlement_of("2", 60), seconds(4));
     CHECK(store.calls == 0);
-    CHECK(ledger.find("p")->used == 120);
+    CHECK(ledger.find("p")->used() == 120);
 }
 
 TEST_CASE("a single owner grants exactly the budget")
@@ -85,7 +96,7 @@
     int granted = 0;
     for (int n = 0; n < 30; ++n) {
         if (decide(ledger, request_of(std::to_string(n)), store, true, seconds(n))) {
-            ledger.settle(settlement_of(std::to_string(n), turn), seconds(n));
+            settle(ledger, settlement_of(std::to_string(n), turn), seconds(n));
             generated_tokens += turn;
             ++granted;
         }
@@ -105,7 +116,7 @@
     constexpr std::uint64_t max_tokens = 350;
     for (int n = 0; n < 4; ++n) {
         CHECK(decide(ledger, request_of(std::to_string(n), max_tokens), store, true, seconds(n)));
-        ledger.settle(settlement_of(std::to_string(n), 80), seconds(n));
+        settle(ledger, settlement_of(std::to_string(n), 80), seconds(n));
     }
     CHECK(store.calls == 0);
 }
@@ -117,15 +128,15 @@
     budget_ledger first;
     budget_ledger second;
     REQUIRE(decide(first, request_of("0"), store, true, seconds(0)));
-    first.settle(settlement_of("0", turn), seconds(0));
-    second.adopt("p", *first.find("p"), seconds(0));
+    settle(first, settlement_of("0", turn), seconds(0));
+    second.join("p", *first.find("p"), seconds(0));
     std::uint64_t generated_tokens = turn;
     for (int n = 1; n < 30; ++n) {
         for (budget_ledger* owner : {&first, &second}) {
             const budget_request request = request_of(std::to_string(n) + (owner == &first ? "a" : "b"));
             owner->restrict_unpersisted(request);
             if (decide(*owner, request, store, true, seconds(n))) {
-                owner->settle(settlement_of(request.request, turn), seconds(n));
+                settle(*owner, settlement_of(request.request, turn), seconds(n));
                 generated_tokens += turn;
             }
         }
@@ -142,7 +153,7 @@
         CHECK(decide(ledger, request_of(std::to_string(n)), store, true, seconds(1)));
     }
     CHECK_FALSE(decide(ledger, request_of("10"), store, true, seconds(1)));
-    ledger.settle(settlement_of("3", 0, ""), seconds(2));
+    settle(ledger, settlement_of("3", 0, ""), seconds(2));
     CHECK(decide(ledger, request_of("10"), store, true, seconds(2)));
 }
 
@@ -161,7 +172,7 @@
     budget_ledger first;
     for (int n = 0; n < 5; ++n) {
         CHECK(decide(first, request_of(std::to_string(n)), store, true, seconds(n)));
-        first.settle(settlement_of(std::to_string(n), turn), seconds(n));
+        settle(first, settlement_of(std::to_string(n), turn), seconds(n));
     }
     REQUIRE(store.high_water_mark >= 500);
     budget_ledger second;
@@ -169,7 +180,7 @@
     for (int n = 0; n < 20; ++n) {
         const std::string id = "b" + std::to_string(n);
         if (decide(second, request_of(id), store, false, seconds(10 + n))) {
-            second.settle(settlement_of(id, turn), seconds(10 + n));
+            settle(second, settlement_of(id, turn), seconds(10 + n));
             generated_tokens += turn;
         }
     }
@@ -183,11 +194,11 @@
     budget_ledger owner;
     budget_ledger other;
     CHECK(decide(owner, request_of("1"), store, true, seconds(1)));
-    owner.settle(settlement_of("1", 80), seconds(2));
+    settle(owner, settlement_of("1", 80), seconds(2));
     CHECK(decide(owner, request_of("2"), store, true, seconds(2)));
-    other.adopt("p", *owner.find("p"), seconds(2));
+    other.join("p", *owner.find("p"), seconds(2));
     CHECK(other.find("p")->committed() == 180);
-    other.settle(settlement_of("2", 30), seconds(3));
+    settle(other, settlement_of("2", 30), seconds(3));
     CHECK(other.find("p")->committed() == 110);
     CHECK(decide(other, request_of("3"), store, false, seconds(3)));
     CHECK(store.calls == 0);
@@ -200,9 +211,9 @@
     budget_ledger other;
     CHECK(decide(owner, request_of("1"), store, true, seconds(1)));
     const budget_record early = *owner.find("p");
-    owner.settle(settlement_of("1", 80), seconds(2));
-    other.adopt("p", *owner.find("p"), seconds(2));
-    other.adopt("p", early, seconds(2));
+    settle(owner, settlement_of("1", 80), seconds(2));
+    other.join("p", *owner.find("p"), seconds(2));
+    other.join("p", early, seconds(2));
     CHECK(other.find("p")->committed() == 80);
 }
 
@@ -212,15 +223,102 @@
     budget_ledger owner;
     budget_ledger backup;
     CHECK(decide(owner, request_of("1"), store, true, seconds(1)));
-    owner.settle(settlement_of("1", 80), seconds(1));
-    backup.adopt("p", *owner.find("p"), seconds(1));
-    backup.act_for_owner("p");
+    settle(owner, settlement_of("1", 80), seconds(1));
+    backup.join("p", *owner.find("p"), seconds(1));
     CHECK(decide(backup, request_of("2"), store, true, seconds(2)));
-    backup.settle(settlement_of("2", 70), seconds(2));
+    settle(backup, settlement_of("2", 70), seconds(2));
     CHECK(decide(owner, request_of("3"), store, true, seconds(2)));
-    owner.settle(settlement_of("3", 50), seconds(2));
-    owner.merge("p", *backup.find("p"), seconds(3));
-    CHECK(owner.find("p")->used == 80 + 70 + 50);
+    settle(owner, settlement_of("3", 50), seconds(2));
+    owner.join("p", *backup.find("p"), seconds(3));
+    CHECK(owner.find("p")->used() == 80 + 70 + 50);
+}
+
+// Guards against review case 6: the backup granted turns in place of the owner, the owner ended the first one and then
+// ignored all later copies, because its total was higher than theirs.
+TEST_CASE("turns that the backup grants after the owner has ended an earlier one are all counted")
+{
+    high_water_mark_store store;
+    budget_ledger owner;
+    budget_ledger backup;
+    REQUIRE(decide(backup, request_of("1"), store, true, seconds(1)));
+    owner.join("p", *backup.find("p"), seconds(1));
+    settle(owner, settlement_of("1", turn), seconds(2));
+    for (const char* id : {"2", "3", "4"}) {
+        REQUIRE(decide(backup, request_of(id), store, true, seconds(2)));
+        owner.join("p", *backup.find("p"), seconds(2));
+        settle(owner, settlement_of(id, turn), seconds(3));
+    }
+    CHECK(owner.find("p")->used() == 4 * turn);
+    backup.join("p", *owner.find("p"), seconds(4));
+    CHECK(backup.find("p")->committed() == 4 * turn);
+}
+
+// Guards against two histories of one budget that replace each other, as the larger total was taken for the newer one.
+TEST_CASE("records that several gateways changed are joined to the same usage in any order")
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::minstd_rand random(seed);
+        const auto draw = [&random](int most) { return std::uniform_int_distribution<int>(0, most)(random); };
+        std::vector<budget_ledger> gateways(3);
+        std::map<std::string, std::uint64_t> used; // by request; a turn that runs counts in full
+        high_water_mark_store store;
+        for (budget_ledger& item : gateways) {
+            item.start_record(request_of("none"), true, seconds(0));
+        }
+        for (int n = 0; n < 9; ++n) {
+            const std::string id = std::to_string(n);
+            budget_ledger& granting = gateways[static_cast<std::size_t>(draw(2))];
+            if (granting.reserve(request_of(id), seconds(1)) != ledger_decision::granted) {
+                continue;
+            }
+            used[id] = turn;
+            budget_ledger& other = gateways[static_cast<std::size_t>(draw(2))];
+            other.join("p", *granting.find("p"), seconds(1));
+            if (draw(2) > 0) {
+                used[id] = static_cast<std::uint64_t>(draw(turn));
+                settle(other, settlement_of(id, used[id]), seconds(1));
+                settle(granting, settlement_of(id, used[id]), seconds(1));
+            }
+        }
+        std::uint64_t total = 0;
+        for (const std::uint64_t tokens : used | std::views::values) {
+            total += tokens;
+        }
+        // Every gateway gets the records of all, some of them twice, in an order of its own.
+        std::vector<budget_record> records;
+        for (const budget_ledger& item : gateways) {
+            records.push_back(*item.find("p"));
+        }
+        for (budget_ledger& item : gateways) {
+            records.push_back(records[static_cast<std::size_t>(draw(2))]);
+            std::ranges::shuffle(records, random);
+            for (const budget_record& record : records) {
+                item.join("p", record, seconds(2));
+            }
+            CAPTURE(seed);
+            CHECK(item.find("p")->committed() == total);
+        }
+    }
+}
+
+TEST_CASE("turns that become known explain usage that was presumed from a mark")
+{
+    high_water_mark_store store;
+    budget_ledger first;
+    budget_ledger second;
+    for (int n = 0; n < 5; ++n) {
+        REQUIRE(decide(first, request_of(std::to_string(n)), store, true, seconds(n)));
+        settle(first, settlement_of(std::to_string(n), turn), seconds(n));
+    }
+    second.start_record(request_of("x"), false, seconds(9));
+    second.set_high_water_mark("p", store.high_water_mark, store.revision, false);
+    REQUIRE(second.find("p")->committed() == store.high_water_mark);
+    second.join("p", *first.find("p"), seconds(9));
+    CHECK(second.find("p")->committed() == store.high_water_mark);
+    REQUIRE(store.high_water_mark > 5 * turn);
+    REQUIRE(decide(first, request_of("6"), store, true, seconds(9)));
+    second.join("p", *first.find("p"), seconds(9));
+    CHECK(second.find("p")->committed() == store.high_water_mark);
 }
 
 TEST_CASE("a turn whose end is never reported counts in full")
@@ -229,9 +327,9 @@
     high_water_mark_store store;
     CHECK(decide(ledger, request_of("1"), store, true, seconds(1)));
     ledger.expire(seconds(10));
-    CHECK(ledger.find("p")->used == 0);
+    CHECK(ledger.find("p")->used() == 0);
     ledger.expire(seconds(14));
-    CHECK(ledger.find("p")->used == turn);
+    CHECK(ledger.find("p")->used() == turn);
     ledger.expire(seconds(100));
     CHECK(ledger.find("p") == nullptr);
 }
@@ -241,11 +339,11 @@
     budget_ledger ledger;
     high_water_mark_store store;
     CHECK(decide(ledger, request_of("1"), store, true, seconds(1)));
-    ledger.settle(settlement_of("1", 10, "main-target"), seconds(1));
+    settle(ledger, settlement_of("1", 10, "main-target"), seconds(1));
     for (int n = 0; n < 20; ++n) {
         const std::string id = "s" + std::to_string(n);
         CHECK(decide(ledger, request_of(id, 10, id), store, true, seconds(2)));
-        ledger.settle(settlement_of(id, 1, "other", id), seconds(2));
+        settle(ledger, settlement_of(id, 1, "other", id), seconds(2));
     }
     CHECK(ledger.location_of("p", "new").target == "main-target");
     CHECK(ledger.location_of("p", "s19").target == "other");
@@ -267,7 +365,7 @@
             if (decide(*owner, request_of(id), store, !lost, seconds(n))) {
                 const auto tokens = std::uniform_int_distribution<std::uint64_t>(0, turn)(random);
                 generated_tokens += tokens;
-                owner->settle(settlement_of(id, tokens), seconds(n));
+                settle(*owner, settlement_of(id, tokens), seconds(n));
             }
             const auto event = std::uniform_int_distribution<int>(0, 19)(random);
             if (event == 0 && !lost) {
@@ -276,7 +374,7 @@
             }
             else if (event == 1) {
                 auto next = std::make_unique<budget_ledger>();
-                next->adopt("p", *owner->find("p"), seconds(n));
+                next->join("p", *owner->find("p"), seconds(n));
                 owner = std::move(next);
             }
         }
@@ -289,13 +387,15 @@
 {
     budget_record record;
     record.budget = 900;
-    record.used = 7;
-    record.reserved["r"] = {30, seconds(4)};
+    record.series[3] = {2, 7, {{3, {"r", 30, false, seconds(4)}}, {4, {"s", 5, true, seconds(4)}}}};
+    record.presumed = 11;
     record.sessions["s"] = {"t", 12};
     const auto copy = budget_record_copy_from(to_json(budget_record_copy{"p", record, true, false}));
     REQUIRE(copy);
     REQUIRE(copy->record);
-    CHECK(copy->record->committed() == 37);
+    CHECK(copy->record->committed() == 53);
+    CHECK(copy->record->used() == 23);
+    CHECK(copy->record->open_series("r") == 3);
     CHECK(copy->record->sessions.at("s") == session_location{"t", 12});
     CHECK(copy->sender_authoritative);
     const auto reply = budget_reply_from(to_json(budget_reply{"r", budget_verdict::exhausted, {"t", 3}}));
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -31,8 +31,8 @@
 /// The budget component of a gateway with its datagrams. A test simulates a stopped process by no longer polling
 /// `loop`.
 struct test_gateway {
-    explicit test_gateway(int number)
-        : settings(settings_of(number)), fleet(loop.get_executor(), settings),
+    explicit test_gateway(gateway_settings initial_settings)
+        : settings(std::move(initial_settings)), fleet(loop.get_executor(), settings),
           store(loop.get_executor(), adapter, [](std::string_view /*call*/, store_status /*result*/) {}),
           budgets(loop.get_executor(), fleet, store)
     {
@@ -50,14 +50,18 @@
     bool running = true;
 };
 
-/// Four gateways that know each other and have no store.
+/// Four gateways that know each other. Without a store, the address of theirs is not reachable.
 class test_fleet {
 public:
-    test_fleet()
+    explicit test_fleet(bool with_store = false)
     {
+        if (with_store) {
+            m_store = std::make_unique<soak::soak_store>(m_store_loop.get_executor());
+        }
         std::vector<listed_instance> all;
         for (int n = 0; n < 4; ++n) {
-            m_gateways.push_back(std::make_unique<test_gateway>(n));
+            m_gateways.push_back(std::make_unique<test_gateway>(
+                m_store ? document_gateway::settings_with(n, m_store->address()) : settings_of(n)));
             listed_instance item;
             item.id = m_gateways.back()->settings.id;
             item.role = member_role::entry;
@@ -85,6 +89,7 @@
                     gateway->loop.poll();
                 }
             }
+            m_store_loop.poll();
             std::this_thread::sleep_for(milliseconds(1));
         }
         return done();
@@ -110,13 +115,20 @@
 
     /// Requests a turn from a gateway, and settles it in full when it is granted.
     budget_verdict request_turn(test_gateway& gateway, const std::string& program, const std::string& request)
+    {
+        const budget_verdict verdict = reserve_turn(gateway, program, request);
+        if (verdict == budget_verdict::granted) {
+            gateway.budgets.settle({request, program, program, turn, {}});
+        }
+        return verdict;
+    }
+
+    /// Requests a turn from a gateway, and leaves it open.
+    budget_verdict reserve_turn(test_gateway& gateway, const std::string& program, const std::string& request)
     {
         const auto reply = std::make_shared<std::optional<budget_reply>>();
         spawn(gateway.loop.get_executor(), reserve(gateway, program, request, reply), "test");
         REQUIRE(run_until([&] { return reply->has_value(); }));
-        if ((*reply)->verdict == budget_verdict::granted) {
-            gateway.budgets.settle({request, program, program, turn, {}});
-        }
         return (*reply)->verdict;
     }
 
@@ -128,6 +140,8 @@
         *reply = co_await gateway.budgets.reserve(message);
     }
 
+    asio::io_context m_store_loop{1};
+    std::unique_ptr<soak::soak_store> m_store;
     std::vector<std::unique_ptr<test_gateway>> m_gateways;
 };
 
@@ -240,7 +254,7 @@
 bool has_record(const test_gateway& gateway, const std::string& program, std::uint64_t used)
 {
     const budget_record* record = gateway.budgets.ledger().find(program);
-    return record != nullptr && record->used == used;
+    return record != nullptr && record->used() == used;
 }
 
 } // namespace
@@ -306,6 +320,30 @@
     CHECK(granted <= budget * 3 / 10 + 2 * turn);
 }
 
+// Guards against review case 6: the owner of a budget was out for a moment, and the backup granted turns in its place
+// that were reported to the owner. It ended the first one and then ignored the copies of the others.
+TEST_CASE("the owner of a budget counts all turns that its backup has granted in its place")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    REQUIRE(fleet.request_turn(*order[3], "p", "first") == budget_verdict::granted);
+    order[0]->running = false;
+    REQUIRE(fleet.reserve_turn(*order[3], "p", "silent") == budget_verdict::granted);
+    order[0]->running = true;
+    fleet.run_for(milliseconds(50)); // the owner grants it as well, and this grant is released
+    order[3]->budgets.settle({"silent", "p", "p", turn, {}});
+    std::uint64_t granted = 2 * turn;
+    for (int n = 0; n < 5; ++n) {
+        // order[3] does not ask an owner for 2 s that did not answer.
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "after-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+        fleet.run_for(milliseconds(20));
+    }
+    REQUIRE(granted > 3 * turn);
+    CHECK(fleet.run_until([&] { return has_record(*order[0], "p", granted); }));
+    CHECK(fleet.run_until([&] { return has_record(*order[1], "p", granted); }));
+}
+
 // A gateway that was cut off cannot tell which records the others changed meanwhile. It took itself for their replica
 // as soon as it was in touch again, like the frozen one of review case 10.
 TEST_CASE("a gateway that was cut off from all others does not count as a replica of records when it is back")
