Hand all records of a stopping gateway to both of their next replicas

Cause: only owned records were handed over, to one gateway, which owned them only after its next grant. When it stopped before that, it did not pass them on, and the next gateway took the programs for new ones.

Change: a stopping gateway sends all its records to both next replicas, in bursts. A transferred record is owned at once. Copies state whether they are a backup, a reply or a transfer.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -50,6 +50,10 @@
 
 constexpr milliseconds upkeep_interval{500};
 
+/// A stopping gateway sends this many records at a time, because the send buffer of the socket is limited.
+constexpr std::size_t handover_burst = 64;
+constexpr milliseconds handover_pause{10};
+
 /// A lost settlement leaves its reservation in place, so each settlement is sent twice.
 constexpr int settlement_sends = 2;
 
@@ -204,7 +208,7 @@
     reply.request = request.request;
     // The former owner may be alive and also grant turns: it did not hand the record over, or this gateway is
     // partitioned.
-    const bool taken_over = !m_owned.contains(request.program) && !m_handed_over.contains(request.program);
+    const bool taken_over = !m_owned.contains(request.program);
     if (taken_over || request.owner_unresponsive || !m_fleet.well_connected()) {
         m_ledger.restrict_unpersisted(request);
     }
@@ -402,7 +406,7 @@
     const budget_record* record = m_ledger.find(program);
     if (other != order.end() && record != nullptr) {
         m_fleet.send(*other, datagram_kind::record_copy,
-                     to_json(budget_record_copy{program, *record, would_have_record(program), false}));
+                     to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::backup}));
     }
 }
 
@@ -413,7 +417,8 @@
         return;
     }
     const budget_record* record = m_ledger.find(request->program);
-    budget_record_copy record_copy{request->program, std::nullopt, would_have_record(request->program), true};
+    budget_record_copy record_copy{request->program, std::nullopt, would_have_record(request->program),
+                                   copy_purpose::reply};
     if (record != nullptr) {
         record_copy.record = *record;
     }
@@ -426,14 +431,15 @@
     if (!record_copy) {
         return;
     }
+    const bool reply = record_copy->purpose == copy_purpose::reply;
     if (record_copy->record) {
         m_ledger.join(record_copy->program, *record_copy->record, steady_now());
-        if (record_copy->transfers_ownership) {
-            m_handed_over.insert(record_copy->program);
+        if (record_copy->purpose == copy_purpose::transfer || (reply && record_copy->sender_authoritative)) {
+            m_owned.insert(record_copy->program);
         }
     }
     const auto it = m_pending_copies.find(record_copy->program);
-    if (it != m_pending_copies.end() && record_copy->transfers_ownership && it->second->awaited.erase(sender) > 0) {
+    if (it != m_pending_copies.end() && reply && it->second->awaited.erase(sender) > 0) {
         it->second->found = it->second->found || record_copy->record;
         it->second->certain = it->second->certain || record_copy->sender_authoritative;
         if (it->second->awaited.empty()) {
@@ -447,7 +453,6 @@
     while (true) {
         co_await pause(m_loop, upkeep_interval);
         m_ledger.expire(steady_now());
-        std::erase_if(m_handed_over, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
         std::erase_if(m_owned, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
         hand_over_to_owners();
     }
@@ -456,37 +461,44 @@
 // Ownership changes when gateways join or leave. The record is sent to the new owner.
 void budget_coordinator::hand_over_to_owners()
 {
-    std::erase_if(m_handed_over, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
     std::erase_if(m_owned, [this](const std::string& program) {
         const auto order = m_fleet.ranked(program);
         if (order.empty() || order.front() == m_fleet.own_id()) {
             return false;
         }
         if (const budget_record* record = m_ledger.find(program)) {
-            m_fleet.send(order.front(), datagram_kind::record_copy,
-                         to_json(budget_record_copy{program, *record, would_have_record(program), true}));
+            m_fleet.send(
+                order.front(), datagram_kind::record_copy,
+                to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::transfer}));
         }
-        m_handed_over.erase(program);
         return true;
     });
 }
 
-// The backup of a lost owner's record is the last replica. Without it the next replicas would take the program for a
-// new one.
 void budget_coordinator::hand_over()
 {
-    hand_over_to_owners();
+    spawn(m_loop, hand_over_records(), "budget handover");
+}
+
+// The other gateways that had a record may have been lost or may stop as well, so each record is sent on, and to both
+// of its next replicas.
+asio::awaitable<void> budget_coordinator::hand_over_records()
+{
+    std::size_t sent = 0;
     for (const std::string& program : m_ledger.programs()) {
-        if (m_owned.contains(program) || !m_fleet.is_last_replica_of(program, record_replica_count)) {
-            continue;
+        const budget_record* record = m_ledger.find(program);
+        if (record == nullptr) {
+            continue; // expired during a pause
         }
         const nlohmann::json body =
-            to_json(budget_record_copy{program, *m_ledger.find(program), would_have_record(program), true});
-        std::vector<std::string> receivers = m_fleet.ranked(program);
-        receivers.resize(std::min(receivers.size(), record_replica_count));
-        for (const std::string& id : receivers) {
+            to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::transfer});
+        for (const std::string& id : m_fleet.others_ranked(program, record_replica_count)) {
             m_fleet.send(id, datagram_kind::record_copy, body);
         }
+        m_owned.erase(program);
+        if (++sent % handover_burst == 0) {
+            co_await pause(m_loop, handover_pause);
+        }
     }
 }
 
--- a/src/gateway/budget_coordinator.h
+++ b/src/gateway/budget_coordinator.h
@@ -30,8 +30,8 @@
     /// Reports the end of a granted turn to the gateway that granted it and to the owner. The series need not be set.
     void settle(budget_settlement message);
 
-    /// Sends the records that this gateway owns to their next owners, and the records of which it has the only backup
-    /// to their next replicas. Called when the process stops.
+    /// Starts to send all records of this gateway to their next replicas. Called when the process stops, after it has
+    /// left the fleet.
     void hand_over();
 
     /// The records that this gateway owns or backs up.
@@ -78,6 +78,7 @@
     void apply_settlement(const budget_settlement& message);
     void send_backup(const std::string& program);
     void hand_over_to_owners();
+    asio::awaitable<void> hand_over_records();
     bool would_have_record(std::string_view program) const;
     void log_decision(const budget_request& request, std::string_view verdict) const;
     bool is_unresponsive(const std::string& id) const;
@@ -93,7 +94,6 @@
     std::map<std::string, timestamp, std::less<>> m_unresponsive_until; ///< owners that did not reply
     std::map<std::string, grant, std::less<>> m_grants;                 ///< open turns of this gateway, by request id
     std::set<std::string, std::less<>> m_owned;                         ///< programs that this gateway decides on
-    std::set<std::string, std::less<>> m_handed_over; ///< programs that their former owner handed to this gateway
 };
 
 } // namespace lagoonferry
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -388,11 +388,15 @@
         if (!present || restarted || silent || present->state == member_state::gone) {
             m_lost_until[item.id] = now + m_timing.loss_retention;
         }
+        if (present && present->state == member_state::leaving) {
+            m_handing_over_until[item.id] = now + m_timing.handover_period;
+        }
         if (silent && item.incarnation != 0) {
             m_silent[item.id] = process_start(item.incarnation);
         }
     }
     std::erase_if(m_lost_until, [now](const auto& pair) { return pair.second < now; });
+    std::erase_if(m_handing_over_until, [now](const auto& pair) { return pair.second < now; });
     // Losses that this gateway has not seen have expired by now.
     if (!m_losses_known_at && now - m_present_since > m_timing.loss_retention) {
         m_losses_known_at = now;
@@ -404,10 +408,12 @@
     return m_losses_known_at && now >= *m_losses_known_at && boot_clock() >= m_paused_until;
 }
 
-std::set<std::string, std::less<>> fleet_membership::lost_ids() const
+// The next replicas of a stopping gateway may not have its records yet.
+std::set<std::string, std::less<>> fleet_membership::former_replicas() const
 {
     std::set<std::string, std::less<>> ids;
-    std::ranges::transform(m_lost_until, std::inserter(ids, ids.end()), [](const auto& pair) { return pair.first; });
+    std::ranges::copy(m_lost_until | std::views::keys, std::inserter(ids, ids.end()));
+    std::ranges::copy(m_handing_over_until | std::views::keys, std::inserter(ids, ids.end()));
     return ids;
 }
 
@@ -416,15 +422,7 @@
 {
     std::vector<std::string> live;
     std::ranges::transform(m_usable, std::back_inserter(live), &member::id);
-    return surviving_replicas(key, live, lost_ids(), replica_count);
-}
-
-bool fleet_membership::is_last_replica_of(std::string_view key, std::size_t replica_count) const
-{
-    std::vector<std::string> live{m_settings.id}; // included even if this gateway is leaving
-    std::ranges::transform(m_usable, std::back_inserter(live), &member::id);
-    const auto list = surviving_replicas(key, live, lost_ids(), replica_count);
-    return list.size() == 1 && list.front() == m_settings.id;
+    return surviving_replicas(key, live, former_replicas(), replica_count);
 }
 
 bool fleet_membership::is_replica_of(std::string_view key, std::size_t replica_count) const
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -94,10 +94,6 @@
     /// key hold: it is one of these, where recently lost gateways are counted too, and was not lost itself.
     bool is_replica_of(std::string_view key, std::size_t replica_count) const;
 
-    /// Returns whether this gateway is the only replica of such a record that was not lost recently. A leaving gateway
-    /// counts as a replica too.
-    bool is_last_replica_of(std::string_view key, std::size_t replica_count) const;
-
     /// Returns the ids of the first `count` other live gateways, ranked for `key`. They may have its record even if
     /// they are not among its replicas now.
     std::vector<std::string> others_ranked(std::string_view key, std::size_t count) const;
@@ -149,7 +145,7 @@
     void on_losses_request(const std::string& sender);
     void on_losses(const nlohmann::json& body);
     std::vector<std::string> live_replicas(std::string_view key, std::size_t replica_count) const;
-    std::set<std::string, std::less<>> lost_ids() const;
+    std::set<std::string, std::less<>> former_replicas() const;
     bool knows_losses(timestamp now) const;
 
     static constexpr std::size_t receive_bytes = 2'048;
@@ -173,11 +169,12 @@
     std::map<std::string, timestamp, std::less<>> m_last_seen;
     timestamp m_last_active_at{}; ///< of the boot clock, when this process last sent a heartbeat or received a datagram
     timestamp m_paused_until{};
-    std::map<std::string, timestamp, std::less<>> m_lost_until; ///< gateways that ended without a handover
-    std::optional<timestamp> m_losses_known_at;                 ///< when `m_lost_until` becomes complete
-    std::map<std::string, std::uint64_t, std::less<>> m_silent; ///< process starts of gateways that fell silent
-    bool m_connected = true;                                    ///< at least half of the known gateways are usable
-    std::vector<member> m_usable;                               ///< by id, as of `m_refreshed_at`
+    std::map<std::string, timestamp, std::less<>> m_lost_until;         ///< gateways that ended without a handover
+    std::map<std::string, timestamp, std::less<>> m_handing_over_until; ///< gateways that have just left
+    std::optional<timestamp> m_losses_known_at;                         ///< when `m_lost_until` becomes complete
+    std::map<std::string, std::uint64_t, std::less<>> m_silent;         ///< process starts of gateways that fell silent
+    bool m_connected = true;      ///< at least half of the known gateways are usable
+    std::vector<member> m_usable; ///< by id, as of `m_refreshed_at`
     timestamp m_refreshed_at{};
     std::uint64_t m_changes_seen = 0; ///< change counter of the member table at `m_refreshed_at`
     std::array<std::byte, receive_bytes> m_buffer{};
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -101,7 +101,7 @@
 
 json to_json(const budget_record_copy& message)
 {
-    json out{{"p", message.program}, {"c", message.sender_authoritative}, {"h", message.transfers_ownership}};
+    json out{{"p", message.program}, {"c", message.sender_authoritative}, {"h", static_cast<int>(message.purpose)}};
     if (message.record) {
         out["b"] = message.record->budget;
         out["e"] = message.record->presumed;
@@ -158,7 +158,10 @@
         budget_record_copy copy;
         copy.program = message.at("p").get<std::string>();
         copy.sender_authoritative = message.at("c").get<bool>();
-        copy.transfers_ownership = message.at("h").get<bool>();
+        const int purpose = message.at("h").get<int>();
+        copy.purpose = purpose == static_cast<int>(copy_purpose::transfer) ? copy_purpose::transfer
+                       : purpose == static_cast<int>(copy_purpose::reply)  ? copy_purpose::reply
+                                                                           : copy_purpose::backup;
         if (message.contains("b")) {
             copy.record = record_from(message);
         }
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -49,13 +49,18 @@
     std::string program;
 };
 
-/// A copy of a program's record, or the statement that there is none. Sent after each change, on request, and when the
-/// owner changes.
+enum class copy_purpose {
+    backup,   ///< the record has changed
+    reply,    ///< the copy was requested
+    transfer, ///< the receiver owns the record from now on
+};
+
+/// A copy of a program's record, or the statement that there is none.
 struct budget_record_copy {
     std::string program;
     std::optional<budget_record> record;
     bool sender_authoritative = false; ///< the sender would have a record if the program had used any tokens
-    bool transfers_ownership = false;  ///< the receiver owns the record from now on
+    copy_purpose purpose = copy_purpose::backup;
 };
 
 nlohmann::json to_json(const budget_request& message);
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -390,7 +390,7 @@
     record.series[3] = {2, 7, {{3, {"r", 30, false, seconds(4)}}, {4, {"s", 5, true, seconds(4)}}}};
     record.presumed = 11;
     record.sessions["s"] = {"t", 12};
-    const auto copy = budget_record_copy_from(to_json(budget_record_copy{"p", record, true, false}));
+    const auto copy = budget_record_copy_from(to_json(budget_record_copy{"p", record, true, copy_purpose::reply}));
     REQUIRE(copy);
     REQUIRE(copy->record);
     CHECK(copy->record->committed() == 53);
@@ -398,6 +398,7 @@
     CHECK(copy->record->open_series("r") == 3);
     CHECK(copy->record->sessions.at("s") == session_location{"t", 12});
     CHECK(copy->sender_authoritative);
+    CHECK(copy->purpose == copy_purpose::reply);
     const auto reply = budget_reply_from(to_json(budget_reply{"r", budget_verdict::exhausted, {"t", 3}}));
     REQUIRE(reply);
     CHECK(reply->verdict == budget_verdict::exhausted);
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -268,7 +268,7 @@
     REQUIRE(fleet.request_turn(*order[0], program, "r1") == budget_verdict::granted);
     REQUIRE(fleet.run_until([&] { return has_record(*order[1], program, turn); }));
     order[0]->running = false;
-    REQUIRE(fleet.run_until([&] { return order[1]->fleet.is_last_replica_of(program, 2); }));
+    REQUIRE(fleet.run_until([&] { return order[1]->fleet.usable().size() == 3; }));
     CHECK(order[2]->budgets.ledger().find(program) == nullptr);
     order[1]->fleet.leave();
     order[1]->budgets.hand_over();
@@ -388,6 +388,29 @@
     }
 }
 
+// Guards against review case 1: the record of a program that paused was handed to the next gateway only. That one
+// stopped before the next turn and did not pass the record on.
+TEST_CASE("the record of a program that pauses is kept while gateways stop in turn")
+{
+    test_fleet fleet;
+    const auto order = fleet.replica_order("p");
+    int granted = 0;
+    for (int n = 0; n < 6; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "before-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? 1 : 0;
+    }
+    REQUIRE(granted == 4); // 0.3 of the budget and one turn
+    for (std::size_t n = 0; n < 2; ++n) {
+        order[n]->fleet.leave();
+        order[n]->budgets.hand_over();
+        fleet.run_for(milliseconds(1'450));
+    }
+    REQUIRE(order[3]->fleet.usable().size() == 2);
+    for (int n = 0; n < 3; ++n) {
+        CHECK(fleet.request_turn(*order[3], "p", "after-" + std::to_string(n)) != budget_verdict::granted);
+    }
+}
+
 TEST_CASE("each change of the target list is sent to the other gateways twice")
 {
     sync_pair pair;
