Compare a budget record with other gateways before its first use after a pause or a takeover

Programs whose owner was frozen for 4 s got 675 of 360 tokens.

Cause: a gateway kept its records and allotments over a pause, and granted what others had granted meanwhile.

Change: a gateway that was paused or cut off owns no record. A pause is noticed before each decision. Who does not own the record of a program asks the first three others for theirs before the first turn.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <span>
 #include <tuple>
+#include <utility>
 
 namespace lagoonferry {
 
@@ -190,6 +191,15 @@
     co_return reply;
 }
 
+// While this gateway was paused or cut off, others may have granted turns of the programs that it owned.
+void budget_coordinator::release_stale_records()
+{
+    m_fleet.detect_pause();
+    if (std::exchange(m_rejoins_seen, m_fleet.rejoins()) != m_fleet.rejoins()) {
+        m_owned.clear();
+    }
+}
+
 void budget_coordinator::log_decision(const budget_request& request, std::string_view verdict) const
 {
     const budget_record* record = m_ledger.find(request.program);
@@ -206,13 +216,19 @@
 {
     budget_reply reply;
     reply.request = request.request;
-    // The former owner may be alive and also grant turns: it did not hand the record over, or this gateway is
-    // partitioned.
-    const bool taken_over = !m_owned.contains(request.program);
-    if (taken_over || request.owner_unresponsive || !m_fleet.well_connected()) {
-        m_ledger.restrict_unpersisted(request);
-    }
+    std::optional<std::uint64_t> compared_at;
     for (int attempt = 0; attempt < max_write_attempts; ++attempt) {
+        release_stale_records();
+        if (!m_owned.contains(request.program) && compared_at != m_fleet.rejoins()) {
+            compared_at = m_fleet.rejoins();
+            co_await find_record(request);
+            release_stale_records();
+        }
+        // The former owner may be alive and also grant turns: it did not hand the record over, or this gateway is
+        // partitioned.
+        if (!m_owned.contains(request.program) || request.owner_unresponsive || !m_fleet.well_connected()) {
+            m_ledger.restrict_unpersisted(request);
+        }
         switch (m_ledger.reserve(request, steady_now())) {
         case ledger_decision::granted:
             reply.verdict = budget_verdict::granted;
@@ -228,8 +244,7 @@
             log_decision(request, "spent");
             co_return reply;
         case ledger_decision::needs_record:
-            co_await find_record(request);
-            break;
+            co_return reply; // expired meanwhile
         case ledger_decision::needs_high_water_mark:
             if (!co_await write_high_water_mark(request)) {
                 log_decision(request, "undecided");
@@ -241,33 +256,37 @@
     co_return reply;
 }
 
+// Completes the record of a program that this gateway does not own yet, or starts it.
 asio::awaitable<void> budget_coordinator::find_record(const budget_request& request)
 {
     // A gateway that became a replica just now, because another one stops, may not have the record yet. If the request
     // was undecided at a replica before this one, the program may be known there.
-    if (would_have_record(request.program) && !request.owner_unresponsive) {
-        m_ledger.start_record(request, true, steady_now());
+    const bool is_new =
+        m_ledger.find(request.program) == nullptr && would_have_record(request.program) && !request.owner_unresponsive;
+    const bool known_unspent = is_new || (co_await request_copies(request) && !request.owner_unresponsive);
+    if (m_ledger.find(request.program) != nullptr) {
         co_return;
     }
-    const bool others_certain = co_await request_copies(request.program);
-    if (m_ledger.find(request.program) == nullptr) {
-        const bool known_unspent = others_certain && !request.owner_unresponsive;
+    if (!is_new) {
         log(log_part::program, log_level::info, "No budget record exists for a program; creating one.",
             field("program", request.program), field("request", request.request), field("certain", known_unspent));
-        m_ledger.start_record(request, known_unspent, steady_now());
     }
+    m_ledger.start_record(request, known_unspent, steady_now());
+    m_owned.insert(request.program);
 }
 
 // Requests the record of a program from the gateways that may have it. Returns whether one of them would have it if the
 // program had used any tokens.
-asio::awaitable<bool> budget_coordinator::request_copies(std::string program)
+asio::awaitable<bool> budget_coordinator::request_copies(const budget_request& request)
 {
     const auto pending = std::make_shared<pending_copies>(m_loop);
-    std::ranges::copy_if(m_fleet.others_ranked(program, record_holder_count),
-                         std::inserter(pending->awaited, pending->awaited.end()),
-                         [this](const std::string& id) { return !is_unresponsive(id); });
-    m_pending_copies[program] = pending;
-    const nlohmann::json body = to_json(budget_record_request{program});
+    const std::vector<std::string> owner = m_fleet.others_ranked(request.program, 1);
+    std::ranges::copy_if(m_fleet.others_ranked(request.program, record_holder_count),
+                         std::inserter(pending->awaited, pending->awaited.end()), [&](const std::string& id) {
+                             return !is_unresponsive(id) && !(request.owner_unresponsive && id == owner.front());
+                         });
+    m_pending_copies[request.program] = pending;
+    const nlohmann::json body = to_json(budget_record_request{request.program});
     for (const milliseconds timeout : copy_request_timeouts) {
         if (pending->awaited.empty() || pending->found || pending->certain) {
             break;
@@ -278,7 +297,7 @@
         pending->wake.expires_after(timeout);
         co_await pending->wake.async_wait(use_nothrow_awaitable);
     }
-    m_pending_copies.erase(program);
+    m_pending_copies.erase(request.program);
     co_return pending->certain;
 }
 
@@ -452,6 +471,7 @@
 {
     while (true) {
         co_await pause(m_loop, upkeep_interval);
+        release_stale_records();
         m_ledger.expire(steady_now());
         std::erase_if(m_owned, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
         hand_over_to_owners();
--- a/src/gateway/budget_coordinator.h
+++ b/src/gateway/budget_coordinator.h
@@ -65,7 +65,7 @@
     asio::awaitable<std::optional<received_reply>> request_from_owner(const std::string& owner,
                                                                       const budget_request& request);
     asio::awaitable<void> find_record(const budget_request& request);
-    asio::awaitable<bool> request_copies(std::string program);
+    asio::awaitable<bool> request_copies(const budget_request& request);
     asio::awaitable<bool> write_high_water_mark(const budget_request& request);
     asio::awaitable<void> reply_to_request(std::string sender, budget_request request);
     asio::awaitable<void> run_upkeep();
@@ -78,6 +78,7 @@
     void apply_settlement(const budget_settlement& message);
     void send_backup(const std::string& program);
     void hand_over_to_owners();
+    void release_stale_records();
     asio::awaitable<void> hand_over_records();
     bool would_have_record(std::string_view program) const;
     void log_decision(const budget_request& request, std::string_view verdict) const;
@@ -93,7 +94,8 @@
     std::set<std::string, std::less<>> m_replying;                      ///< requests of others being decided on
     std::map<std::string, timestamp, std::less<>> m_unresponsive_until; ///< owners that did not reply
     std::map<std::string, grant, std::less<>> m_grants;                 ///< open turns of this gateway, by request id
-    std::set<std::string, std::less<>> m_owned;                         ///< programs that this gateway decides on
+    std::uint64_t m_rejoins_seen = 0;
+    std::set<std::string, std::less<>> m_owned; ///< programs that this gateway decides on
 };
 
 } // namespace lagoonferry
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -169,6 +169,7 @@
     m_present_since = now;
     m_lost_until[m_settings.id] = now + m_timing.loss_retention;
     m_losses_known_at.reset();
+    ++m_rejoins;
     request_losses();
 }
 
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -102,6 +102,13 @@
     /// Otherwise others may act in place of this gateway.
     bool well_connected() const;
 
+    /// Notices that this process was paused, if it was. Called before each decision that others may have made
+    /// meanwhile, as the first one after a pause may come before the next heartbeat.
+    void detect_pause();
+
+    /// Returns how often this gateway was paused or cut off. After that others may have acted in its place.
+    std::uint64_t rejoins() const { return m_rejoins; }
+
     /// Returns whether a datagram of a gateway was received within `span` before now.
     bool seen_within(std::string_view id, timestamp span) const;
 
@@ -126,7 +133,6 @@
     asio::awaitable<void> run_heartbeats();
     asio::awaitable<void> receive();
     void send_heartbeats(timestamp now);
-    void detect_pause();
     void detect_cut(timestamp now);
     void rejoin(timestamp now);
     bool reaches_majority() const;
@@ -166,6 +172,7 @@
     timestamp m_document_watched_at{};   ///< when a gateway last announced that it watches the document
     std::uint64_t m_watched_version = 0; ///< the newest version that such a gateway announced
     std::uint64_t m_renewals = 0;
+    std::uint64_t m_rejoins = 0;
     std::map<std::string, timestamp, std::less<>> m_last_seen;
     timestamp m_last_active_at{}; ///< of the boot clock, when this process last sent a heartbeat or received a datagram
     timestamp m_paused_until{};
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -388,6 +388,61 @@
     }
 }
 
+// Guards against review case 2: a gateway that was frozen went on with its old record and granted again what its
+// successor had granted meanwhile.
+TEST_CASE("a gateway that was frozen compares its records with those of others before it grants a turn")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    REQUIRE(fleet.request_turn(*order[0], "p", "first") == budget_verdict::granted);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", turn); }));
+    order[0]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[1]->fleet.usable().size() == 3; }));
+    REQUIRE(fleet.run_until([&] { return order[3]->fleet.usable().size() == 3; }));
+    std::uint64_t granted = turn;
+    for (int n = 0; n < 12; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "frozen-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    REQUIRE(granted >= budget - turn);
+    order[0]->running = true;
+    for (int n = 0; n < 4; ++n) {
+        // Without a pause, so that no copy of another gateway arrives before the request.
+        const budget_verdict verdict = fleet.request_turn(*order[0], "p", "awake-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    CHECK(granted <= budget + turn);
+}
+
+// A turn that another gateway has granted from a copy counts, although it was missed: the backup was frozen while the
+// owner granted it, and the owner is lost before the next turn.
+TEST_CASE("a backup that was frozen compares its copy with those of others before it grants a turn")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    REQUIRE(fleet.request_turn(*order[0], "p", "first") == budget_verdict::granted);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", turn); }));
+    order[1]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[0]->fleet.usable().size() == 3; }));
+    std::uint64_t granted = turn;
+    for (int n = 0; n < 3; ++n) { // below the share that needs no mark
+        const budget_verdict verdict = fleet.request_turn(*order[0], "p", "frozen-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    REQUIRE(granted == 4 * turn);
+    order[1]->running = true;
+    REQUIRE(fleet.run_until([&] { return order[3]->fleet.usable().size() == 4; }));
+    fleet.run_for(milliseconds(500));
+    order[0]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[3]->fleet.usable().size() == 3; }));
+    for (int n = 0; n < 12; ++n) {
+        const budget_verdict verdict = fleet.request_turn(*order[3], "p", "lost-" + std::to_string(n));
+        granted += verdict == budget_verdict::granted ? turn : 0;
+    }
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
+
 // Guards against review case 1: the record of a program that paused was handed to the next gateway only. That one
 // stopped before the next turn and did not pass the record on.
 TEST_CASE("the record of a program that pauses is kept while gateways stop in turn")
