Bound the memory that all responses of targets hold together

What operators saw elsewhere: a faulty engine sent bytes without end, and its caller ran out of memory.

Cause: each response was bounded alone (4 MB, an event 1 MB, unparsed bytes 256 KB), and nothing bounded their sum. Bodies of responses that are skipped were kept until they ended.

Skipped bodies are not kept; unparsed bytes are bounded at 64 KB; a response is sent without a copy of its body.

Evidence: the new test has 100 requests at an endless engine.

--- a/src/gateway/client_session.cpp
+++ b/src/gateway/client_session.cpp
@@ -283,10 +283,11 @@
     return out;
 }
 
-asio::awaitable<bool> client_session::write(std::string_view bytes)
+asio::awaitable<bool> client_session::write(std::string_view bytes, std::string_view more)
 {
+    const std::array buffers{asio::buffer(bytes), asio::buffer(more)};
     m_stream.expires_after(write_timeout);
-    const auto [ec, n] = co_await asio::async_write(m_stream, asio::buffer(bytes), use_nothrow_awaitable);
+    const auto [ec, n] = co_await asio::async_write(m_stream, buffers, use_nothrow_awaitable);
     if (ec) {
         m_keep_alive = false;
     }
@@ -296,11 +297,9 @@
 asio::awaitable<bool> client_session::send_response(unsigned status, http_fields fields, std::string_view body)
 {
     m_keep_alive = m_keep_alive && !m_context.stop.stopping();
-    std::string out = response_header(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
-    if (!m_head_request) {
-        out += body;
-    }
-    co_return co_await write(out);
+    const std::string header =
+        response_header(status, fields, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    co_return co_await write(header, m_head_request ? std::string_view{} : body);
 }
 
 asio::awaitable<bool> client_session::start_stream(unsigned status, http_fields fields, std::string_view first)
--- a/src/gateway/client_session.h
+++ b/src/gateway/client_session.h
@@ -46,7 +46,7 @@
     asio::awaitable<bool> send_data(std::string_view bytes) override;
     asio::awaitable<bool> end_stream(std::string_view last) override;
     void abort_stream() override;
-    asio::awaitable<bool> write(std::string_view bytes);
+    asio::awaitable<bool> write(std::string_view bytes, std::string_view more = {});
     std::string response_header(unsigned status, const http_fields& fields, std::string_view framing) const;
     std::string lookup_response(const http_request& request) const;
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -30,7 +30,7 @@
 exchange::exchange(gateway_context& context, const http_request& request, response_writer& writer)
     : m_context(context), m_request(request), m_writer(writer), m_call(context.adapter.read_call(request)),
       m_routes(context.routes), m_arrived(loop_clock::now()), m_deadline(m_arrived),
-      m_last_event_id(m_call.last_event_id)
+      m_last_event_id(m_call.last_event_id), m_held(context.response_bytes)
 {
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_context.h"
 #include "gateway/response_writer.h"
+#include "net/buffer_quota.h"
 #include "net/client_connection.h"
 #include "net/loop_deadline.h"
 #include "routing/retry_after_policy.h"
@@ -120,6 +121,7 @@
     std::uint64_t m_events = 0;
     std::optional<std::uint64_t> m_last_event_id; ///< the last event that was sent to the caller
     event_splitter m_splitter;
+    buffer_share m_held;   ///< of `m_splitter` and `m_output`
     std::string m_history; ///< inputs and outputs of the turns before this one, if the route keeps them
     std::string m_output;  ///< data of the events so far, each followed by a line feed, if the route keeps it
     std::optional<timestamp> m_first_event_at;
--- a/src/gateway/exchange_attempts.cpp
+++ b/src/gateway/exchange_attempts.cpp
@@ -227,8 +227,7 @@
         log(log_part::dispatch, log_level::warning, "A response that belongs to another request is skipped.",
             field("request", m_call.request_id), field("target", current.target.id), field("response_id", id),
             field("status", current.reader->status()));
-        std::string late;
-        if (co_await current.reader->read_remaining(late, max_response_bytes, until)) {
+        if (co_await current.reader->skip_remaining(max_response_bytes, until)) {
             break;
         }
     }
@@ -345,9 +344,7 @@
     m_context.loads.on_refusal(current.target.id, steady_now());
     m_avoided_targets.push_back(current.target.id);
     m_last_error = current.error;
-    std::string rest;
-    const error_code ec =
-        co_await current.reader->read_remaining(rest, max_response_bytes, deadline_after(connect_timeout));
+    const error_code ec = co_await current.reader->skip_remaining(max_response_bytes, deadline_after(connect_timeout));
     end_attempt(current, !ec);
 }
 
--- a/src/gateway/exchange_responses.cpp
+++ b/src/gateway/exchange_responses.cpp
@@ -38,10 +38,11 @@
             continue;
         }
         std::string body;
+        buffer_share held(m_context.response_bytes);
         bool complete = false;
         if (result == send_result::answered) {
             m_active = current->connection.get();
-            const error_code ec = co_await current->reader->read_remaining(body, max_response_bytes, m_deadline);
+            const error_code ec = co_await current->reader->read_remaining(body, max_response_bytes, held, m_deadline);
             m_active = nullptr;
             const bool success = current->reader->status() < 300;
             const bool genuine = !success || (current->metadata.signed_by_target && !current->metadata.encoded);
@@ -96,6 +97,9 @@
     if (current.error.empty() && m_splitter.rest().size() > max_event_bytes) {
         current.error = "an event is too large";
     }
+    if (current.error.empty() && !m_held.resize(m_splitter.rest().capacity() + m_output.capacity())) {
+        current.error = "the responses of all targets hold too much memory";
+    }
     if (current.error.empty() && m_events > max_events()) {
         current.error = "the stream has more events than its maximum number of tokens allows";
     }
@@ -173,8 +177,9 @@
         }
         if (result == send_result::answered && current->reader->status() >= 300) {
             std::string body;
+            buffer_share held(m_context.response_bytes);
             m_active = current->connection.get();
-            const error_code ec = co_await current->reader->read_remaining(body, max_response_bytes, m_deadline);
+            const error_code ec = co_await current->reader->read_remaining(body, max_response_bytes, held, m_deadline);
             m_active = nullptr;
             if (!ec && !m_response_started) {
                 const unsigned status = current->reader->status();
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -7,6 +7,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/platform_adapter.h"
 #include "gateway/stop_schedule.h"
+#include "net/buffer_quota.h"
 #include "net/client_connection_pool.h"
 #include "routing/retry_after_policy.h"
 #include "routing/route_table.h"
@@ -37,6 +38,7 @@
     target_placement loads;          ///< written by exchange
     retry_after_policy retry_delays; ///< used by exchange for Retry-After
     client_connection_pool pool;     ///< idle connections to targets, used by exchange
+    buffer_quota response_bytes;     ///< of responses that are not relayed yet, used by exchange
     fleet_membership fleet;
     store_client store;
     budget_coordinator budgets;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,6 +30,7 @@
     std::size_t tolerated_losses = 0;  ///< machines that may be lost at the same time
     bool first_start = false;          ///< first start of the whole system, so no program is running
     std::uint32_t max_descriptors = 1'024;
+    std::size_t memory_bytes = 134'217'728; ///< limit of the process
     std::uint32_t capacity = 25; ///< CPU capacity of this machine in percent of a core
     listen_address store;
     std::chrono::milliseconds drain_timeout{2'000}; ///< time after which a draining target must get no more requests
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -92,4 +92,48 @@
     co_return error_code{};
 }
 
+asio::awaitable<error_code> response_reader::read_remaining(std::string& out, std::size_t limit, buffer_share& share,
+                                                            deadline until)
+{
+    // A body that cannot be held is not read at all if its length is known.
+    const auto length = m_parser->content_length_remaining();
+    if (length && *length > limit) {
+        co_return http::make_error_code(http::error::body_limit);
+    }
+    if (length && *length > share.limit()) {
+        co_return asio::error::no_buffer_space;
+    }
+    while (!done()) {
+        const error_code ec = co_await read_some(out, until);
+        if (ec) {
+            co_return ec;
+        }
+        if (out.size() > limit) {
+            co_return http::make_error_code(http::error::body_limit);
+        }
+        if (!share.resize(out.capacity())) {
+            co_return asio::error::no_buffer_space;
+        }
+    }
+    co_return error_code{};
+}
+
+asio::awaitable<error_code> response_reader::skip_remaining(std::size_t limit, deadline until)
+{
+    std::string piece;
+    std::size_t skipped = 0;
+    while (!done()) {
+        piece.clear();
+        const error_code ec = co_await read_some(piece, until);
+        if (ec) {
+            co_return ec;
+        }
+        skipped += piece.size();
+        if (skipped > limit) {
+            co_return http::make_error_code(http::error::body_limit);
+        }
+    }
+    co_return error_code{};
+}
+
 } // namespace lagoonferry
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "net/buffer_quota.h"
 #include "net/http_types.h"
 #include "net/loop_deadline.h"
 
@@ -45,7 +46,7 @@
 
     /// Limit on received bytes that are not parsed yet. A chunk extension or a trailer without end would fill the
     /// memory otherwise.
-    static constexpr std::size_t max_unparsed_bytes = 262'144;
+    static constexpr std::size_t max_unparsed_bytes = 65'536;
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer{max_unparsed_bytes};
@@ -66,6 +67,14 @@
     /// Appends the rest of the body to `out`. Fails with `body_limit` when `out` gets longer than `limit` bytes.
     asio::awaitable<error_code> read_remaining(std::string& out, std::size_t limit, deadline until);
 
+    /// Appends the rest of the body to `out`, whose memory is taken from `share`. Fails with `body_limit` as above, and
+    /// with `no_buffer_space` when the share cannot grow.
+    asio::awaitable<error_code> read_remaining(std::string& out, std::size_t limit, buffer_share& share,
+                                               deadline until);
+
+    /// Reads the rest of the body without keeping it. Fails with `body_limit` after more than `limit` bytes.
+    asio::awaitable<error_code> skip_remaining(std::size_t limit, deadline until);
+
     bool done() const { return m_parser && m_parser->is_done(); }
     unsigned status() const { return m_parser->get().result_int(); }
     const http_fields& fields() const { return m_parser->get(); }
--- a/tests/faulty_target_test.cpp
+++ b/tests/faulty_target_test.cpp
@@ -379,6 +379,48 @@
     }
 }
 
+// Guards against the operators' report of engines that sent bytes without end: each response was bounded alone, but
+// their sum was not, and the process ran out of memory.
+TEST_CASE("many responses without end do not fill the memory, and other requests are served meanwhile")
+{
+    constexpr std::size_t callers = 100;
+    constexpr std::size_t body_bytes = 3'900'000; // a single response may have up to 4 MB
+    constexpr std::size_t event_bytes = 1'000'000;
+    for (const std::string path : {"/unsafe/", "/stream/"}) {
+        CAPTURE(path);
+        const std::size_t bytes = path == "/stream/" ? event_bytes : body_bytes;
+        std::atomic<std::size_t> full = 0;
+        scripted_target target([&](auto& connection, int) {
+            const std::string request = connection.read_request();
+            if (request.find("/small") != std::string::npos) {
+                connection.send(target_response(request, id_of(request)));
+                return;
+            }
+            connection.send("HTTP/1.1 200 OK\r\nLagoonferry-Request-Id: " + id_of(request) +
+                            "\r\nLagoonferry-Response-Stamp: s\r\n\r\n");
+            const std::string block(65'536, 'a');
+            send_endlessly(connection, block, bytes);
+            ++full;
+            connection.closed_within(2'500);
+        });
+        const std::size_t before = resident_kb();
+        const gateway_rig rig({target.address()});
+        std::vector<std::jthread> threads;
+        for (std::size_t n = 0; n < callers; ++n) {
+            threads.emplace_back(
+                [&rig, &path, n] { rig.call(gateway_rig::request("POST", path, "r" + std::to_string(n)), 3'000); });
+        }
+        std::size_t most = 0;
+        for (int n = 0; n < 150; ++n) {
+            std::this_thread::sleep_for(milliseconds(10));
+            most = std::max(most, resident_kb());
+        }
+        CHECK(full > 0);
+        CHECK(most < before + max_growth_kb);
+        CHECK(body_of(rig.call(gateway_rig::request("POST", "/unsafe/small", "s1"))) == "s1");
+    }
+}
+
 TEST_CASE("a stream that sends a byte a second is given up after the longest gap between events")
 {
     std::atomic<bool> closed = false;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -37,7 +37,7 @@
             {"listen", {{"front", "10.1.0.38:8149"}, {"ready", "10.1.0.38:8141"}}},
             {"portRange", {7380, 7395}},
             {"seeds", {"10.1.0.38:8144", "10.2.0.40:8144"}},
-            {"limits", {{"cpuShare", 0.25}, {"maxFds", 4100}}},
+            {"limits", {{"cpuShare", 0.25}, {"maxFds", 4100}, {"memoryMb", 96}}},
             {"bounds", {{"graceS", 8}, {"drainMs", 2000}}},
             {"platform", {{"address", "10.200.1.7:8142"}}},
             {"somethingNew", {1, 2}}};
@@ -146,6 +146,7 @@
     CHECK(settings->seed_ips == std::vector<std::string>{"10.1.0.38", "10.2.0.40"});
     CHECK(settings->first_start);
     CHECK(settings->capacity == 25);
+    CHECK(settings->memory_bytes == 96U * 1'048'576U);
     CHECK(settings->stop_grace == milliseconds(8'000));
 }
 
