Reject responses with a status below 100

An engine answered 000, and a response that its body contained reached the client as a 200.

Cause: each status below 200 was skipped as an interim response, and the body was parsed as the next head.

Change: a status below 100 fails the attempt.

--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -42,6 +42,7 @@
 
 asio::awaitable<error_code> response_reader::read_header(deadline until)
 {
+    constexpr unsigned first_status = 100;
     constexpr unsigned first_final_status = 200;
     for (int n = 0; n <= max_interim_responses; ++n) {
         m_parser = std::make_unique<http::response_parser<http::buffer_body>>();
@@ -54,6 +55,9 @@
         if (ec || status() >= first_final_status) {
             co_return ec;
         }
+        if (status() < first_status) {
+            break;
+        }
     }
     co_return http::make_error_code(http::error::bad_status);
 }
--- a/src/net/client_connection.h
+++ b/src/net/client_connection.h
@@ -58,7 +58,8 @@
 public:
     explicit response_reader(client_connection& connection) : m_connection(connection) {}
 
-    /// Reads the header. A few interim (1xx) responses are skipped; after more of them it fails.
+    /// Reads the header. A few interim (1xx) responses are skipped. Fails with `bad_status` after more of them, and
+    /// after a status below 100.
     asio::awaitable<error_code> read_header(deadline until);
 
     /// Appends the next bytes of the body to `out`. Precondition: the header was read and `done()` is false.
--- a/tests/faulty_target_test.cpp
+++ b/tests/faulty_target_test.cpp
@@ -308,6 +308,24 @@
     }
 }
 
+// Guards against review case 9: the status was taken for an interim one, and the body for the head of the response.
+TEST_CASE("a response with a status below 100 is not relayed, nor is what its body contains")
+{
+    for (const std::string status : {"000", "099"}) {
+        CAPTURE(status);
+        scripted_target target([&](auto& connection, int) {
+            const std::string request = connection.read_request();
+            const std::string inner = target_response(request, "not saved");
+            connection.send("HTTP/1.1 " + status + " Failed\r\nLagoonferry-Request-Id: " + id_of(request) +
+                            "\r\nContent-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner);
+        });
+        const gateway_rig rig({target.address()});
+        const auto started = std::chrono::steady_clock::now();
+        CHECK(status_of(rig.call(gateway_rig::request("POST", "/unsafe/", "r1"))) == "HTTP/1.1 502");
+        CHECK(std::chrono::steady_clock::now() - started < milliseconds(1'000));
+    }
+}
+
 TEST_CASE("an idempotent request is retried after a status that promises that it did not run")
 {
     scripted_target failing([](auto& connection, int) {
