Count targets whose entry may have expired towards the targets of a request

After an outage of the store streams went on at a second target, though their route allows one.

Cause: the limit counted listed targets only, while the choice also takes those whose entry may merely have expired.

Change: both use the same definition.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -82,7 +82,7 @@
     std::uint64_t max_events() const;
     void start_attempt(attempt& current);
     void record_started(attempt& current);
-    std::vector<std::string> listed_ran_targets() const;
+    std::vector<std::string> live_ran_targets() const;
     http_request make_forward_request(const attempt& current) const;
     void end_attempt(attempt& current, bool reusable);
     void fail_attempt(attempt& current);
--- a/src/gateway/exchange_attempts.cpp
+++ b/src/gateway/exchange_attempts.cpp
@@ -46,12 +46,12 @@
 
 } // namespace
 
-// Targets that are no longer listed do not count towards the target limit of the route.
-std::vector<std::string> exchange::listed_ran_targets() const
+// Targets that have ended do not count towards the target limit of the route.
+std::vector<std::string> exchange::live_ran_targets() const
 {
     std::vector<std::string> ran;
     std::ranges::copy_if(m_ran_targets, std::back_inserter(ran),
-                         [this](const std::string& id) { return m_context.targets.listed(id); });
+                         [this](const std::string& id) { return m_context.targets.may_be_live(id, steady_now()); });
     return ran;
 }
 
@@ -83,7 +83,7 @@
 {
     const timestamp now = steady_now();
     std::vector<const target_record*> candidates = m_context.targets.usable(m_service, now);
-    const auto ran = listed_ran_targets();
+    const auto ran = live_ran_targets();
     if (ran.size() >= m_route->max_targets) {
         std::erase_if(candidates,
                       [&ran](const target_record* item) { return std::ranges::find(ran, item->id) == ran.end(); });
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,7 +31,7 @@
     bool first_start = false;          ///< first start of the whole system, so no program is running
     std::uint32_t max_descriptors = 1'024;
     std::size_t memory_bytes = 134'217'728; ///< limit of the process
-    std::uint32_t capacity = 25; ///< CPU capacity of this machine in percent of a core
+    std::uint32_t capacity = 25;            ///< CPU capacity of this machine in percent of a core
     listen_address store;
     std::chrono::milliseconds drain_timeout{2'000}; ///< time after which a draining target must get no more requests
     std::chrono::milliseconds stop_grace{8'000};    ///< between SIGTERM and SIGKILL
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -161,6 +161,12 @@
     return it != m_entries.end() && !it->second.removed;
 }
 
+bool target_directory::may_be_live(std::string_view id, timestamp now) const
+{
+    const auto it = m_entries.find(id);
+    return it != m_entries.end() && (!it->second.removed || now < it->second.usable_until);
+}
+
 void target_directory::purge_removed(timestamp now)
 {
     std::erase_if(m_entries, [&](const auto& pair) {
--- a/src/routing/target_directory.h
+++ b/src/routing/target_directory.h
@@ -75,6 +75,9 @@
     /// Returns whether a target is in the list, ready or draining.
     bool listed(std::string_view id) const;
 
+    /// Returns whether a target is in the list, or was removed from it while its entry may merely have expired.
+    bool may_be_live(std::string_view id, timestamp now) const;
+
     std::uint64_t revision() const { return m_revision; }
     void advance(std::uint64_t revision) { m_revision = std::max(m_revision, revision); }
     std::size_t size() const { return m_entries.size(); }
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <thread>
 
@@ -335,6 +336,34 @@
     CHECK(status_of(rig.call(head + chunked)) == "HTTP/1.1 200");
 }
 
+// Guards against review case 3: after an outage of the store the entries of live targets are missing for a moment. A
+// target that had run the request was not counted, and the next attempt went to another one.
+TEST_CASE("a target whose entry may have expired still counts towards the targets of a request")
+{
+    std::atomic<int> runs = 0;
+    gateway_rig* gateway = nullptr;
+    const auto answer = [&](target_connection& connection, int) {
+        const std::string request = connection.read_request();
+        if (request.empty() || ++runs > 1) {
+            connection.send(stream_header(request) + event_chunk(1) + std::string(last_chunk));
+            return;
+        }
+        gateway->on_loop([](gateway_context& context) {
+            context.targets.note_store_failure(steady_now());
+            const std::vector<target_change> removals{{"t0", 11, std::nullopt, true}, {"t1", 12, std::nullopt, true}};
+            context.targets.apply(removals, steady_now());
+        });
+        connection.reset();
+    };
+    scripted_target first(answer);
+    scripted_target second(answer);
+    gateway_rig rig({first.address(), second.address()});
+    gateway = &rig;
+    CHECK(status_of(rig.call(gateway_rig::request("POST", "/stream/", "r1"))) == "HTTP/1.1 200");
+    CHECK(runs == 2);
+    CHECK((first.connections() == 0 || second.connections() == 0));
+}
+
 TEST_CASE("a stopping gateway responds and closes the connection")
 {
     scripted_target* self = nullptr;
--- a/tests/scripted_target.cpp
+++ b/tests/scripted_target.cpp
@@ -122,6 +122,7 @@
             return;
         }
         const std::lock_guard lock(m_mutex);
+        ++m_connections;
         m_sockets.push_back(socket);
         m_workers.emplace_back([this, socket, number] {
             target_connection connection(socket);
--- a/tests/scripted_target.h
+++ b/tests/scripted_target.h
@@ -49,6 +49,9 @@
     /// Returns all requests that arrived, in order.
     std::vector<std::string> requests() const;
 
+    /// Returns the number of connections so far.
+    int connections() const { return m_connections; }
+
     /// Adds a request to `requests`. Scripts call this for each request that they read.
     void record_request(const std::string& request);
 
@@ -63,6 +66,7 @@
     std::vector<int> m_sockets;
     std::vector<std::thread> m_workers;
     std::thread m_acceptor;
+    std::atomic<int> m_connections = 0;
     std::atomic<bool> m_stopping = false;
 };
 
