Leave the request ids of ended turns out of copies of budget records

Cause: a long turn keeps the ended ones after it from being folded, and each of these was sent with its request id. With 120 of them a copy had 3,157 bytes; datagrams of more than 2,048 are lost. Found by reading the new code.

Change: the request id is dropped when a turn ends.

--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -176,12 +176,7 @@
 void budget_ledger::expire(timestamp now)
 {
     for (budget_record& record : m_records | std::views::values) {
-        for (budget_record::turn_series& item : record.series | std::views::values) {
-            for (budget_record::turn& each : item.turns | std::views::values) {
-                each.ended = each.ended || now - each.since > m_rules.reservation_timeout;
-            }
-            item.fold();
-        }
+        record.end_turns_before(now - m_rules.reservation_timeout);
     }
     const auto deleted = [this](const std::string& id) { return !m_records.contains(id); };
     std::erase_if(m_restricted, deleted);
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -36,7 +36,11 @@
     for (const auto& [id, series] : record.series) {
         json turns = json::array();
         for (const auto& [number, turn] : series.turns) {
-            turns.push_back({number, turn.request, turn.tokens, turn.ended});
+            json item{number, turn.tokens};
+            if (!turn.ended) {
+                item.push_back(turn.request);
+            }
+            turns.push_back(std::move(item));
         }
         list.push_back({id, series.folded_turns, series.folded_tokens, std::move(turns)});
     }
@@ -49,8 +53,9 @@
     series.folded_turns = message.at(1).get<std::uint64_t>();
     series.folded_tokens = message.at(2).get<std::uint64_t>();
     for (const json& item : message.at(3)) {
-        series.turns[item.at(0).get<std::uint64_t>()] = {item.at(1).get<std::string>(), item.at(2).get<std::uint64_t>(),
-                                                         item.at(3).get<bool>(), timestamp{}};
+        const bool ended = item.size() == 2;
+        series.turns[item.at(0).get<std::uint64_t>()] = {ended ? std::string{} : item.at(2).get<std::string>(),
+                                                         item.at(1).get<std::uint64_t>(), ended, timestamp{}};
     }
     return series;
 }
--- a/src/ledger/budget_record.cpp
+++ b/src/ledger/budget_record.cpp
@@ -28,12 +28,18 @@
     return sum;
 }
 
+void mark_ended(turn& item, std::uint64_t tokens)
+{
+    item.tokens = tokens;
+    item.ended = true;
+    item.request.clear(); // many ended turns must fit into a copy
+}
+
 void join_turn(turn& known, const turn& other)
 {
     if (other.ended) {
         // The end of a turn may have been reported here, and have timed out there.
-        known.tokens = known.ended ? std::max(known.tokens, other.tokens) : other.tokens;
-        known.ended = true;
+        mark_ended(known, known.ended ? std::max(known.tokens, other.tokens) : other.tokens);
     }
 }
 
@@ -73,6 +79,18 @@
     }
 }
 
+void budget_record::end_turns_before(timestamp start)
+{
+    for (turn_series& item : series | std::views::values) {
+        for (turn& each : item.turns | std::views::values) {
+            if (!each.ended && each.since < start) {
+                mark_ended(each, each.tokens);
+            }
+        }
+        item.fold();
+    }
+}
+
 std::uint64_t budget_record::used() const
 {
     std::uint64_t open = 0;
@@ -124,8 +142,7 @@
     bool found = false;
     for (turn& each : it->second.turns | std::views::values) {
         if (!each.ended && each.request == request) {
-            each.tokens = std::min(each.tokens, tokens);
-            each.ended = true;
+            mark_ended(each, std::min(each.tokens, tokens));
             found = true;
         }
     }
--- a/src/ledger/budget_record.h
+++ b/src/ledger/budget_record.h
@@ -16,7 +16,7 @@
 /// losing a turn or counting it twice.
 struct budget_record {
     struct turn {
-        std::string request;
+        std::string request;      ///< empty when the turn has ended
         std::uint64_t tokens = 0; ///< of an open turn the most that it generates, of an ended one what it generated
         bool ended = false;
         timestamp since{};
@@ -58,10 +58,14 @@
     /// Ends the turn of a request in one series, at most with the tokens reserved for it. Two gateways may have granted
     /// the same request, each in its series. Returns false if no such turn is open.
     bool end_turn(std::string_view request, std::uint64_t series_id, std::uint64_t tokens);
+
+    /// Ends the open turns that have started before `start`, with all the tokens reserved for them.
+    void end_turns_before(timestamp start);
 };
 
-/// Adds what `other` knows to `record`: its turns, the ends of turns, and its limits. The order in which records are
-/// joined does not matter, and joining one again changes nothing. Reservations that have no start time get `now`.
+/// Adds what `other` knows to `record`: its turns, the ends of turns, and its limits. The turns are the same whatever
+/// the order in which records are joined, and joining one again changes nothing. Turns that have no start time get
+/// `now`.
 void join(budget_record& record, const budget_record& other, timestamp now);
 
 } // namespace lagoonferry
