Transfer only the budget records that a stopping gateway owns

Cause: since a stopping gateway transferred the ownership of every record that it had, also of old copies. A restarted owner then granted turns without asking the gateway that had the record, until the next upkeep (0.5 s at most).

Change: ownership goes with owned records and to the first of the next two gateways only; other copies are joined and compared.

--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -501,7 +501,8 @@
 }
 
 // The other gateways that had a record may have been lost or may stop as well, so each record is sent on, and to both
-// of its next replicas.
+// of its next replicas. The next owner may grant turns without further questions only if this gateway owns the record:
+// a copy may be old.
 asio::awaitable<void> budget_coordinator::hand_over_records()
 {
     std::size_t sent = 0;
@@ -510,12 +511,12 @@
         if (record == nullptr) {
             continue; // expired during a pause
         }
-        const nlohmann::json body =
-            to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::transfer});
+        budget_record_copy copy{program, *record, would_have_record(program), copy_purpose::backup};
+        copy.purpose = m_owned.erase(program) > 0 ? copy_purpose::transfer : copy_purpose::backup;
         for (const std::string& id : m_fleet.others_ranked(program, record_replica_count)) {
-            m_fleet.send(id, datagram_kind::record_copy, body);
+            m_fleet.send(id, datagram_kind::record_copy, to_json(copy));
+            copy.purpose = copy_purpose::backup; // for the second replica
         }
-        m_owned.erase(program);
         if (++sent % handover_burst == 0) {
             co_await pause(m_loop, handover_pause);
         }
