--- a/review/standins-3/large_bodies.cpp
+++ b/review/standins-3/large_bodies.cpp
@@ -53,10 +53,10 @@
     const std::string body(body_bytes, 'b');
     const auto post = [&](std::size_t gateway) {
         outcome item{new_request_id()};
-        item.status = send_request(fleet.machines[gateway].ip, fleet.front_port, "POST", unsafe_path,
-                                   {{"Lagoonferry-Request-Id", item.request}, {"Lagoonferry-Deadline-Ms", "3000"}},
-                                   body, 4000)
-                          .status;
+        item.status =
+            send_request(fleet.machines[gateway].ip, fleet.front_port, "POST", unsafe_path,
+                         {{"Lagoonferry-Request-Id", item.request}, {"Lagoonferry-Deadline-Ms", "3000"}}, body, 4000)
+                .status;
         const std::lock_guard lock(mutex);
         outcomes.push_back(item);
     };
--- a/review/standins-3/rig.cpp
+++ b/review/standins-3/rig.cpp
@@ -437,10 +437,10 @@
             json events = json::array();
             for (const event& change : m_events) {
                 if (change.state.revision > after && change.key.starts_with(prefix)) {
-                    events.push_back(change.removed ? json{{"key", change.key},
-                                                           {"revision", change.state.revision},
-                                                           {"removed", true}}
-                                                    : to_json(change.key, change.state));
+                    events.push_back(
+                        change.removed
+                            ? json{{"key", change.key}, {"revision", change.state.revision}, {"removed", true}}
+                            : to_json(change.key, change.state));
                 }
             }
             if (!events.empty() || clock::now() >= until) {
@@ -517,8 +517,8 @@
 
 engine::engine(options values)
     : m_options(std::move(values)),
-      m_listener(std::make_unique<listener>(m_options.ip, m_options.port,
-                                            [this](stream& connection) { serve(connection); }))
+      m_listener(
+          std::make_unique<listener>(m_options.ip, m_options.port, [this](stream& connection) { serve(connection); }))
 {
 }
 
@@ -582,9 +582,9 @@
     const int most = comma == std::string::npos ? 30 : std::stoi(count.substr(comma + 1));
     const int events = most / m_options.tokens_per_event;
     const int first = static_cast<int>(number(request.field("last-event-id")));
-    if (!connection.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nLagoonferry-Request-Id: " +
-                         request_id_of(request) + "\r\nLagoonferry-Response-Stamp: " + stamp() +
-                         "\r\nTransfer-Encoding: chunked\r\n\r\n")) {
+    if (!connection.send(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nLagoonferry-Request-Id: " + request_id_of(request) +
+            "\r\nLagoonferry-Response-Stamp: " + stamp() + "\r\nTransfer-Encoding: chunked\r\n\r\n")) {
         return false;
     }
     for (int n = first + 1; n <= events; ++n) {
@@ -638,9 +638,12 @@
     }
     int base = 0;
     const auto usable = [&](int port) {
-        return std::ranges::all_of(machines, [port](const machine& item) {
-            return can_bind(item.ip, port, SOCK_STREAM) && can_bind(item.ip, port, SOCK_DGRAM);
-        }) && can_bind(store_ip, port, SOCK_STREAM);
+        return std::ranges::all_of(machines,
+                                   [port](const machine& item) {
+                                       return can_bind(item.ip, port, SOCK_STREAM) &&
+                                              can_bind(item.ip, port, SOCK_DGRAM);
+                                   }) &&
+               can_bind(store_ip, port, SOCK_STREAM);
     };
     do {
         base = random_number(20000, 30000);
@@ -721,10 +724,23 @@
         {"contracts", {"base", "drain", "config", "cost", "recover", "agent", "stream", "engine", "platform"}},
         {"faultTolerance", {{"machines", 1}, {"zones", 0}, {"regions", 0}}},
         {"bounds",
-         {{"seedLagS", 3},    {"reuseAfterS", 2},   {"contactMs", 3000}, {"ackMs", 4000},    {"catchUpS", 4},
-          {"drainMs", 2000},  {"graceS", 8},        {"lossSlackMs", 200}, {"applyMs", 2000}, {"downgradeMs", 250},
-          {"maxStretchMs", 5000}, {"recoverS", 12}, {"passMs", 120},     {"retryAfterS", 0}, {"deadlineS", 10},
-          {"settleMs", 1000}, {"ttl_max_s", 5}}},
+         {{"seedLagS", 3},
+          {"reuseAfterS", 2},
+          {"contactMs", 3000},
+          {"ackMs", 4000},
+          {"catchUpS", 4},
+          {"drainMs", 2000},
+          {"graceS", 8},
+          {"lossSlackMs", 200},
+          {"applyMs", 2000},
+          {"downgradeMs", 250},
+          {"maxStretchMs", 5000},
+          {"recoverS", 12},
+          {"passMs", 120},
+          {"retryAfterS", 0},
+          {"deadlineS", 10},
+          {"settleMs", 1000},
+          {"ttl_max_s", 5}}},
         {"platform",
          {{"address", store_ip + ":" + std::to_string(store_port)},
           {"form", "kv"},
--- a/review/standins-3/rig.h
+++ b/review/standins-3/rig.h
@@ -133,8 +133,8 @@
         int port = 0;
         int slots = 48;
         int tokens_per_event = 3;
-        int event_ms = 5;  ///< time for each event
-        int work_ms = 30;  ///< of a request without a stream
+        int event_ms = 5; ///< time for each event
+        int work_ms = 30; ///< of a request without a stream
         bool leaving = false;
         /// Called before the answer; returns true if it has handled the request itself.
         std::function<bool(engine&, stream&, const message&)> before;
--- a/review/standins-3/short_freeze.cpp
+++ b/review/standins-3/short_freeze.cpp
@@ -42,7 +42,8 @@
         list.back()->id = id;
         list.back()->budget = budget;
         list.back()->turn_tokens = turn_tokens;
-        first_turns.emplace_back([&, n] { list[static_cast<std::size_t>(n)]->turn(fleet, 1 + static_cast<std::size_t>(n) % 4, "main"); });
+        first_turns.emplace_back(
+            [&, n] { list[static_cast<std::size_t>(n)]->turn(fleet, 1 + static_cast<std::size_t>(n) % 4, "main"); });
     }
     for (auto& item : first_turns) {
         item.join();
--- a/review/standins-3/stale_copy.cpp
+++ b/review/standins-3/stale_copy.cpp
@@ -25,7 +25,8 @@
         clients.emplace_back([&, n] {
             program& item = *list[n];
             for (int turn = 0, tries = 0; turn < count && tries < 3 * count && item.spent == 0; ++tries) {
-                const int status = item.turn(all.fleet, from[(n + static_cast<std::size_t>(tries)) % from.size()], "main");
+                const int status =
+                    item.turn(all.fleet, from[(n + static_cast<std::size_t>(tries)) % from.size()], "main");
                 turn += status == 200 ? 1 : 0;
                 if (status != 200 && status != 402) {
                     sleep_ms(300);
