--- a/review/standins-3/rig.cpp
+++ b/review/standins-3/rig.cpp
@@ -335,7 +335,7 @@
 }
 
 store::store(const std::string& ip, int port)
-    : m_listener(std::make_unique<listener>(ip, port, [this](stream& connection) { serve(connection); }))
+    : m_port(port), m_listener(std::make_unique<listener>(ip, port, [this](stream& connection) { serve(connection); }))
 {
 }
 
@@ -490,12 +490,65 @@
     return "{}";
 }
 
+// All processes call from the same loopback address, so a caller is found by the inode of its socket.
+pid_t store::caller_of(int fd) const
+{
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (!m_callers || ::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+        return 0;
+    }
+    std::ifstream table("/proc/net/tcp");
+    std::string inode;
+    for (std::string line; inode.empty() && std::getline(table, line);) {
+        std::istringstream in(line);
+        std::vector<std::string> words;
+        for (std::string word; in >> word;) {
+            words.push_back(word);
+        }
+        const auto port_of = [&](std::size_t n) {
+            return words.size() > 9 && words[n].find(':') != std::string::npos
+                       ? std::stoi(words[n].substr(words[n].find(':') + 1), nullptr, 16)
+                       : -1;
+        };
+        if (port_of(1) == ntohs(peer.sin_port) && port_of(2) == m_port) {
+            inode = words[9];
+        }
+    }
+    for (const pid_t pid : m_callers()) {
+        std::error_code ec;
+        for (const auto& entry : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd", ec)) {
+            if (std::filesystem::read_symlink(entry.path(), ec).string() == "socket:[" + inode + "]") {
+                return pid;
+            }
+        }
+    }
+    return 0;
+}
+
 void store::serve(stream& connection)
 {
+    const pid_t caller = caller_of(connection.fd());
+    const auto is_cut = [&] { return caller != 0 && caller == cut; };
     message request;
     while (connection.read_head(request, 120000) && connection.read_body(request, 5000)) {
         int status = 200;
-        const std::string body = answer(request, status);
+        const std::string target = path_of(request);
+        const bool waits = target.starts_with("/v1/kv-watch") && target.find("servers") != std::string::npos &&
+                           target.find("waitMs=0") == std::string::npos;
+        if (waits && !is_cut()) {
+            reader = caller;
+        }
+        const std::string body = is_cut() ? "" : answer(request, status);
+        if (is_cut()) {
+            while (is_cut()) {
+                sleep_ms(20);
+            }
+            return;
+        }
+        if (caller == reader) {
+            reader_answered_at = seconds_since_start();
+        }
         if (!connection.send("HTTP/1.1 " + std::to_string(status) +
                              " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
                              "\r\n\r\n" + body)) {
--- a/review/standins-3/rig.h
+++ b/review/standins-3/rig.h
@@ -89,6 +89,15 @@
     std::string value_of(const std::string& key);
     std::vector<std::string> keys(const std::string& prefix);
 
+    /// Processes whose connections `cut` tells apart. Set before the first one starts to call.
+    void set_callers(std::function<std::vector<pid_t>()> list) { m_callers = std::move(list); }
+    /// Partitions one process from the store: it gets no answers until it is 0 again.
+    std::atomic<pid_t> cut{0};
+    /// The process that waited last for changes of the engines' entries.
+    std::atomic<pid_t> reader{0};
+    /// When that process last got an answer.
+    std::atomic<double> reader_answered_at{0};
+
 private:
     struct item {
         std::string value;
@@ -102,6 +111,7 @@
         bool removed = false;
     };
     void serve(stream& connection);
+    pid_t caller_of(int fd) const;
     std::string answer(const message& request, int& status);
     std::uint64_t write_locked(const std::string& key, const std::string& value, std::uint64_t lease,
                                std::uint64_t revision);
@@ -111,6 +121,8 @@
     std::vector<event> m_events;
     std::uint64_t m_revision = 100;
     std::uint64_t m_next_lease = 1000;
+    int m_port;
+    std::function<std::vector<pid_t>()> m_callers;
     std::unique_ptr<listener> m_listener;
 };
 
