--- a/review/standins-3/removed_engine.cpp
+++ b/review/standins-3/removed_engine.cpp
@@ -15,6 +15,7 @@
 constexpr int engines_at_a_time = 6;
 constexpr double drain_s = 2.0; ///< drainMs
 constexpr int replace_ms = 750; ///< between two engines, as gap_s of a release
+constexpr int ended_after = 6;  ///< an engine ends when this many more were replaced, after 4.5 s
 constexpr int cut_ms = 4'000;
 constexpr int calm_ms = 1'500; ///< between two cuts
 constexpr double length_s = 98;
@@ -98,6 +99,11 @@
                 const std::lock_guard lock(mutex);
                 leaving_since[id] = seconds_since_start();
             }
+            if (old >= ended_after) {
+                // It has served for drainMs and some seconds more.
+                const std::lock_guard lock(mutex);
+                all.engines[static_cast<std::size_t>(old - ended_after)]->end();
+            }
             if (old >= 4) {
                 all.platform.remove("servers/i-" + std::to_string(old - 4)); // it has drained and left
             }
--- a/review/standins-3/rig.h
+++ b/review/standins-3/rig.h
@@ -154,6 +154,8 @@
     explicit engine(options values);
     std::vector<run> runs();
     const options& values() const { return m_options; }
+    /// The process ends: open and new connections are reset.
+    void end() { m_ended = true; }
     void note_run(const message& request);
     std::string stamp();
 
@@ -164,6 +166,7 @@
     std::mutex m_mutex;
     std::vector<run> m_runs;
     std::atomic<int> m_stamps{0};
+    std::atomic<bool> m_ended{false};
     std::unique_ptr<listener> m_listener;
 };
 
