Do not keep connections to the former address of the store

A call that was under way while the address of the store changed put its connection back among the idle ones, and later calls went to the former address. The connection is kept now only if the address is still the one of the call.

Test: "after a change of the store's address no connection to the former one is used"; before, the second call got a response from the former address.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -52,6 +52,7 @@
 asio::awaitable<store_reply> store_client::call(std::string_view name, http_request request, milliseconds timeout)
 {
     const deadline until = deadline_after(timeout);
+    const tcp::endpoint address = m_address;
     store_reply reply;
     reply.status = store_status::unavailable;
     request.set(http::field::host, m_host);
@@ -60,7 +61,7 @@
     error_code ec;
     if (!connection) {
         connection = std::make_unique<client_connection>(m_loop);
-        ec = co_await connection->connect(m_address, until);
+        ec = co_await connection->connect(address, until);
     }
     if (!ec) {
         reply.status = store_status::unknown;
@@ -75,7 +76,7 @@
         }
         if (!ec) {
             reply = m_adapter.read_reply(reader.status(), body);
-            if (reader.allows_reuse() && m_idle.size() < max_idle_connections) {
+            if (reader.allows_reuse() && address == m_address && m_idle.size() < max_idle_connections) {
                 m_idle.push_back(std::move(connection));
             }
         }
