--- a/src/gateway/target_list_sync.cpp
+++ b/src/gateway/target_list_sync.cpp
@@ -287,6 +287,7 @@
             m_context.fleet.send_to_own_domain(datagram_kind::targets, relayed);
         }
         const auto from = body.at("f").get<std::uint64_t>();
+        m_context.targets.note_store_success(steady_now()); // by the sender
         if (!m_loaded) {
             return;
         }
--- a/src/routing/target_directory.cpp
+++ b/src/routing/target_directory.cpp
@@ -19,7 +19,8 @@
 {
     std::vector<target_change> applied;
     for (target_change item : changes) {
-        const bool changed = item.record ? put(*item.record, item.revision) : remove(item, lapse_grace_left(now), now);
+        const bool changed =
+            item.record ? put(*item.record, item.revision) : remove(item, m_outages.grace_left(now), now);
         if (changed) {
             applied.push_back(item);
         }
@@ -54,7 +55,7 @@
     }
     for (target_change& item : applied) {
         if (item.removed) {
-            remove(item, lapse_grace_left(now), now);
+            remove(item, m_outages.grace_left(now), now);
         }
     }
     advance(revision);
@@ -88,8 +89,8 @@
     if (it == m_entries.end() || it->second.removed || change.revision < it->second.revision) {
         return false;
     }
-    if (change.maybe_lapsed) { // classified by the gateway that has read the removal
-        lapse_grace_left = std::min(change.lapse_grace_left.value_or(m_timing.lapse_grace), m_timing.lapse_grace);
+    if (change.maybe_lapsed) { // as the gateway judges that has read the removal
+        lapse_grace_left = m_outages.accept_grace(change.lapse_grace_left.value_or(timestamp::max()), now);
     }
     change.maybe_lapsed = lapse_grace_left > timestamp{};
     change.lapse_grace_left = lapse_grace_left;
@@ -100,21 +101,6 @@
     return true;
 }
 
-void target_directory::note_store_failure(timestamp now)
-{
-    m_last_store_failure = now;
-    m_failing_since = m_failing_since.value_or(now);
-}
-
-void target_directory::note_store_success(timestamp now)
-{
-    if (m_failing_since && now - *m_failing_since >= m_timing.min_outage) {
-        m_store_back_at = now;
-    }
-    m_failing_since.reset();
-    m_last_store_failure.reset();
-}
-
 void target_directory::mark_leaving(std::string_view id, std::uint64_t start)
 {
     const auto it = m_entries.find(id);
@@ -123,16 +109,6 @@
     }
 }
 
-// After an outage the grace time starts at the return of the store, not at the removal: a target that is removed later
-// has left, and callers must not be sent there for the whole grace time.
-timestamp target_directory::lapse_grace_left(timestamp now) const
-{
-    if (m_last_store_failure) {
-        return now - *m_last_store_failure <= m_timing.store_failure_window ? m_timing.lapse_grace : timestamp{};
-    }
-    return m_store_back_at ? std::max(*m_store_back_at + m_timing.lapse_grace - now, timestamp{}) : timestamp{};
-}
-
 bool target_directory::accepts_requests(const entry& item, timestamp now) const
 {
     return !item.leaving && (!item.removed || now < item.usable_until);
--- a/src/routing/target_directory.h
+++ b/src/routing/target_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "routing/store_outage_tracker.h"
 #include "routing/target_record.h"
 #include "util/time.h"
 
@@ -26,41 +27,31 @@
     std::optional<timestamp> lapse_grace_left = std::nullopt;
 };
 
-struct directory_timing {
-    /// How long after the return of the store a target stays in use if its entry may merely have expired. Live targets
-    /// write their entries again within about two seconds after the store is back.
-    timestamp lapse_grace = std::chrono::milliseconds(2'300);
-    /// How long after the last failed store call a removal may still be an expired entry of a live target, while no
-    /// call has succeeded since.
-    timestamp store_failure_window = std::chrono::milliseconds(3'000);
-    /// Shorter interruptions of the store cannot make entries expire: targets renew them several times in that period.
-    timestamp min_outage = std::chrono::milliseconds(1'000);
-};
-
 /// The targets known from the target list in the store. No I/O. Not thread-safe.
 class target_directory {
 public:
-    explicit target_directory(directory_timing timing = {}) : m_timing(timing) {}
+    explicit target_directory(outage_timing timing = {}) : m_outages(timing) {}
 
     /// Applies changes that this gateway has read, in the order of their revisions. Returns those that the other
     /// gateways have to know: all except mere heartbeats of targets.
     std::vector<target_change> apply(std::span<const target_change> changes, timestamp now);
 
-    /// Applies changes that another gateway has read. That gateway has reached the store, so its `maybe_lapsed` is
-    /// decisive: if only this process cannot reach the store, it must not keep using a target that has left. Returns
-    /// the changes that were new.
+    /// Applies changes that another gateway has read. That gateway has reached the store, so a removal is final if it
+    /// says so: if only this process cannot reach the store, it must not keep using a target that has left. That an
+    /// entry may have lapsed is accepted only if no response of the store is known from that time. Returns the changes
+    /// that were new.
     std::vector<target_change> apply_peer_changes(std::span<const target_change> changes, timestamp now);
 
     /// Replaces the list by a complete one, read at `revision`. Removes the targets that are missing there, except
     /// those with a newer revision. Returns what changed.
     std::vector<target_change> replace(std::span<const target_change> all, std::uint64_t revision, timestamp now);
 
-    /// Records a failed call to the store, by this process or another one.
-    void note_store_failure(timestamp now);
+    /// Records a failed call to the store by this process.
+    void note_store_failure(timestamp now) { m_outages.note_failure(now); }
 
-    /// Records a successful call to the store by this process. The first one after an outage starts the time in which
-    /// live targets write their expired entries again.
-    void note_store_success(timestamp now);
+    /// Records a successful call to the store by this process or another gateway. The first one after an outage starts
+    /// the time in which live targets write their expired entries again.
+    void note_store_success(timestamp now) { m_outages.note_response(now); }
 
     /// Records that a target has announced that it is leaving, which may arrive before the change of the list. Ignored
     /// if `start` is not the current start of the target.
@@ -94,16 +85,12 @@
 
     bool put(const target_record& record, std::uint64_t revision);
     bool remove(target_change& change, timestamp lapse_grace_left, timestamp now);
-    timestamp lapse_grace_left(timestamp now) const;
     bool accepts_requests(const entry& item, timestamp now) const;
     void purge_removed(timestamp now);
 
-    directory_timing m_timing;
+    store_outage_tracker m_outages;
     std::map<std::string, entry, std::less<>> m_entries;
     std::uint64_t m_revision = 0;
-    std::optional<timestamp> m_failing_since; ///< first failed store call after the last successful one
-    std::optional<timestamp> m_last_store_failure;
-    std::optional<timestamp> m_store_back_at; ///< end of the last outage of the store
 };
 
 } // namespace lagoonferry
--- a/tests/gateway_fleet_test.cpp
+++ b/tests/gateway_fleet_test.cpp
@@ -82,28 +82,36 @@
     std::vector<std::uint64_t> revisions; ///< of all received changes, in order
 };
 
-/// Gateways of two failure domains with one store, configured to act as a large fleet.
-struct large_fleet {
+/// Gateways of two failure domains with one store.
+struct target_fleet {
     struct gateway {
         gateway(asio::io_context& loop, gateway_settings settings)
             : context(loop.get_executor(), std::move(settings), adapter), target_sync(context)
         {
-            context.store.set_address({asio::ip::make_address(context.settings.store.ip), context.settings.store.port});
+            set_store_reachable(true);
             REQUIRE(context.fleet.start());
         }
 
+        void set_store_reachable(bool reachable)
+        {
+            constexpr std::uint16_t refused_port = 9;
+            context.store.set_address({asio::ip::make_address(context.settings.store.ip),
+                                       reachable ? context.settings.store.port : refused_port});
+        }
+
         platform::http_platform_adapter adapter;
         gateway_context context;
         target_list_sync target_sync;
     };
 
-    large_fleet() : store(loop.get_executor())
+    /// The gateways act as a large fleet if `large` is set.
+    explicit target_fleet(bool large) : store(loop.get_executor())
     {
         store.put(target_key("t1"), target_entry);
         std::vector<listed_instance> all;
         for (int n = 0; n < 6; ++n) {
             gateway_settings settings = document_gateway::settings_with(n, store.address());
-            settings.max_full_mesh_gateways = 1;
+            settings.max_full_mesh_gateways = large ? 1 : settings.max_full_mesh_gateways;
             settings.failure_domain = n % 2 == 0 ? "a" : "b";
             all.push_back({settings.id,
                            member_role::entry,
@@ -124,6 +132,21 @@
             std::ranges::count_if(gateways, [&](const auto& item) { return item->context.targets.listed(target); }));
     }
 
+    /// Returns how many gateways would send requests to the target.
+    std::size_t count_using(const std::string& target) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(gateways, [&](const auto& item) {
+            return item->context.targets.find_usable(target, steady_now()) != nullptr;
+        }));
+    }
+
+    /// Returns the gateway that reads the target list for the others.
+    gateway& reader()
+    {
+        return **std::ranges::find_if(gateways,
+                                      [](const auto& item) { return item->context.fleet.own_rank("targets") == 0; });
+    }
+
     asio::io_context loop{1};
     soak::soak_store store;
     std::vector<std::unique_ptr<gateway>> gateways;
@@ -278,7 +301,7 @@
 // Without relays, one gateway of 300 sent each change to all others: 2.2 MB a second.
 TEST_CASE("in a large fleet changes of targets reach all gateways through relays")
 {
-    large_fleet fleet;
+    target_fleet fleet(true);
     fleet.loop.run_for(milliseconds(2'500));
     REQUIRE(fleet.count_with_target("t1") == 6);
     for (const char* id : {"t2", "t3", "t4"}) {
@@ -290,7 +313,7 @@
 
 TEST_CASE("in a large fleet a change reaches a failure domain although one of its relays is lost")
 {
-    large_fleet fleet;
+    target_fleet fleet(true);
     fleet.loop.run_for(milliseconds(1'000));
     REQUIRE(fleet.count_with_target("t1") == 6);
     // A gateway that is not running, and counts as usable for at least 2.2 s.
@@ -314,6 +337,65 @@
     CHECK(fleet.count_with_target("t3") == 6);
 }
 
+// Guards against review case 13: the gateway that reads the target list was cut off from the store and took that for an
+// outage of the store. It made all gateways use targets for up to 2.3 s that had left.
+TEST_CASE("targets that leave after a gateway was cut off from the store are not used")
+{
+    const std::vector<std::string> leaving{"t2", "t3", "t4", "t5", "t6", "t7", "t8"};
+    for (const bool large : {false, true}) {
+        CAPTURE(large);
+        target_fleet fleet(large);
+        std::ranges::for_each(leaving, [&](const auto& id) { fleet.store.put(target_key(id), target_entry); });
+        fleet.loop.run_for(milliseconds(1'500));
+        REQUIRE(fleet.count_using("t8") == 6);
+        target_fleet::gateway& reader = fleet.reader();
+        reader.set_store_reachable(false);
+        fleet.loop.run_for(milliseconds(3'000));
+        reader.set_store_reachable(true);
+        for (const std::string& id : leaving) {
+            fleet.loop.run_for(milliseconds(150));
+            fleet.store.remove(target_key(id));
+        }
+        fleet.loop.run_for(milliseconds(400));
+        for (const std::string& id : leaving) {
+            CHECK(fleet.count_using(id) == 0);
+        }
+    }
+}
+
+// Guards against a mend of review case 13 that drops live targets. The first reader of the target list does not return
+// with the store, and a later one reads some of the removals.
+TEST_CASE("targets whose entries expire in an outage of the store stay in use although their reader changes")
+{
+    for (const bool large : {false, true}) {
+        CAPTURE(large);
+        target_fleet fleet(large);
+        fleet.store.put(target_key("t2"), target_entry);
+        fleet.store.put(target_key("t3"), target_entry);
+        fleet.loop.run_for(milliseconds(1'500));
+        REQUIRE(fleet.count_using("t3") == 6);
+        fleet.store.set_mode(soak::soak_store::mode::refuse);
+        fleet.loop.run_for(milliseconds(2'500));
+        target_fleet::gateway& reader = fleet.reader();
+        reader.set_store_reachable(false);
+        fleet.loop.run_for(milliseconds(500));
+        fleet.store.remove(target_key("t2"));
+        fleet.store.set_mode(soak::soak_store::mode::serve);
+        fleet.loop.run_for(milliseconds(600));
+        CHECK(fleet.count_using("t2") == 6);
+        reader.set_store_reachable(true);
+        fleet.loop.run_for(milliseconds(450));
+        fleet.store.remove(target_key("t3"));
+        fleet.loop.run_for(milliseconds(700));
+        CHECK(fleet.count_with_target("t3") == 0);
+        CHECK(fleet.count_using("t2") == 6);
+        CHECK(fleet.count_using("t3") == 6);
+        fleet.loop.run_for(milliseconds(1'500));
+        CHECK(fleet.count_using("t2") == 0);
+        CHECK(fleet.count_using("t3") == 0);
+    }
+}
+
 // After a restart of the whole fleet, each gateway gave callers a different subset of it until heartbeats had arrived.
 TEST_CASE("the capacity of a gateway is known from the store before its first heartbeat")
 {
--- a/tests/target_directory_test.cpp
+++ b/tests/target_directory_test.cpp
@@ -203,6 +203,28 @@
     }
 }
 
+// Guards against review case 13: what a gateway that was cut off from the store says of it was taken over by gateways
+// that had reached the store all the time.
+TEST_CASE("a gateway whose store calls succeed does not take over that a removed entry may have expired")
+{
+    target_directory reader;
+    target_directory receiver;
+    for (target_directory* directory : {&reader, &receiver}) {
+        apply(*directory, entry("a", 1, 1), seconds(1));
+    }
+    reader.note_store_failure(seconds(10));
+    for (timestamp now = seconds(9); now <= seconds(14); now += milliseconds(700)) {
+        receiver.note_store_success(now);
+    }
+    reader.note_store_success(seconds(14));
+    const std::vector<target_change> removed{removal("a", 2)};
+    const auto news = reader.apply(removed, seconds(14));
+    const auto applied = receiver.apply_peer_changes(news, seconds(14));
+    CHECK_FALSE(usable(receiver, "a", seconds(14)));
+    REQUIRE(applied.size() == 1);
+    CHECK_FALSE(applied.front().maybe_lapsed);
+}
+
 TEST_CASE("a target that has said that it leaves stays excluded when its entry expires and is written again")
 {
     target_directory directory;
