--- a/spec/budget_holders.pml
+++ b/spec/budget_holders.pml
@@ -5,7 +5,8 @@
  * Each one knows a set of granted turns, one bit a turn; a grant is copied to the next gateway that is up. A process that
  * is down has forgotten all. Not modelled: lost copies, a cut before it is noticed, and two
  * gateways that decide at the same time.
- * Property: the turns granted without a mark exceed the allowance by no more than one turn.
+ * Properties: the turns granted without a mark exceed the allowance by no more than one turn. A gateway that writes a
+ * mark counts all turns but one that were granted before; if it counted fewer, the budget would be exceeded later.
  */
 
 #define GATEWAYS 4
@@ -26,6 +27,8 @@
 bool owns[GATEWAYS];
 byte limit[GATEWAYS];               /* turns of the record that may be granted without a mark, all gateways together */
 bool restricted[GATEWAYS];          /* the limit was lowered to one more turn, as others may grant too */
+bool complete[GATEWAYS];            /* the copy is kept up to date */
+byte presumed[GATEWAYS];            /* turns that count as granted although the gateway does not know them */
 bool lost[GATEWAYS];                /* the others count it as lost */
 bool self_lost[GATEWAYS];           /* it counts itself as lost */
 byte granted, disruptions;
@@ -35,6 +38,12 @@
     result = (set & 1) + ((set >> 1) & 1) + ((set >> 2) & 1) + ((set >> 3) & 1) + ((set >> 4) & 1) + ((set >> 5) & 1)
 }
 
+/* The presumed turns that are left when `more` turns have become known. */
+inline explain(turns, more, result)
+{
+    result = (turns > (more) -> turns - (more) : 0)
+}
+
 /* Joins the record of gateway `from` with that of gateway `to`. */
 inline join_record(to, from)
 {
@@ -42,8 +51,34 @@
     :: !has_record[to] || limit[from] < limit[to] -> limit[to] = limit[from]
     :: else
     fi;
+    count(known[to], before);
+    count(known[from], others);
     known[to] = known[to] | known[from];
-    has_record[to] = true
+    count(known[to], joined);
+    explain(presumed[to], joined - before, before);
+    explain(presumed[from], joined - others, others);
+    presumed[to] = (before > others -> before : others);
+    has_record[to] = true;
+    complete[to] = complete[to] || complete[from] || owns[from]
+}
+
+/* Copies at gateways that are not among the first two any more are not kept up to date. */
+inline drop_former_copies()
+{
+    rank = 0;
+#ifndef BROKEN_COPIES_STAY_COMPLETE
+    for (k : 0 .. GATEWAYS - 1) {
+        if
+        :: state[k] == UP ->
+            if
+            :: rank >= 2 -> complete[k] = false
+            :: else
+            fi;
+            rank++
+        :: else
+        fi
+    }
+#endif
 }
 
 /* Whether gateway g would have the record: it is one of the first two among those that are up or were lost. */
@@ -81,7 +116,11 @@
             :: has_record[m] ->
                 join_record(g, m);
                 found = true;
+#ifdef BROKEN_OLD_COPY
                 owns[g] = owns[g] || certain
+#else
+                owns[g] = owns[g] || (certain && (owns[m] || complete[m]))
+#endif
             :: else
             fi
         :: else
@@ -108,12 +147,27 @@
             ask_others(g);
             if
             :: !found && others_certain -> owns[g] = true
-            :: !found && !others_certain -> owns[g] = true; limit[g] = 0; has_record[g] = true
+            :: !found && !others_certain ->
+                owns[g] = true; limit[g] = 0; has_record[g] = true;
+                presumed[g] = ALLOWANCE - 1
+            :: else
+            fi;
+#ifndef BROKEN_OLD_COPY
+            if
+            :: has_record[g] && !owns[g] && !complete[g] ->
+                count(known[g], a);
+                a = a + presumed[g];
+                limit[g] = (limit[g] > ALLOWANCE - 1 -> limit[g] : ALLOWANCE - 1);
+                presumed[g] = presumed[g] + (limit[g] > a -> limit[g] - a : 0);
+                limit[g] = 0;
+                complete[g] = true
             :: else
             fi
+#endif
         fi
     fi;
     count(known[g], a);
+    a = a + presumed[g];
     if
     :: !has_record[g] -> has_record[g] = true; limit[g] = ALLOWANCE
     :: else
@@ -138,13 +192,15 @@
         :: other < GATEWAYS -> join_record(other, g)
         :: else
         fi
-    :: else
+    :: else -> assert(granted <= a + 1)     /* a mark is written; the turns that need it are not modelled */
     fi
 }
 
 inline forget(g)
 {
     known[g] = 0;
+    presumed[g] = 0;
+    complete[g] = false;
     has_record[g] = false;
     owns[g] = false;
     restricted[g] = false;
@@ -190,7 +246,7 @@
 }
 
 init {
-    byte g, k, m, a, rank, other, second;
+    byte g, k, m, a, rank, other, second, before, others, joined;
     bool certain, found, others_certain;
     do
     :: granted < MAX_TURNS ->
@@ -220,9 +276,13 @@
                 self_lost[g] = true;
 #endif
 #ifndef BROKEN_OWNS_OVER_PAUSE
-                owns[g] = false
+                owns[g] = false;
 #endif
-            :: state[g] == DOWN || state[g] == STOPPED -> state[g] = UP; self_lost[g] = true; lost[g] = true
+                complete[g] = false;
+                drop_former_copies()
+            :: state[g] == DOWN || state[g] == STOPPED ->
+                state[g] = UP; self_lost[g] = true; lost[g] = true;
+                drop_former_copies()
             :: else
             fi
        }
--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -51,6 +51,17 @@
 
 constexpr milliseconds upkeep_interval{500};
 
+/// Minimum time between two checks of who holds copies of the records. It is shorter than the time for which a gateway
+/// that was lost still counts as live, so that no change of the replicas is missed.
+constexpr milliseconds backup_check_interval{900};
+
+/// Gateways notice the loss of another one at different times, so the copy of an owner may come before the receiver
+/// counts as a replica.
+constexpr milliseconds max_membership_delay{1'200};
+
+/// Time after a pause or cut in which a gateway requests complete copies of its records.
+constexpr milliseconds copy_comparison_period{2'500};
+
 /// A stopping gateway sends this many records at a time, because the send buffer of the socket is limited.
 constexpr std::size_t handover_burst = 64;
 constexpr milliseconds handover_pause{10};
@@ -197,9 +208,18 @@
     m_fleet.detect_pause();
     if (std::exchange(m_rejoins_seen, m_fleet.rejoins()) != m_fleet.rejoins()) {
         m_owned.clear();
+        m_complete_copies.clear();
+        m_backup_receivers.clear();
+        m_compare_until = steady_now() + copy_comparison_period;
     }
 }
 
+// Returns whether the record here has all granted turns, as far as this gateway can know.
+bool budget_coordinator::is_complete(const std::string& program) const
+{
+    return m_owned.contains(program) || m_complete_copies.contains(program) || m_fleet.gateway_count() == 1;
+}
+
 void budget_coordinator::log_decision(const budget_request& request, std::string_view verdict) const
 {
     const budget_record* record = m_ledger.find(request.program);
@@ -256,7 +276,8 @@
     co_return reply;
 }
 
-// Completes the record of a program that this gateway does not own yet, or starts it.
+// Completes the record of a program that this gateway does not own yet, or starts it. A copy that is not kept up to
+// date lacks turns, and the gateways that have these may be lost.
 asio::awaitable<void> budget_coordinator::find_record(const budget_request& request)
 {
     // A gateway that became a replica just now, because another one stops, may not have the record yet. If the request
@@ -265,6 +286,12 @@
         m_ledger.find(request.program) == nullptr && would_have_record(request.program) && !request.owner_unresponsive;
     const bool known_unspent = is_new || (co_await request_copies(request) && !request.owner_unresponsive);
     if (m_ledger.find(request.program) != nullptr) {
+        if (!is_complete(request.program)) {
+            log(log_part::program, log_level::info, "No complete budget record is left of a program.",
+                field("program", request.program), field("request", request.request));
+            m_ledger.presume_unknown_turns(request.program);
+            m_complete_copies[request.program] = steady_now();
+        }
         co_return;
     }
     if (!is_new) {
@@ -418,14 +445,23 @@
     }
 }
 
+std::optional<budget_coordinator::backup_receiver>
+budget_coordinator::next_backup_receiver(const std::string& program) const
+{
+    const member* other = m_fleet.first_other(program);
+    return other == nullptr ? std::nullopt
+                            : std::optional(backup_receiver{other->id, process_start(other->incarnation)});
+}
+
 void budget_coordinator::send_backup(const std::string& program)
 {
-    const auto order = m_fleet.ranked(program);
-    const auto other = std::ranges::find_if(order, [&](const std::string& id) { return id != m_fleet.own_id(); });
+    const auto receiver = next_backup_receiver(program);
     const budget_record* record = m_ledger.find(program);
-    if (other != order.end() && record != nullptr) {
-        m_fleet.send(*other, datagram_kind::record_copy,
-                     to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::backup}));
+    if (receiver && record != nullptr) {
+        m_fleet.send(receiver->id, datagram_kind::record_copy,
+                     to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::backup,
+                                                is_complete(program)}));
+        m_backup_receivers[program] = *receiver;
     }
 }
 
@@ -440,6 +476,7 @@
                                    copy_purpose::reply};
     if (record != nullptr) {
         record_copy.record = *record;
+        record_copy.complete = is_complete(request->program);
     }
     m_fleet.send(sender, datagram_kind::record_copy, to_json(record_copy));
 }
@@ -453,13 +490,21 @@
     const bool reply = record_copy->purpose == copy_purpose::reply;
     if (record_copy->record) {
         m_ledger.join(record_copy->program, *record_copy->record, steady_now());
-        if (record_copy->purpose == copy_purpose::transfer || (reply && record_copy->sender_authoritative)) {
+        if (record_copy->complete) {
+            m_complete_copies[record_copy->program] = steady_now();
+            const auto other = next_backup_receiver(record_copy->program);
+            if (other && other->id == sender) {
+                m_backup_receivers[record_copy->program] = *other; // has this copy
+            }
+        }
+        if (record_copy->purpose == copy_purpose::transfer ||
+            (reply && record_copy->sender_authoritative && record_copy->complete)) {
             m_owned.insert(record_copy->program);
         }
     }
     const auto it = m_pending_copies.find(record_copy->program);
     if (it != m_pending_copies.end() && reply && it->second->awaited.erase(sender) > 0) {
-        it->second->found = it->second->found || record_copy->record;
+        it->second->found = it->second->found || (record_copy->record && is_complete(record_copy->program));
         it->second->certain = it->second->certain || record_copy->sender_authoritative;
         if (it->second->awaited.empty()) {
             it->second->wake.cancel();
@@ -473,8 +518,56 @@
         co_await pause(m_loop, upkeep_interval);
         release_stale_records();
         m_ledger.expire(steady_now());
+        const auto expired = [this](const auto& pair) { return m_ledger.find(pair.first) == nullptr; };
         std::erase_if(m_owned, [this](const std::string& id) { return m_ledger.find(id) == nullptr; });
+        std::erase_if(m_complete_copies, expired);
+        std::erase_if(m_backup_receivers, expired);
         hand_over_to_owners();
+        co_await renew_backups();
+    }
+}
+
+// When gateways join, leave or are lost, the replicas of a record change. Those that have all of it send it to the new
+// ones, and former replicas do not take their copies for complete any more. Programs may pause, so this does not wait
+// for their next turn.
+asio::awaitable<void> budget_coordinator::renew_backups()
+{
+    if (steady_now() - m_backups_renewed_at < backup_check_interval) {
+        co_return;
+    }
+    m_backups_renewed_at = steady_now();
+    std::size_t sent = 0;
+    for (const std::string& program : m_ledger.programs()) {
+        const std::size_t rank = m_fleet.own_rank(program);
+        if (rank >= m_fleet.usable().size()) {
+            co_return; // this gateway stops
+        }
+        if (rank >= record_replica_count) {
+            m_backup_receivers.erase(program);
+            const auto it = m_complete_copies.find(program);
+            if (it != m_complete_copies.end() && steady_now() - it->second > max_membership_delay) {
+                m_complete_copies.erase(it);
+            }
+            continue;
+        }
+        const auto receiver = next_backup_receiver(program);
+        const auto known = m_backup_receivers.find(program);
+        const bool has_copy = receiver && known != m_backup_receivers.end() && known->second == *receiver;
+        if (!receiver || has_copy) {
+            continue;
+        }
+        if (is_complete(program)) {
+            send_backup(program);
+        }
+        else if (steady_now() < m_compare_until) {
+            m_fleet.send(receiver->id, datagram_kind::record_request, to_json(budget_record_request{program}));
+        }
+        else {
+            continue;
+        }
+        if (++sent % handover_burst == 0) {
+            co_await pause(m_loop, handover_pause);
+        }
     }
 }
 
@@ -487,9 +580,10 @@
             return false;
         }
         if (const budget_record* record = m_ledger.find(program)) {
-            m_fleet.send(
-                order.front(), datagram_kind::record_copy,
-                to_json(budget_record_copy{program, *record, would_have_record(program), copy_purpose::transfer}));
+            m_fleet.send(order.front(), datagram_kind::record_copy,
+                         to_json(budget_record_copy{program, *record, would_have_record(program),
+                                                    copy_purpose::transfer, true}));
+            m_complete_copies[program] = steady_now();
         }
         return true;
     });
@@ -511,7 +605,8 @@
         if (record == nullptr) {
             continue; // expired during a pause
         }
-        budget_record_copy copy{program, *record, would_have_record(program), copy_purpose::backup};
+        budget_record_copy copy{program, *record, would_have_record(program), copy_purpose::backup,
+                                is_complete(program)};
         copy.purpose = m_owned.erase(program) > 0 ? copy_purpose::transfer : copy_purpose::backup;
         for (const std::string& id : m_fleet.others_ranked(program, record_replica_count)) {
             m_fleet.send(id, datagram_kind::record_copy, to_json(copy));
--- a/src/gateway/budget_coordinator.h
+++ b/src/gateway/budget_coordinator.h
@@ -56,10 +56,17 @@
         explicit pending_copies(const asio::any_io_executor& loop) : wake(loop) {}
         asio::steady_timer wake;
         std::set<std::string, std::less<>> awaited; ///< gateways that have not replied
-        bool found = false;                         ///< one of them had a record
+        bool found = false;                         ///< one of them had a record, and the one here is complete
         bool certain = false;                       ///< one of them would have a record if any tokens were used
     };
 
+    /// The process that is known to have a copy of a record.
+    struct backup_receiver {
+        std::string id;
+        std::uint64_t start = 0;
+        bool operator==(const backup_receiver&) const = default;
+    };
+
     asio::awaitable<budget_reply> decide_in_turn(budget_request request);
     asio::awaitable<budget_reply> decide(const budget_request& request);
     asio::awaitable<std::optional<received_reply>> request_from_owner(const std::string& owner,
@@ -78,6 +85,9 @@
     void apply_settlement(const budget_settlement& message);
     void send_backup(const std::string& program);
     void hand_over_to_owners();
+    asio::awaitable<void> renew_backups();
+    bool is_complete(const std::string& program) const;
+    std::optional<backup_receiver> next_backup_receiver(const std::string& program) const;
     void release_stale_records();
     asio::awaitable<void> hand_over_records();
     bool would_have_record(std::string_view program) const;
@@ -96,6 +106,11 @@
     std::map<std::string, grant, std::less<>> m_grants;                 ///< open turns of this gateway, by request id
     std::uint64_t m_rejoins_seen = 0;
     std::set<std::string, std::less<>> m_owned; ///< programs that this gateway decides on
+    /// Programs of which this gateway has a copy that is kept up to date, and when the last complete one arrived.
+    std::map<std::string, timestamp, std::less<>> m_complete_copies;
+    std::map<std::string, backup_receiver, std::less<>> m_backup_receivers; ///< of the last copies, by program
+    timestamp m_backups_renewed_at{};
+    timestamp m_compare_until{}; ///< end of the time after a pause in which complete copies are requested
 };
 
 } // namespace lagoonferry
--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -507,8 +507,28 @@
 
 std::size_t fleet_membership::own_rank(std::string_view key) const
 {
-    const auto order = ranked(key);
-    return static_cast<std::size_t>(std::ranges::find(order, m_settings.id) - order.begin());
+    if (!std::ranges::binary_search(m_usable, m_settings.id, {}, &member::id)) {
+        return m_usable.size();
+    }
+    const std::uint64_t hash = stable_hash(key);
+    const std::uint64_t own_weight = rendezvous_weight(hash, m_settings.id);
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_usable, [&](const member& item) { return rendezvous_weight(hash, item.id) > own_weight; }));
+}
+
+const member* fleet_membership::first_other(std::string_view key) const
+{
+    const std::uint64_t hash = stable_hash(key);
+    const member* first = nullptr;
+    std::uint64_t first_weight = 0;
+    for (const member& item : m_usable) {
+        const std::uint64_t weight = rendezvous_weight(hash, item.id);
+        if (item.id != m_settings.id && (first == nullptr || weight > first_weight)) {
+            first = &item;
+            first_weight = weight;
+        }
+    }
+    return first;
 }
 
 bool fleet_membership::well_connected() const
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -91,6 +91,10 @@
     /// Returns the rank of this gateway among the live ones for a key; 0 is the first.
     std::size_t own_rank(std::string_view key) const;
 
+    /// Returns the live gateway that holds the copy of a record of this one: the first other one for `key`, or nullptr.
+    /// The pointer is valid until the event loop runs again.
+    const member* first_other(std::string_view key) const;
+
     /// Returns whether this gateway would have the record of `key`, which the first `replica_count` gateways for the
     /// key hold: it is one of these, where recently lost gateways are counted too, and was not lost itself.
     bool is_replica_of(std::string_view key, std::size_t replica_count) const;
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -89,6 +89,21 @@
     lagoonferry::join(record, other, now);
 }
 
+void budget_ledger::presume_unknown_turns(std::string_view program)
+{
+    const auto it = m_records.find(program);
+    if (it == m_records.end()) {
+        return;
+    }
+    budget_record& record = it->second;
+    // The limit of this record may have been restricted here only.
+    const std::uint64_t allowed =
+        std::max({record.unpersisted_limit, record.high_water_mark, unpersisted_allowance(record.budget)});
+    const std::uint64_t committed = record.committed();
+    record.presumed += allowed > committed ? allowed - committed : 0;
+    record.unpersisted_limit = 0;
+}
+
 void budget_ledger::restrict_unpersisted(const budget_request& request)
 {
     const auto it = m_records.find(request.program);
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -58,6 +58,10 @@
     /// Joins the record of another gateway with the own one. Records may arrive late, in any order and repeatedly.
     void join(std::string_view program, const budget_record& other, timestamp now);
 
+    /// Counts as used all that other gateways may have granted since the copy here was made, without a change of the
+    /// mark in the store that this record knows. Used when no gateway has a complete record.
+    void presume_unknown_turns(std::string_view program);
+
     /// Limits the usage without a stored high-water mark to one more turn like `request`; only the first call for a
     /// program has an effect. Used when another gateway may also be granting turns of the program, because a budget may
     /// be exceeded by one turn at most.
--- a/src/ledger/budget_messages.cpp
+++ b/src/ledger/budget_messages.cpp
@@ -108,6 +108,7 @@
 {
     json out{{"p", message.program}, {"c", message.sender_authoritative}, {"h", static_cast<int>(message.purpose)}};
     if (message.record) {
+        out["k"] = message.complete;
         out["b"] = message.record->budget;
         out["e"] = message.record->presumed;
         out["m"] = message.record->high_water_mark;
@@ -169,6 +170,7 @@
                                                                            : copy_purpose::backup;
         if (message.contains("b")) {
             copy.record = record_from(message);
+            copy.complete = message.value("k", false);
         }
         return copy;
     });
--- a/src/ledger/budget_messages.h
+++ b/src/ledger/budget_messages.h
@@ -61,6 +61,7 @@
     std::optional<budget_record> record;
     bool sender_authoritative = false; ///< the sender would have a record if the program had used any tokens
     copy_purpose purpose = copy_purpose::backup;
+    bool complete = false; ///< the record has all turns granted so far, as far as the sender can know
 };
 
 nlohmann::json to_json(const budget_request& message);
--- a/tests/budget_fleet_test.cpp
+++ b/tests/budget_fleet_test.cpp
@@ -86,6 +86,19 @@
         return **it;
     }
 
+    /// Stops a gateway in order and starts it again. Returns the new one.
+    test_gateway& stop_and_restart(test_gateway& gateway)
+    {
+        gateway.fleet.leave();
+        gateway.budgets.hand_over();
+        run_for(milliseconds(300));
+        test_gateway& restarted = restart(gateway);
+        REQUIRE(run_until([this] {
+            return std::ranges::all_of(m_gateways, [](const auto& item) { return item->fleet.usable().size() == 4; });
+        }));
+        return restarted;
+    }
+
     /// Polls the running gateways until `done` holds. Returns false after 6 s.
     bool run_until(const std::function<bool()>& done)
     {
@@ -372,3 +385,85 @@
     // 0.3 of the budget and one turn are granted; one turn more may be after a loss.
     CHECK(fleet.request_turns(*order[3], "p", "after-", 6) <= turn);
 }
+
+// Guards against review case 12: a stop in order left a copy at a third gateway. It was taken for the whole record when
+// both replicas were lost at once, and what was granted after the stop was granted again.
+TEST_CASE("an old copy of a record does not count as the whole record when both replicas are lost")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    std::uint64_t granted = fleet.request_turns(*order[3], "p", "before-", 2);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", 2 * turn); }));
+    test_gateway& owner = fleet.stop_and_restart(*order[0]);
+    REQUIRE(has_record(*order[2], "p", 2 * turn));
+    fleet.run_for(milliseconds(2'500));
+    granted += fleet.request_turns(*order[3], "p", "between-", 2);
+    REQUIRE(granted == 4 * turn);
+    REQUIRE(fleet.run_until([&] { return has_record(owner, "p", 4 * turn) && has_record(*order[1], "p", 4 * turn); }));
+    owner.running = false;
+    order[1]->running = false;
+    REQUIRE(
+        fleet.run_until([&] { return order[2]->fleet.usable().size() == 2 && order[3]->fleet.usable().size() == 2; }));
+    REQUIRE(has_record(*order[2], "p", 2 * turn));
+    granted += fleet.request_turns(*order[3], "p", "after-", 12);
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
+
+// The same when the lost replicas return before the next turn: the first one asks the third gateway for its copy.
+TEST_CASE("replicas that return after both were lost do not take an old copy for the whole record")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    std::uint64_t granted = fleet.request_turns(*order[3], "p", "before-", 2);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", 2 * turn); }));
+    test_gateway& owner = fleet.stop_and_restart(*order[0]);
+    fleet.run_for(milliseconds(2'500));
+    granted += fleet.request_turns(*order[3], "p", "between-", 2);
+    REQUIRE(granted == 4 * turn);
+    REQUIRE(has_record(*order[2], "p", 2 * turn));
+    fleet.restart(*order[1]);
+    fleet.restart(owner);
+    fleet.run_for(milliseconds(1'000));
+    granted += fleet.request_turns(*order[3], "p", "after-", 12);
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
+
+// Otherwise a mend of review case 12 refuses turns of programs of which nothing was lost.
+TEST_CASE("the record of a program that pauses is complete at the next gateway although its replicas are lost in turn")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    std::uint64_t granted = fleet.request_turns(*order[3], "p", "before-", 1);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", turn); }));
+    order[0]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[1]->fleet.usable().size() == 3; }));
+    REQUIRE(fleet.run_until([&] { return has_record(*order[2], "p", turn); }));
+    order[1]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[2]->fleet.usable().size() == 2; }));
+    REQUIRE(fleet.run_until([&] { return order[3]->fleet.usable().size() == 2; }));
+    granted += fleet.request_turns(*order[3], "p", "after-", 12);
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
+
+// The same after a pause that the others did not notice, so that they do not send their copies by themselves.
+TEST_CASE("a backup that was paused for a short time gets complete copies of programs that pause")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    std::uint64_t granted = fleet.request_turns(*order[3], "p", "before-", 1);
+    REQUIRE(fleet.run_until([&] { return has_record(*order[1], "p", turn); }));
+    order[1]->running = false;
+    fleet.run_for(milliseconds(1'700));
+    order[1]->running = true;
+    fleet.run_for(milliseconds(1'600));
+    REQUIRE(order[1]->fleet.rejoins() == 1);
+    order[0]->running = false;
+    REQUIRE(fleet.run_until([&] { return order[1]->fleet.usable().size() == 3; }));
+    REQUIRE(fleet.run_until([&] { return order[3]->fleet.usable().size() == 3; }));
+    granted += fleet.request_turns(*order[3], "p", "after-", 12);
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -401,6 +401,33 @@
     }
 }
 
+// Review case 12: whoever has only an old copy counts all that was allowed without a further write to the store.
+TEST_CASE("turns that an old copy lacks count up to its limit or its mark")
+{
+    budget_ledger owner;
+    const budget_request first = request_of("r1", 100);
+    owner.start_record(first, true, seconds(1));
+    REQUIRE(owner.reserve(first, seconds(1)) == ledger_decision::granted);
+    settle(owner, settlement_of("r1", 100), seconds(1));
+    budget_ledger taker;
+    taker.join("p", *owner.find("p"), seconds(1));
+    taker.presume_unknown_turns("p");
+    CHECK(taker.find("p")->committed() == owner.find("p")->unpersisted_limit);
+    taker.presume_unknown_turns("p");
+    CHECK(taker.find("p")->committed() == owner.find("p")->unpersisted_limit);
+    CHECK(taker.reserve(request_of("r2", 100), seconds(2)) == ledger_decision::needs_high_water_mark);
+
+    owner.set_high_water_mark("p", 700, 5, true);
+    budget_ledger later_taker;
+    later_taker.join("p", *owner.find("p"), seconds(2));
+    later_taker.presume_unknown_turns("p");
+    CHECK(later_taker.find("p")->committed() == 700);
+    // Turns that become known are among the presumed ones.
+    REQUIRE(owner.reserve(request_of("r3", 100), seconds(3)) == ledger_decision::granted);
+    later_taker.join("p", *owner.find("p"), seconds(3));
+    CHECK(later_taker.find("p")->committed() == 700);
+}
+
 TEST_CASE("messages are decoded from their encoding, and malformed ones are rejected")
 {
     budget_record record;
