--- a/spec/budget_marks.pml
+++ b/spec/budget_marks.pml
@@ -60,7 +60,9 @@
                 known_revision = revision;
                 if
                 :: high_water_mark > known_high_water_mark ->
+#ifndef BROKEN_MARK_OF_FORMER_PROCESS
                     used = max(used, high_water_mark);
+#endif
                     unrecorded = 0;
                     known_high_water_mark = high_water_mark
                 :: else
--- a/src/gateway/budget_coordinator.cpp
+++ b/src/gateway/budget_coordinator.cpp
@@ -328,12 +328,13 @@
     co_return pending->certain;
 }
 
-// After a lost response the same value is written again, so that a late write and its retry are equivalent.
+// After a lost response the same value is written again, so that a late write and its retry are equivalent. The writer
+// is named by the series of the record: a mark that was written for a record since lost may be used up.
 asio::awaitable<bool> budget_coordinator::write_high_water_mark(const budget_request& request)
 {
     const high_water_mark_write required = m_ledger.required_write(request);
     const std::string key = high_water_mark_key(request.program);
-    const std::string writer = m_fleet.own_id() + "/" + request.request;
+    const std::string writer = m_fleet.own_id() + "/" + std::to_string(required.series) + "/" + request.request;
     const std::string text = high_water_mark_json(required.high_water_mark, writer);
     const std::array conditions{store_condition{key, required.revision}};
     const std::array items{store_item{key, text, 0, false}};
--- a/src/ledger/budget_ledger.cpp
+++ b/src/ledger/budget_ledger.cpp
@@ -34,6 +34,16 @@
     return share_of(budget, m_rules.unpersisted_share);
 }
 
+// Returns the record of a program, and whether it was created.
+std::pair<budget_record&, bool> budget_ledger::find_or_create(std::string_view program)
+{
+    const auto [it, added] = m_records.try_emplace(std::string(program));
+    if (added) {
+        it->second.own_series = m_next_series++;
+    }
+    return {it->second, added};
+}
+
 ledger_decision budget_ledger::reserve(const budget_request& request, timestamp now)
 {
     const auto it = m_records.find(request.program);
@@ -52,9 +62,6 @@
     if (total > std::max(record.unpersisted_limit, record.high_water_mark)) {
         return ledger_decision::needs_high_water_mark;
     }
-    if (record.own_series == 0) {
-        record.own_series = m_next_series++;
-    }
     budget_record::turn_series& own = record.series[record.own_series];
     const std::uint64_t last = own.turns.empty() ? own.folded_turns : own.turns.rbegin()->first;
     own.turns[last + 1] = {request.request, request.tokens, false, now};
@@ -63,11 +70,10 @@
 
 void budget_ledger::start_record(const budget_request& request, bool known_unspent, timestamp now)
 {
-    const auto [it, added] = m_records.try_emplace(request.program);
+    const auto [record, added] = find_or_create(request.program);
     if (!added) {
         return;
     }
-    budget_record& record = it->second;
     record.budget = request.budget;
     record.last_use = now;
     if (known_unspent) {
@@ -81,8 +87,7 @@
 
 void budget_ledger::join(std::string_view program, const budget_record& other, timestamp now)
 {
-    const auto [it, added] = m_records.try_emplace(std::string(program));
-    budget_record& record = it->second;
+    const auto [record, added] = find_or_create(program);
     if (added) {
         record.unpersisted_limit = other.unpersisted_limit;
     }
@@ -122,7 +127,7 @@
     const std::uint64_t total = record.committed() + request.tokens;
     const std::uint64_t coarse_step_end = share_of(record.budget, m_rules.coarse_step_share);
     const std::uint64_t coarse_step = std::min(total + unpersisted_allowance(record.budget), coarse_step_end);
-    return {std::max(total, coarse_step), record.high_water_mark_revision};
+    return {std::max(total, coarse_step), record.high_water_mark_revision, record.own_series};
 }
 
 void budget_ledger::set_high_water_mark(std::string_view program, std::uint64_t high_water_mark, std::uint64_t revision,
--- a/src/ledger/budget_ledger.h
+++ b/src/ledger/budget_ledger.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace lagoonferry {
@@ -39,6 +40,7 @@
 struct high_water_mark_write {
     std::uint64_t high_water_mark = 0;
     std::uint64_t revision = 0; ///< expected revision of the current mark; 0: none is known
+    std::uint64_t series = 0;   ///< own series of the record; no other process or record has the same
 };
 
 /// Counts the token usage of programs that this process owns, and holds copies of other owners' records. For each lost
@@ -71,8 +73,8 @@
     /// `needs_high_water_mark`.
     high_water_mark_write required_write(const budget_request& request) const;
 
-    /// Records the mark that the store holds. `written_here`: this process wrote it, with the value of
-    /// `required_write`.
+    /// Records the mark that the store holds. `written_here`: it was written for this record, with the value of
+    /// `required_write`, and not for one that this process or an earlier one had of the program before.
     void set_high_water_mark(std::string_view program, std::uint64_t high_water_mark, std::uint64_t revision,
                              bool written_here);
 
@@ -95,6 +97,7 @@
 
 private:
     std::uint64_t unpersisted_allowance(std::uint64_t budget) const;
+    std::pair<budget_record&, bool> find_or_create(std::string_view program);
 
     budget_rules m_rules;
     std::uint64_t m_next_series; ///< random at first, so that the series of all processes differ
--- a/src/ledger/budget_record.h
+++ b/src/ledger/budget_record.h
@@ -33,7 +33,7 @@
 
     std::uint64_t budget = 0;
     std::map<std::uint64_t, turn_series> series; ///< by the id that the starting gateway has chosen
-    std::uint64_t own_series = 0;                ///< id of the series of this process; 0: it has granted no turn
+    std::uint64_t own_series = 0;        ///< id for the turns that are granted from this record; not copied with it
     std::uint64_t presumed = 0;          ///< tokens that count as used because turns that are not known here may exist
     std::uint64_t high_water_mark = 0;   ///< total usage that the stored high-water mark allows
     std::uint64_t unpersisted_limit = 0; ///< total usage that is allowed without a stored high-water mark
--- a/tests/budget_fleet_test.cpp
+++ b/tests/budget_fleet_test.cpp
@@ -467,3 +467,21 @@
     CHECK(granted <= budget + turn);
     CHECK(granted >= budget - turn);
 }
+
+// Guards against soak seed 6005: a gateway was killed and came back without the record. It got a request again for
+// which its former process had written a mark, took this for its own new one, and granted the same tokens again.
+TEST_CASE("a restarted owner does not take the mark of its former process for its own")
+{
+    test_fleet fleet(true);
+    const auto order = fleet.replica_order("p");
+    // The fifth turn writes a mark that allows seven.
+    std::uint64_t granted = fleet.request_turns(*order[3], "p", "turn-", 7);
+    REQUIRE(granted == 7 * turn);
+    fleet.restart(*order[1]);
+    fleet.restart(*order[0]);
+    fleet.run_for(milliseconds(1'000));
+    granted += fleet.request_turn(*order[3], "p", "turn-4") == budget_verdict::granted ? turn : 0;
+    granted += fleet.request_turns(*order[3], "p", "after-", 12);
+    CHECK(granted <= budget + turn);
+    CHECK(granted >= budget - turn);
+}
--- a/tests/budget_ledger_test.cpp
+++ b/tests/budget_ledger_test.cpp
@@ -428,6 +428,30 @@
     CHECK(later_taker.find("p")->committed() == 700);
 }
 
+// Soak seed 6005: marks name the record that they were written for. One that was written for a record since lost, or
+// deleted after its retention, does not count as written for the present one.
+TEST_CASE("a record of a program has another series than all earlier ones")
+{
+    const budget_request request = request_of("r1", 100);
+    const auto series_of = [&request](budget_ledger& ledger) {
+        ledger.start_record(request, false, seconds(1));
+        REQUIRE(ledger.reserve(request, seconds(1)) == ledger_decision::needs_high_water_mark);
+        return ledger.required_write(request).series;
+    };
+    budget_ledger ledger;
+    const std::uint64_t first = series_of(ledger);
+    CHECK(ledger.required_write(request).series == first);
+    ledger.expire(seconds(100));
+    REQUIRE(ledger.find("p") == nullptr);
+    CHECK(series_of(ledger) != first);
+    budget_ledger restarted;
+    CHECK(series_of(restarted) != first);
+    budget_ledger backup;
+    backup.join("p", *restarted.find("p"), seconds(2));
+    REQUIRE(backup.reserve(request, seconds(2)) == ledger_decision::needs_high_water_mark);
+    CHECK(backup.required_write(request).series != restarted.required_write(request).series);
+}
+
 TEST_CASE("messages are decoded from their encoding, and malformed ones are rejected")
 {
     budget_record record;
