Keep the hashes of the gateways' ids for the ranks of records

Each weight hashed the id of a gateway again.

Change: the hashes are computed once when the list of live gateways changes. The weights are the same.

--- a/src/gateway/fleet_membership.cpp
+++ b/src/gateway/fleet_membership.cpp
@@ -371,6 +371,9 @@
 {
     const std::vector<member> before = std::move(m_usable);
     m_usable = m_table->usable(member_role::entry, now);
+    m_usable_hashes.clear();
+    std::ranges::transform(m_usable, std::back_inserter(m_usable_hashes),
+                           [](const member& item) { return stable_hash(item.id); });
     m_refreshed_at = now;
     m_changes_seen = m_table->change_count();
     if (!std::ranges::equal(before, m_usable, {}, &member::id, &member::id)) {
@@ -496,9 +499,10 @@
     };
     const std::uint64_t hash = stable_hash(key);
     std::vector<candidate> order;
-    std::ranges::transform(m_usable, std::back_inserter(order), [hash](const member& item) {
-        return candidate{rendezvous_weight(hash, item.id), &item.id};
-    });
+    std::ranges::transform(m_usable, m_usable_hashes, std::back_inserter(order),
+                           [hash](const member& item, std::uint64_t id_hash) {
+                               return candidate{rendezvous_weight(hash, id_hash), &item.id};
+                           });
     std::ranges::sort(order, std::greater{}, &candidate::weight);
     std::vector<std::string> ids;
     std::ranges::transform(order, std::back_inserter(ids), [](const candidate& item) { return *item.id; });
@@ -513,7 +517,7 @@
     const std::uint64_t hash = stable_hash(key);
     const std::uint64_t own_weight = rendezvous_weight(hash, m_settings.id);
     return static_cast<std::size_t>(std::ranges::count_if(
-        m_usable, [&](const member& item) { return rendezvous_weight(hash, item.id) > own_weight; }));
+        m_usable_hashes, [&](std::uint64_t id_hash) { return rendezvous_weight(hash, id_hash) > own_weight; }));
 }
 
 const member* fleet_membership::first_other(std::string_view key) const
@@ -521,10 +525,10 @@
     const std::uint64_t hash = stable_hash(key);
     const member* first = nullptr;
     std::uint64_t first_weight = 0;
-    for (const member& item : m_usable) {
-        const std::uint64_t weight = rendezvous_weight(hash, item.id);
-        if (item.id != m_settings.id && (first == nullptr || weight > first_weight)) {
-            first = &item;
+    for (std::size_t n = 0; n < m_usable.size(); ++n) {
+        const std::uint64_t weight = rendezvous_weight(hash, m_usable_hashes[n]);
+        if ((first == nullptr || weight > first_weight) && m_usable[n].id != m_settings.id) {
+            first = &m_usable[n];
             first_weight = weight;
         }
     }
--- a/src/gateway/fleet_membership.h
+++ b/src/gateway/fleet_membership.h
@@ -195,8 +195,9 @@
     std::map<std::string, timestamp, std::less<>> m_handing_over_until; ///< gateways that have just left
     std::optional<timestamp> m_losses_known_at;                         ///< when `m_lost_until` becomes complete
     std::map<std::string, std::uint64_t, std::less<>> m_silent;         ///< process starts of gateways that fell silent
-    bool m_connected = true;      ///< at least half of the known gateways are usable
-    std::vector<member> m_usable; ///< by id, as of `m_refreshed_at`
+    bool m_connected = true;                    ///< at least half of the known gateways are usable
+    std::vector<member> m_usable;               ///< by id, as of `m_refreshed_at`
+    std::vector<std::uint64_t> m_usable_hashes; ///< `stable_hash` of the ids in `m_usable`
     timestamp m_refreshed_at{};
     timestamp m_usable_since{};       ///< when a gateway was last added to `m_usable` or removed
     std::uint64_t m_changes_seen = 0; ///< change counter of the member table at `m_refreshed_at`
--- a/src/util/rendezvous.cpp
+++ b/src/util/rendezvous.cpp
@@ -42,7 +42,12 @@
 
 std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate)
 {
-    return mix(key ^ stable_hash(candidate));
+    return rendezvous_weight(key, stable_hash(candidate));
+}
+
+std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t candidate_hash)
+{
+    return mix(key ^ candidate_hash);
 }
 
 } // namespace lagoonferry
--- a/src/util/rendezvous.h
+++ b/src/util/rendezvous.h
@@ -17,4 +17,7 @@
 /// the highest hash weight is selected. Thread-safe.
 std::uint64_t rendezvous_weight(std::uint64_t key, std::string_view candidate);
 
+/// The same for a candidate of whose id the caller keeps the `stable_hash`, which takes most of the time.
+std::uint64_t rendezvous_weight(std::uint64_t key, std::uint64_t candidate_hash);
+
 } // namespace lagoonferry
